--- /dev/null
+++ b/cmd/galenahitch/main.go
@@ -0,0 +1,14 @@
+// Command galenahitch serves language-model answers and plain services on VMs
+// that the cloud can reclaim, and administers the entries that do.
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/commander"
+)
+
+func main() {
+	os.Exit(int(commander.Main(os.Args[1:], commander.IO{Out: os.Stdout, Err: os.Stderr, Now: time.Now})))
+}
--- /dev/null
+++ b/internal/commander/logger.go
@@ -0,0 +1,43 @@
+package commander
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// newLogger writes one line of key=value pairs for each event.
+func newLogger(out io.Writer, level string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	writer := zerolog.ConsoleWriter{
+		Out:             out,
+		NoColor:         true,
+		TimeFormat:      time.RFC3339Nano,
+		FormatTimestamp: func(v any) string { return fmt.Sprintf("time=%v", v) },
+		FormatLevel:     func(v any) string { return fmt.Sprintf("level=%v", v) },
+		FormatMessage:   func(v any) string { return "" },
+		FormatFieldName: func(v any) string { return fmt.Sprintf("%v=", v) },
+		FormatFieldValue: func(v any) string {
+			text := fmt.Sprint(v)
+			if unquoted, err := strconv.Unquote(text); err == nil {
+				text = unquoted
+			}
+			if strings.ContainsAny(text, " =\"\n") || text == "" {
+				return strconv.Quote(text)
+			}
+			return text
+		},
+		FormatErrFieldName:  func(v any) string { return fmt.Sprintf("%v=", v) },
+		FormatErrFieldValue: func(v any) string { return strconv.Quote(strings.Trim(fmt.Sprint(v), `"`)) },
+		PartsOrder:          []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
+		FieldsOrder:         []string{"event"},
+	}
+	return zerolog.New(writer).Level(parsed).With().Timestamp().Logger(), nil
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,122 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Target is the upstream of an attempt.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Attempt is one try of a request on an upstream.
+type Attempt struct {
+	RequestID string
+	Number    int
+	Route     string
+	// Body is the caller's JSON for a model, the payload for a service.
+	Body []byte
+	// From is the number of tokens that the caller has already.
+	From int
+	// Sent is the text of those tokens.
+	Sent []byte
+	// KV names a cache that was moved to the upstream for this attempt.
+	KV bool
+}
+
+// Part is one piece of a streamed answer.
+type Part struct {
+	Offset int
+	Text   string
+	Done   bool
+}
+
+// Stream is an answer that is being received.
+type Stream interface {
+	// Next returns the next part. Parts of other attempts and parts that were
+	// received already are dropped; a gap is an error.
+	Next() (Part, error)
+	// Close ends the stream; its connection is not used again unless the
+	// answer was read to its end.
+	Close()
+}
+
+// Call is a request to a plain service.
+type Call struct {
+	Attempt
+	Method string
+	Path   string
+	Type   string
+	// Key is the organisation's idempotency key as the service knows it.
+	Key string
+	// Fresh asks for a connection of its own.
+	Fresh bool
+}
+
+// Reply is a service's answer.
+type Reply struct {
+	Status int
+	Type   string
+	Body   []byte
+}
+
+// Load is what an upstream says of itself.
+type Load struct {
+	Version string
+	Running int
+	Slots   int
+	// Leaving is the time left before a reclaim, 0 if there is no notice.
+	Leaving time.Duration
+	// Boot differs after each start of the upstream's process.
+	Boot string
+}
+
+// Progress is what an upstream knows of an attempt.
+type Progress struct {
+	Known  bool
+	Done   bool
+	Tokens int
+}
+
+// Engines is how model engines are used.
+type Engines interface {
+	Generate(ctx context.Context, target Target, attempt Attempt) (Stream, error)
+	// MoveKV moves the cache of an attempt from one engine to another.
+	MoveKV(ctx context.Context, from, to Target, requestID string, attempt int) error
+}
+
+// Services is how plain services are used.
+type Services interface {
+	Call(ctx context.Context, target Target, call Call) (Reply, error)
+}
+
+// Prober asks upstreams about themselves, always on a connection of its own.
+type Prober interface {
+	Load(ctx context.Context, target Target) (Load, error)
+	Progress(ctx context.Context, target Target, requestID string, attempt int) (Progress, error)
+}
+
+// Upstreams is everything that an entry needs of upstreams.
+type Upstreams interface {
+	Engines
+	Services
+	Prober
+}
+
+const (
+	headerRequestID  = "X-Request-Id"
+	headerAttempt    = "X-Attempt"
+	headerResumeFrom = "X-Resume-From"
+	headerResumeKV   = "X-Resume-Kv"
+	headerKey        = "X-Key"
+	headerNotRun     = "X-Not-Run"
+)
+
+// Answered reports whether an HTTP status is the service's own answer, which
+// goes to the caller as it is.
+func Answered(status int) bool {
+	return status < http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/dispatcher/http.go
@@ -0,0 +1,197 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+const (
+	maxReplyBytes   = 8 << 20
+	probeTimeout    = time.Second
+	connectTimeout  = time.Second
+	idleTimeout     = 30 * time.Second
+	bufferBytes     = 2 << 10
+	idlePerUpstream = 64
+)
+
+// Config sets an HTTP adapter up.
+type Config struct {
+	// LocalIP is the address that calls leave from. Empty means any.
+	LocalIP string
+}
+
+// HTTP is the adapter to upstreams that speak HTTP/1.1 with server-sent
+// events. It implements Upstreams.
+type HTTP struct {
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// NewHTTP returns an adapter. It makes no call.
+func NewHTTP(cfg Config) *HTTP {
+	dial := &net.Dialer{Timeout: connectTimeout}
+	if cfg.LocalIP != "" {
+		dial.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.LocalIP)}
+	}
+	return &HTTP{
+		pooled: &http.Transport{
+			DialContext:         dial.DialContext,
+			MaxIdleConnsPerHost: idlePerUpstream,
+			IdleConnTimeout:     idleTimeout,
+			ReadBufferSize:      bufferBytes,
+			WriteBufferSize:     bufferBytes,
+			DisableCompression:  true,
+		},
+		fresh: &http.Transport{
+			DialContext:        dial.DialContext,
+			DisableKeepAlives:  true,
+			ReadBufferSize:     bufferBytes,
+			WriteBufferSize:    bufferBytes,
+			DisableCompression: true,
+		},
+	}
+}
+
+// Close drops idle connections.
+func (h *HTTP) Close() {
+	h.pooled.CloseIdleConnections()
+	h.fresh.CloseIdleConnections()
+}
+
+// send performs one exchange and marks errors with what they say about the
+// request's execution.
+func send(transport *http.Transport, req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		if !connected.Load() {
+			return nil, judge.Wrap(judge.NotRun, err, "connect to %s", req.URL.Host)
+		}
+		return nil, judge.Wrap(judge.MayHaveRun, err, "exchange with %s", req.URL.Host)
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotRun) != "" {
+		resp.Body.Close()
+		return nil, judge.Mark(judge.NotRun, "%s refused the request", req.URL.Host)
+	}
+	return resp, nil
+}
+
+func label(req *http.Request, a Attempt) {
+	req.Header.Set(headerRequestID, a.RequestID)
+	req.Header.Set(headerAttempt, strconv.Itoa(a.Number))
+}
+
+func echoes(resp *http.Response, a Attempt) bool {
+	return resp.Header.Get(headerRequestID) == a.RequestID && resp.Header.Get(headerAttempt) == strconv.Itoa(a.Number)
+}
+
+// Call performs one call on a plain service.
+func (h *HTTP) Call(ctx context.Context, target Target, call Call) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+target.Address+"/run/"+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return Reply{}, judge.Wrap(judge.NotRun, err, "address a call")
+	}
+	// Without GetBody the library has no means to send the request again.
+	req.GetBody = nil
+	label(req, call.Attempt)
+	req.Header.Set(headerKey, call.Key)
+	if call.Type != "" {
+		req.Header.Set("Content-Type", call.Type)
+	}
+	transport := h.pooled
+	if call.Fresh {
+		transport = h.fresh
+	}
+	resp, err := send(transport, req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err != nil {
+		return Reply{}, judge.Wrap(judge.MayHaveRun, err, "read the answer of %s", target.ID)
+	}
+	if len(body) > maxReplyBytes {
+		return Reply{}, judge.Mark(judge.MayHaveRun, "the answer of %s is larger than %d bytes", target.ID, maxReplyBytes)
+	}
+	if !Answered(resp.StatusCode) {
+		return Reply{}, judge.Mark(judge.MayHaveRun, "%s answered with status %d", target.ID, resp.StatusCode)
+	}
+	if !echoes(resp, call.Attempt) {
+		return Reply{}, judge.Mark(judge.MayHaveRun, "%s answered another request", target.ID)
+	}
+	return Reply{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// get reads JSON from an upstream on a connection of its own.
+func get[T any](ctx context.Context, h *HTTP, target Target, path string) (T, int, error) {
+	var value T
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+path, nil)
+	if err != nil {
+		return value, 0, judge.Wrap(judge.NotRun, err, "address a probe")
+	}
+	resp, err := send(h.fresh, req)
+	if err != nil {
+		return value, 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return value, resp.StatusCode, nil
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&value)
+	return value, resp.StatusCode, err
+}
+
+type loadReport struct {
+	Version   string `json:"version"`
+	Running   int    `json:"running"`
+	Slots     int    `json:"slots"`
+	LeavingMS int64  `json:"leaving_ms"`
+	Boot      string `json:"boot"`
+}
+
+// Load asks an upstream for its load.
+func (h *HTTP) Load(ctx context.Context, target Target) (Load, error) {
+	report, status, err := get[loadReport](ctx, h, target, "/load")
+	if err != nil {
+		return Load{}, err
+	}
+	if status != http.StatusOK {
+		return Load{}, judge.Mark(judge.NotRun, "%s reports status %d", target.ID, status)
+	}
+	return Load{
+		Version: report.Version,
+		Running: report.Running,
+		Slots:   report.Slots,
+		Leaving: time.Duration(report.LeavingMS) * time.Millisecond,
+		Boot:    report.Boot,
+	}, nil
+}
+
+type progressReport struct {
+	Done   bool `json:"done"`
+	Tokens int  `json:"tokens"`
+}
+
+// Progress asks an upstream what it knows of an attempt.
+func (h *HTTP) Progress(ctx context.Context, target Target, requestID string, attempt int) (Progress, error) {
+	report, status, err := get[progressReport](ctx, h, target, "/attempts/"+requestID+"/"+strconv.Itoa(attempt))
+	if err != nil {
+		return Progress{}, err
+	}
+	return Progress{Known: status == http.StatusOK, Done: report.Done, Tokens: report.Tokens}, nil
+}
--- /dev/null
+++ b/internal/dispatcher/stream.go
@@ -0,0 +1,175 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"iter"
+	"net/http"
+	"strconv"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+const (
+	maxEventBytes = 64 << 10
+	// maxStale bounds the parts of other attempts or offsets that are dropped
+	// before a stream is given up.
+	maxStale = 64
+)
+
+type enginePart struct {
+	RequestID string `json:"request_id"`
+	Attempt   int    `json:"attempt"`
+	Offset    int    `json:"offset"`
+	Text      string `json:"text"`
+	Done      bool   `json:"done"`
+}
+
+type resumeBody struct {
+	ResumeText string `json:"resume_text"`
+}
+
+// Generate starts a streamed answer on a model engine.
+func (h *HTTP) Generate(ctx context.Context, target Target, a Attempt) (Stream, error) {
+	body, err := withResume(a.Body, a.Sent)
+	if err != nil {
+		return nil, judge.Wrap(judge.NotRun, err, "encode the request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.Address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, judge.Wrap(judge.NotRun, err, "address a request")
+	}
+	req.GetBody = nil
+	label(req, a)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerResumeFrom, strconv.Itoa(a.From))
+	if a.KV {
+		req.Header.Set(headerResumeKV, "1")
+	}
+	resp, err := send(h.pooled, req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, judge.Mark(judge.MayHaveRun, "%s answered with status %d", target.ID, resp.StatusCode)
+	}
+	if !echoes(resp, a) {
+		resp.Body.Close()
+		return nil, judge.Mark(judge.MayHaveRun, "%s answered another request", target.ID)
+	}
+	return newEventStream(target, a, resp.Body), nil
+}
+
+// withResume adds the text that the caller has already to a JSON object.
+func withResume(body, sent []byte) ([]byte, error) {
+	if len(sent) == 0 {
+		return body, nil
+	}
+	extra, err := json.Marshal(resumeBody{ResumeText: string(sent)})
+	if err != nil {
+		return nil, err
+	}
+	open := bytes.TrimSpace(body)
+	open = open[:len(open)-1]
+	return append(append(open[:len(open):len(open)], ','), extra[1:]...), nil
+}
+
+type eventStream struct {
+	target Target
+	a      Attempt
+	body   io.ReadCloser
+	next   func() (sse.Event, error, bool)
+	stop   func()
+	offset int
+	stale  int
+	ended  bool
+}
+
+func newEventStream(target Target, a Attempt, body io.ReadCloser) *eventStream {
+	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
+	return &eventStream{target: target, a: a, body: body, next: next, stop: stop, offset: a.From}
+}
+
+// Next returns the next part that belongs to this attempt and place.
+func (s *eventStream) Next() (Part, error) {
+	for {
+		event, err, ok := s.next()
+		if !ok || err == io.EOF {
+			return Part{}, judge.Mark(judge.MayHaveRun, "%s ended the answer early", s.target.ID)
+		}
+		if err != nil {
+			return Part{}, judge.Wrap(judge.MayHaveRun, err, "receive from %s", s.target.ID)
+		}
+		part, fits, err := s.accept(event)
+		if err != nil {
+			return Part{}, err
+		}
+		if fits {
+			return part, nil
+		}
+	}
+}
+
+func (s *eventStream) accept(event sse.Event) (Part, bool, error) {
+	var p enginePart
+	if err := json.Unmarshal([]byte(event.Data), &p); err != nil {
+		return Part{}, false, judge.Wrap(judge.MayHaveRun, err, "%s sent what is no part", s.target.ID)
+	}
+	if p.RequestID != s.a.RequestID || p.Attempt != s.a.Number || p.Offset < s.offset {
+		s.stale++
+		if s.stale > maxStale {
+			return Part{}, false, judge.Mark(judge.MayHaveRun, "%s sends parts of other requests", s.target.ID)
+		}
+		return Part{}, false, nil
+	}
+	if p.Offset > s.offset {
+		return Part{}, false, judge.Mark(judge.MayHaveRun, "%s left out part %d", s.target.ID, s.offset)
+	}
+	s.offset++
+	s.ended = p.Done
+	return Part{Offset: p.Offset, Text: p.Text, Done: p.Done}, true, nil
+}
+
+// Close ends the stream.
+func (s *eventStream) Close() {
+	if s.ended {
+		// A short read to the end lets the connection be used again.
+		_, _ = io.CopyN(io.Discard, s.body, maxEventBytes)
+	}
+	s.stop()
+	_ = s.body.Close()
+}
+
+// MoveKV moves the cache of an attempt from one engine to another.
+func (h *HTTP) MoveKV(ctx context.Context, from, to Target, requestID string, attempt int) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Address+"/kv/"+requestID+"/"+strconv.Itoa(attempt), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := send(h.fresh, req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return judge.Mark(judge.NotRun, "%s exports no cache of the request", from.ID)
+	}
+	put, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+to.Address+"/kv/"+requestID, io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return err
+	}
+	stored, err := send(h.fresh, put)
+	if err != nil {
+		return err
+	}
+	defer stored.Body.Close()
+	if stored.StatusCode != http.StatusOK {
+		return judge.Mark(judge.NotRun, "%s imports no cache", to.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/command.go
@@ -0,0 +1,100 @@
+package emulator
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// crashExit is the exit code of a stand-in that dies of a request.
+const crashExit = 86
+
+type listenFlag struct {
+	Listen string `long:"listen" required:"yes" description:"address to listen on, ip:port"`
+}
+
+func (l listenFlag) serve(handler http.Handler) error {
+	listener, err := net.Listen("tcp", l.Listen)
+	if err != nil {
+		return err
+	}
+	return http.Serve(listener, handler)
+}
+
+type platformCommand struct{ listenFlag }
+
+// Execute serves a platform.
+func (c *platformCommand) Execute([]string) error { return c.serve(NewPlatform(time.Now).Handler()) }
+
+type engineCommand struct {
+	listenFlag
+	Version    string        `long:"version" default:"v1" description:"the model version it serves"`
+	Slots      int           `long:"slots" default:"8" description:"requests that it runs at once"`
+	FirstToken time.Duration `long:"first-token" default:"5ms" description:"time to the first token"`
+	EachToken  time.Duration `long:"each-token" default:"5ms" description:"time between tokens"`
+}
+
+// Execute serves a model engine.
+func (c *engineCommand) Execute([]string) error {
+	return c.serve(NewEngine(EngineConfig{
+		Version: c.Version, Slots: c.Slots, FirstToken: c.FirstToken, EachToken: c.EachToken, Crash: crash,
+	}).Handler())
+}
+
+type serviceCommand struct {
+	listenFlag
+	Version string        `long:"version" default:"v1" description:"the version it serves"`
+	Slots   int           `long:"slots" default:"8" description:"requests that it runs at once"`
+	Delay   time.Duration `long:"delay" default:"5ms" description:"time that a call takes"`
+}
+
+// Execute serves a plain service.
+func (c *serviceCommand) Execute([]string) error {
+	return c.serve(NewService(ServiceConfig{Version: c.Version, Slots: c.Slots, Delay: c.Delay, Crash: crash}).Handler())
+}
+
+func crash() { os.Exit(crashExit) }
+
+type linkCommand struct {
+	listenFlag
+	Relays []string `long:"relay" description:"from=to, both ip:port; may be repeated"`
+}
+
+// Execute serves the links between entries.
+func (c *linkCommand) Execute([]string) error {
+	link := NewLink()
+	for _, relay := range c.Relays {
+		if err := link.Relay(relay); err != nil {
+			return err
+		}
+	}
+	return c.serve(link.Handler())
+}
+
+// Main runs a stand-in and returns the exit code.
+func Main(args []string) int {
+	parser := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range []struct {
+		name  string
+		short string
+		data  any
+	}{
+		{"platform", "the table, the VM list and the cloud's notices", &platformCommand{}},
+		{"engine", "a model engine", &engineCommand{}},
+		{"service", "a plain service", &serviceCommand{}},
+		{"link", "connections between entries that can be cut", &linkCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/emulator/link.go
@@ -0,0 +1,116 @@
+package emulator
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/joomcode/errorx"
+)
+
+// Cut names the ends between which nothing passes. An empty To means all.
+type Cut struct {
+	FromIP string `json:"from_ip"`
+	To     string `json:"to"`
+}
+
+// Link relays connections and can cut them by the address that they come from.
+type Link struct {
+	mu    sync.Mutex
+	cuts  []Cut
+	conns map[net.Conn]Cut
+}
+
+// NewLink returns a link without relays.
+func NewLink() *Link { return &Link{conns: map[net.Conn]Cut{}} }
+
+// Relay starts one relay, given as from=to.
+func (l *Link) Relay(spec string) error {
+	from, to, ok := strings.Cut(spec, "=")
+	if !ok {
+		return errorx.IllegalArgument.New("relay %q is not from=to", spec)
+	}
+	listener, err := net.Listen("tcp", from)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go l.pass(conn, from, to)
+		}
+	}()
+	return nil
+}
+
+func (l *Link) pass(in net.Conn, from, to string) {
+	defer in.Close()
+	host, _, _ := net.SplitHostPort(in.RemoteAddr().String())
+	if !l.enter(in, Cut{FromIP: host, To: from}) {
+		return
+	}
+	defer l.leave(in)
+	local := &net.TCPAddr{IP: net.ParseIP(host)}
+	out, err := (&net.Dialer{LocalAddr: local}).Dial("tcp", to)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	go func() {
+		_, _ = io.Copy(out, in)
+		_ = out.Close()
+	}()
+	_, _ = io.Copy(in, out)
+}
+
+func (l *Link) enter(conn net.Conn, ends Cut) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut(ends) {
+		return false
+	}
+	l.conns[conn] = ends
+	return true
+}
+
+func (l *Link) cut(ends Cut) bool {
+	for _, c := range l.cuts {
+		if c.FromIP == ends.FromIP && (c.To == "" || c.To == ends.To) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Link) leave(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, conn)
+}
+
+// SetCuts replaces the cuts in force and ends the connections that they hit.
+func (l *Link) SetCuts(cuts []Cut) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts = cuts
+	for conn, ends := range l.conns {
+		if l.cut(ends) {
+			_ = conn.Close()
+		}
+	}
+}
+
+// Handler returns the link's control interface.
+func (l *Link) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /control/cuts", handle(func(_ *http.Request, cuts []Cut) ([]Cut, error) {
+		l.SetCuts(cuts)
+		return cuts, nil
+	}))
+	return mux
+}
--- /dev/null
+++ b/internal/emulator/platform.go
@@ -0,0 +1,316 @@
+package emulator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+)
+
+// PlatformFaults are the platform's faults, switched at run time.
+type PlatformFaults struct {
+	// Down answers every call with an error.
+	Down bool `json:"down"`
+	// SlowMS delays each answer.
+	SlowMS int64 `json:"slow_ms"`
+	// LoseWrites drops the answers of that many writes after they took effect.
+	LoseWrites int `json:"lose_writes"`
+	// CutIPs are the callers whose calls hang until they give up.
+	CutIPs []string `json:"cut_ips"`
+	// FreezeList keeps the VM list as it is now.
+	FreezeList bool `json:"freeze_list"`
+}
+
+// Reclaim announces that VMs will be taken back. FailureDomain adds all
+// reclaimable VMs of one domain.
+type Reclaim struct {
+	VMIDs         []string `json:"vm_ids"`
+	FailureDomain string   `json:"failure_domain"`
+	LeftMS        int64    `json:"left_ms"`
+}
+
+// Platform stands in for the table, the VM list and the cloud's notices. The
+// zero value is not usable; NewPlatform makes one.
+type Platform struct {
+	mu      sync.Mutex
+	rows    map[string]keeper.Row
+	keys    []string
+	vms     map[string]keeper.VM
+	frozen  []keeper.VM
+	notices map[string]time.Time
+	faults  PlatformFaults
+	calls   CallCounts
+	now     func() time.Time
+}
+
+// CallCounts counts calls on the platform.
+type CallCounts struct {
+	Reads  uint64 `json:"reads"`
+	Writes uint64 `json:"writes"`
+	Lists  uint64 `json:"lists"`
+}
+
+// NewPlatform returns an empty platform that tells time by now.
+func NewPlatform(now func() time.Time) *Platform {
+	return &Platform{
+		rows:    map[string]keeper.Row{},
+		vms:     map[string]keeper.VM{},
+		notices: map[string]time.Time{},
+		now:     now,
+	}
+}
+
+// Handler returns the platform's HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	data := http.NewServeMux()
+	data.HandleFunc("POST /table/get", handle(func(_ *http.Request, row keeper.Row) (keeper.Row, error) {
+		return p.Get(context.Background(), row.Key)
+	}))
+	data.HandleFunc("POST /table/put", p.losing(handle(func(_ *http.Request, put keeper.Put) (keeper.PutResult, error) {
+		return p.Put(context.Background(), put)
+	})))
+	data.HandleFunc("POST /table/batch", p.losing(handle(func(_ *http.Request, puts []keeper.Put) ([]keeper.PutResult, error) {
+		return p.Batch(context.Background(), puts)
+	})))
+	data.HandleFunc("POST /table/scan", handle(func(_ *http.Request, scan keeper.Scan) ([]keeper.Row, error) {
+		return p.Scan(context.Background(), scan)
+	}))
+	data.HandleFunc("POST /cloud/vms", handle(func(*http.Request, struct{}) ([]keeper.VM, error) {
+		return p.VMs(context.Background())
+	}))
+	data.HandleFunc("POST /cloud/notices", handle(func(*http.Request, struct{}) ([]keeper.Notice, error) {
+		return p.Notices(context.Background())
+	}))
+	mux := http.NewServeMux()
+	mux.Handle("/", p.faulty(data))
+	mux.HandleFunc("POST /control/faults", handle(func(_ *http.Request, f PlatformFaults) (PlatformFaults, error) {
+		p.SetFaults(f)
+		return f, nil
+	}))
+	mux.HandleFunc("POST /control/vms", handle(func(_ *http.Request, vm keeper.VM) (keeper.VM, error) {
+		p.AddVM(vm)
+		return vm, nil
+	}))
+	mux.HandleFunc("POST /control/remove", handle(func(_ *http.Request, vm keeper.VM) (keeper.VM, error) {
+		p.RemoveVM(vm.ID)
+		return vm, nil
+	}))
+	mux.HandleFunc("POST /control/reclaim", handle(func(_ *http.Request, r Reclaim) ([]string, error) {
+		return p.Reclaim(r), nil
+	}))
+	mux.HandleFunc("GET /control/calls", handle(func(*http.Request, struct{}) (CallCounts, error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.calls, nil
+	}))
+	return mux
+}
+
+// SetFaults replaces the faults in force.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.FreezeList && !p.faults.FreezeList {
+		p.frozen = p.list()
+	}
+	p.faults = f
+}
+
+// AddVM adds or replaces a VM of the list.
+func (p *Platform) AddVM(vm keeper.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms[vm.ID] = vm
+	delete(p.notices, vm.ID)
+}
+
+// RemoveVM takes a VM off the list.
+func (p *Platform) RemoveVM(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.vms, id)
+}
+
+// Reclaim announces a reclaim and returns the VMs that it takes.
+func (p *Platform) Reclaim(r Reclaim) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taken := slices.Clone(r.VMIDs)
+	for id, vm := range p.vms {
+		if r.FailureDomain != "" && vm.FailureDomain == r.FailureDomain && vm.Reclaimable {
+			taken = append(taken, id)
+		}
+	}
+	sort.Strings(taken)
+	gone := p.now().Add(time.Duration(r.LeftMS) * time.Millisecond)
+	for _, id := range taken {
+		p.notices[id] = gone
+	}
+	return taken
+}
+
+// Get reads one row.
+func (p *Platform) Get(_ context.Context, key string) (keeper.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Reads++
+	row, ok := p.rows[key]
+	if !ok {
+		return keeper.Row{Key: key}, nil
+	}
+	return row, nil
+}
+
+// Put writes one row if it is at the expected version.
+func (p *Platform) Put(_ context.Context, put keeper.Put) (keeper.PutResult, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Writes++
+	return p.put(put), nil
+}
+
+// Batch writes rows; each applies or not by itself.
+func (p *Platform) Batch(_ context.Context, puts []keeper.Put) ([]keeper.PutResult, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Writes++
+	results := make([]keeper.PutResult, 0, len(puts))
+	for _, put := range puts {
+		results = append(results, p.put(put))
+	}
+	return results, nil
+}
+
+func (p *Platform) put(put keeper.Put) keeper.PutResult {
+	row, ok := p.rows[put.Key]
+	if row.Version != put.Expect {
+		row.Key = put.Key
+		return keeper.PutResult{Row: row}
+	}
+	if !ok {
+		at, _ := slices.BinarySearch(p.keys, put.Key)
+		p.keys = slices.Insert(p.keys, at, put.Key)
+	}
+	row = keeper.Row{Key: put.Key, Version: row.Version + 1, Value: put.Value}
+	p.rows[put.Key] = row
+	return keeper.PutResult{Applied: true, Row: row}
+}
+
+// Scan reads rows by prefix in the order of keys.
+func (p *Platform) Scan(_ context.Context, scan keeper.Scan) ([]keeper.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Reads++
+	found := []keeper.Row{}
+	for _, key := range p.keys {
+		if strings.HasPrefix(key, scan.Prefix) && (scan.After == "" || key > scan.After) {
+			found = append(found, p.rows[key])
+		}
+	}
+	if scan.Reverse {
+		slices.Reverse(found)
+	}
+	if scan.Limit > 0 && len(found) > scan.Limit {
+		found = found[:scan.Limit]
+	}
+	return found, nil
+}
+
+// VMs lists the VMs.
+func (p *Platform) VMs(context.Context) ([]keeper.VM, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Lists++
+	if p.faults.FreezeList {
+		return p.frozen, nil
+	}
+	return p.list(), nil
+}
+
+func (p *Platform) list() []keeper.VM {
+	list := make([]keeper.VM, 0, len(p.vms))
+	for id, vm := range p.vms {
+		_, noticed := p.notices[id]
+		vm.Leaving = noticed
+		list = append(list, vm)
+	}
+	slices.SortFunc(list, func(a, b keeper.VM) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Notices lists the reclaims announced so far.
+func (p *Platform) Notices(context.Context) ([]keeper.Notice, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Lists++
+	notices := make([]keeper.Notice, 0, len(p.notices))
+	for id, gone := range p.notices {
+		notices = append(notices, keeper.Notice{VMID: id, LeftMS: max(0, gone.Sub(p.now()).Milliseconds())})
+	}
+	slices.SortFunc(notices, func(a, b keeper.Notice) int { return strings.Compare(a.VMID, b.VMID) })
+	return notices, nil
+}
+
+// faulty applies the faults that hit every call.
+func (p *Platform) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		f := p.faults
+		p.mu.Unlock()
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		if slices.Contains(f.CutIPs, host) {
+			<-r.Context().Done()
+			return
+		}
+		if f.Down {
+			http.Error(w, "platform down", http.StatusServiceUnavailable)
+			return
+		}
+		if f.SlowMS > 0 && !pause(r.Context(), time.Duration(f.SlowMS)*time.Millisecond) {
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// losing drops the answer of a write after it took effect.
+func (p *Platform) losing(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		lose := p.faults.LoseWrites > 0
+		if lose {
+			p.faults.LoseWrites--
+		}
+		p.mu.Unlock()
+		if !lose {
+			next(w, r)
+			return
+		}
+		next(&discard{header: http.Header{}}, r)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(int)             {}
+
+// pause waits for d and reports whether it passed before ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/emulator/service.go
@@ -0,0 +1,118 @@
+package emulator
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// ServiceConfig describes one plain service.
+type ServiceConfig struct {
+	Version string
+	Slots   int
+	Delay   time.Duration
+	// Crash ends the process. Nil means that the mark is ignored.
+	Crash func()
+}
+
+// Service stands in for a plain service. It runs each call that it gets, also
+// a repeated one: keeping repeats away is the work of the system under test.
+type Service struct {
+	cfg ServiceConfig
+	journal
+	mu       sync.Mutex
+	faults   EngineFaults
+	running  int
+	requests int
+	boot     string
+}
+
+// NewService returns a service.
+func NewService(cfg ServiceConfig) *Service { return &Service{cfg: cfg, boot: uuid.NewString()} }
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/run/", s.run)
+	mux.HandleFunc("GET /load", handle(func(*http.Request, struct{}) (Load, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return Load{Version: s.cfg.Version, Running: s.running, Slots: s.cfg.Slots, LeavingMS: s.faults.LeavingMS, Boot: s.boot}, nil
+	}))
+	mux.HandleFunc("POST /control/faults", handle(func(_ *http.Request, f EngineFaults) (EngineFaults, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.faults = f
+		return f, nil
+	}))
+	s.journal.mount(mux)
+	return mux
+}
+
+func (s *Service) begin(route string) EngineFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	s.running++
+	f := s.faults
+	if !f.hits(route, s.requests, s.running) {
+		f.Fail, f.DelayMS = false, 0
+	}
+	return f
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Service) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil {
+		return
+	}
+	route, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/run/"), "/")
+	f := s.begin(route)
+	defer s.end()
+	if f.Refuse {
+		refuse(w)
+		return
+	}
+	if s.cfg.Crash != nil && strings.Contains(string(body), crashMark) {
+		s.cfg.Crash()
+		return
+	}
+	if f.Fail {
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	attempt, _ := strconv.Atoi(r.Header.Get("X-Attempt"))
+	id := r.Header.Get("X-Request-Id")
+	at := s.journal.add(Run{RequestID: id, Attempt: attempt, Key: r.Header.Get("X-Key"), Route: route})
+	if !pause(r.Context(), s.cfg.Delay+time.Duration(f.DelayMS)*time.Millisecond) {
+		s.journal.progress(at, 0, true)
+		return
+	}
+	s.journal.progress(at, 0, true)
+	switch {
+	case f.HoldAnswer:
+		<-r.Context().Done()
+		return
+	case f.LoseAnswer:
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Request-Id", id)
+	if f.Cross {
+		w.Header().Set("X-Request-Id", "another-request")
+	}
+	w.Header().Set("X-Attempt", strconv.Itoa(attempt))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"route":%q,"path":%q,"echo":%q}`, route, r.URL.Path, body)
+}
--- /dev/null
+++ b/internal/keeper/http.go
@@ -0,0 +1,106 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	maxAnswerBytes = 64 << 20
+	defaultTimeout = 2 * time.Second
+	connectTimeout = time.Second
+)
+
+// HTTPConfig says how to reach the platform.
+type HTTPConfig struct {
+	// BaseURL is the platform's address, such as http://10.0.0.1:7000.
+	BaseURL string
+	// LocalIP is the address that calls leave from. Empty means any.
+	LocalIP string
+	// Timeout bounds one call. Zero means two seconds.
+	Timeout time.Duration
+}
+
+// HTTP is the adapter to a platform that speaks JSON over HTTP. It implements
+// Table and Cloud.
+type HTTP struct {
+	base    string
+	timeout time.Duration
+	client  *http.Client
+}
+
+// NewHTTP returns an adapter. It makes no call.
+func NewHTTP(cfg HTTPConfig) *HTTP {
+	timeout := cfg.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	dial := &net.Dialer{Timeout: connectTimeout}
+	if cfg.LocalIP != "" {
+		dial.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.LocalIP)}
+	}
+	transport := &http.Transport{DialContext: dial.DialContext, MaxIdleConnsPerHost: 16}
+	return &HTTP{base: cfg.BaseURL, timeout: timeout, client: &http.Client{Transport: transport}}
+}
+
+// Get reads one row. A row that does not exist has version 0.
+func (h *HTTP) Get(ctx context.Context, key string) (Row, error) {
+	return call[Row](ctx, h, "/table/get", Row{Key: key})
+}
+
+// Put writes one row if it is at the expected version.
+func (h *HTTP) Put(ctx context.Context, put Put) (PutResult, error) {
+	return call[PutResult](ctx, h, "/table/put", put)
+}
+
+// Batch writes rows in one call; each applies or not by itself.
+func (h *HTTP) Batch(ctx context.Context, puts []Put) ([]PutResult, error) {
+	return call[[]PutResult](ctx, h, "/table/batch", puts)
+}
+
+// Scan reads rows by prefix.
+func (h *HTTP) Scan(ctx context.Context, scan Scan) ([]Row, error) {
+	return call[[]Row](ctx, h, "/table/scan", scan)
+}
+
+// VMs reads the VM list.
+func (h *HTTP) VMs(ctx context.Context) ([]VM, error) {
+	return call[[]VM](ctx, h, "/cloud/vms", struct{}{})
+}
+
+// Notices reads the reclaims announced so far.
+func (h *HTTP) Notices(ctx context.Context) ([]Notice, error) {
+	return call[[]Notice](ctx, h, "/cloud/notices", struct{}{})
+}
+
+func call[Resp, Req any](ctx context.Context, h *HTTP, path string, req Req) (Resp, error) {
+	var resp Resp
+	body, err := json.Marshal(req)
+	if err != nil {
+		return resp, Unreachable.Wrap(err, "encode %s", path)
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.timeout)
+	defer cancel()
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+path, bytes.NewReader(body))
+	if err != nil {
+		return resp, Unreachable.Wrap(err, "address %s", path)
+	}
+	out.Header.Set("Content-Type", "application/json")
+	in, err := h.client.Do(out)
+	if err != nil {
+		return resp, Unreachable.Wrap(err, "call %s", path)
+	}
+	defer in.Body.Close()
+	if in.StatusCode != http.StatusOK {
+		return resp, Unreachable.New("call %s: status %d", path, in.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(in.Body, maxAnswerBytes)).Decode(&resp); err != nil {
+		return resp, Unreachable.Wrap(err, "decode %s", path)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,120 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Row is one row of the table. Version 0 means that the row does not exist.
+type Row struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// Put is a conditional write: it applies only if the row is at Expect.
+type Put struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Expect uint64 `json:"expect"`
+}
+
+// PutResult says whether a Put applied, with the row as it is after it.
+type PutResult struct {
+	Applied bool `json:"applied"`
+	Row     Row  `json:"row"`
+}
+
+// Scan asks for rows by prefix, after a key, at most Limit of them.
+type Scan struct {
+	Prefix  string `json:"prefix"`
+	After   string `json:"after"`
+	Limit   int    `json:"limit"`
+	Reverse bool   `json:"reverse"`
+}
+
+// Table is the platform's transactional table. Errors mean that the outcome
+// is unknown: a write may have taken effect.
+type Table interface {
+	Get(ctx context.Context, key string) (Row, error)
+	Put(ctx context.Context, put Put) (PutResult, error)
+	Batch(ctx context.Context, puts []Put) ([]PutResult, error)
+	Scan(ctx context.Context, scan Scan) ([]Row, error)
+}
+
+// Role says what runs on a VM.
+type Role string
+
+// The roles of VMs.
+const (
+	RoleEntry   Role = "entry"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+)
+
+// VM is one row of the platform's VM list.
+type VM struct {
+	ID            string  `json:"id"`
+	Role          Role    `json:"role"`
+	Address       string  `json:"address"`
+	PeerAddress   string  `json:"peer_address,omitempty"`
+	FailureDomain string  `json:"failure_domain"`
+	Leaving       bool    `json:"leaving"`
+	Version       string  `json:"version,omitempty"`
+	Deployment    string  `json:"deployment,omitempty"`
+	Slots         int     `json:"slots,omitempty"`
+	Reclaimable   bool    `json:"reclaimable"`
+	PricePerHour  float64 `json:"price_per_hour,omitempty"`
+}
+
+// Notice says that a VM will be reclaimed.
+type Notice struct {
+	VMID   string `json:"vm_id"`
+	LeftMS int64  `json:"left_ms"`
+}
+
+// Left returns the time until the VM is gone.
+func (n Notice) Left() time.Duration { return time.Duration(n.LeftMS) * time.Millisecond }
+
+// Cloud lists VMs, with a lag, and tells of reclaims, without one.
+type Cloud interface {
+	VMs(ctx context.Context) ([]VM, error)
+	Notices(ctx context.Context) ([]Notice, error)
+}
+
+var (
+	namespace = errorx.NewNamespace("platform")
+	// Unreachable is the type of errors after which the outcome of a call is
+	// unknown.
+	Unreachable = namespace.NewType("unreachable")
+)
+
+// Settle performs put and settles an unknown outcome by reading the row back:
+// a row that holds the put's own value was written by it. The value must be
+// unique to its writer. An error means that the outcome is still unknown.
+func Settle(ctx context.Context, table Table, put Put) (PutResult, error) {
+	result, err := table.Put(ctx, put)
+	if err == nil {
+		return recognise(result, put), nil
+	}
+	row, readErr := table.Get(ctx, put.Key)
+	if readErr != nil {
+		return PutResult{}, err
+	}
+	if row.Version == put.Expect {
+		return PutResult{}, err
+	}
+	return recognise(PutResult{Row: row}, put), nil
+}
+
+// recognise treats a refused write whose value stands in the row as applied:
+// an earlier try of the same write took effect.
+func recognise(result PutResult, put Put) PutResult {
+	if !result.Applied && result.Row.Version > 0 && bytes.Equal(result.Row.Value, put.Value) {
+		result.Applied = true
+	}
+	return result
+}
--- /dev/null
+++ b/internal/messenger/messenger.go
@@ -0,0 +1,276 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	serviceName       = "galenahitch.Entry"
+	methodExchange    = "Exchange"
+	methodState       = "State"
+	methodHandoff     = "Handoff"
+	methodLocate      = "Locate"
+	methodJoin        = "Join"
+	connectTimeout    = time.Second
+	maxConnectBackoff = time.Second
+	maxMessageBytes   = 32 << 20
+)
+
+var (
+	namespace = errorx.NewNamespace("messenger")
+	// BadSecurity is the type of errors in key and certificate files.
+	BadSecurity = namespace.NewType("bad_security")
+)
+
+// Handler is what an entry makes of its peers' messages.
+type Handler interface {
+	Exchange(ctx context.Context, in *Exchange) (*Exchange, error)
+	State(ctx context.Context, in *StateRequest) (*State, error)
+	Handoff(ctx context.Context, in *Handoff) (*HandoffReply, error)
+	Locate(ctx context.Context, in *Locate) (*LocateReply, error)
+	Join(ctx context.Context, in *Join, send func(*JoinPart) error) error
+}
+
+// codec encodes messages as CBOR.
+type codec struct{}
+
+func (codec) Marshal(v any) ([]byte, error)      { return cbor.Marshal(v) }
+func (codec) Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
+func (codec) Name() string                       { return "cbor" }
+
+// Security names the files for mutual authentication. Empty means none.
+type Security struct {
+	CertFile string
+	KeyFile  string
+	CAFile   string
+}
+
+func (s Security) config() (*tls.Config, error) {
+	if s.CertFile == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
+	if err != nil {
+		return nil, BadSecurity.Wrap(err, "read certificate and key")
+	}
+	authority, err := os.ReadFile(s.CAFile)
+	if err != nil {
+		return nil, BadSecurity.Wrap(err, "read certificate authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, BadSecurity.New("%s holds no certificate", s.CAFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+// unary adapts a typed method to gRPC.
+func unary[Req, Resp any](name string, serve func(Handler, context.Context, *Req) (*Resp, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: name,
+		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			in := new(Req)
+			if err := decode(in); err != nil {
+				return nil, err
+			}
+			return serve(srv.(Handler), ctx, in)
+		},
+	}
+}
+
+func serveJoin(srv any, stream grpc.ServerStream) error {
+	in := new(Join)
+	if err := stream.RecvMsg(in); err != nil {
+		return err
+	}
+	return srv.(Handler).Join(stream.Context(), in, func(part *JoinPart) error { return stream.SendMsg(part) })
+}
+
+func description() *grpc.ServiceDesc {
+	return &grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*Handler)(nil),
+		Methods: []grpc.MethodDesc{
+			unary(methodExchange, Handler.Exchange),
+			unary(methodState, Handler.State),
+			unary(methodHandoff, Handler.Handoff),
+			unary(methodLocate, Handler.Locate),
+		},
+		Streams: []grpc.StreamDesc{{StreamName: methodJoin, Handler: serveJoin, ServerStreams: true}},
+	}
+}
+
+// NewServer returns a gRPC server that hands messages to handler.
+func NewServer(handler Handler, security Security) (*grpc.Server, error) {
+	options := []grpc.ServerOption{grpc.ForceServerCodec(codec{}), grpc.MaxRecvMsgSize(maxMessageBytes)}
+	config, err := security.config()
+	if err != nil {
+		return nil, err
+	}
+	if config != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(config)))
+	}
+	server := grpc.NewServer(options...)
+	server.RegisterService(description(), handler)
+	return server, nil
+}
+
+// ClientConfig sets a Client up.
+type ClientConfig struct {
+	// LocalIP is the address that calls leave from. Empty means any.
+	LocalIP  string
+	Security Security
+}
+
+// Client calls peers by address and keeps one connection to each.
+type Client struct {
+	options []grpc.DialOption
+	mu      sync.Mutex
+	conns   map[string]*grpc.ClientConn
+}
+
+// NewClient returns a client without connections.
+func NewClient(cfg ClientConfig) (*Client, error) {
+	config, err := cfg.Security.config()
+	if err != nil {
+		return nil, err
+	}
+	creds := insecure.NewCredentials()
+	if config != nil {
+		creds = credentials.NewTLS(config)
+	}
+	dial := &net.Dialer{Timeout: connectTimeout}
+	if cfg.LocalIP != "" {
+		dial.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.LocalIP)}
+	}
+	fast := backoff.DefaultConfig
+	fast.MaxDelay = maxConnectBackoff
+	return &Client{
+		conns: map[string]*grpc.ClientConn{},
+		options: []grpc.DialOption{
+			grpc.WithTransportCredentials(creds),
+			grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+			grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+				return dial.DialContext(ctx, "tcp", address)
+			}),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: fast, MinConnectTimeout: connectTimeout}),
+			grpc.WithDisableServiceConfig(),
+			grpc.WithNoProxy(),
+		},
+	}, nil
+}
+
+func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, c.options...)
+	if err != nil {
+		return nil, err
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+// Forget closes the connection to a peer.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.conns = map[string]*grpc.ClientConn{}
+}
+
+func invoke[Resp, Req any](ctx context.Context, c *Client, address, method string, in *Req) (*Resp, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	out := new(Resp)
+	if err := conn.Invoke(ctx, "/"+serviceName+"/"+method, in, out); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// Exchange tells a peer what this entry knows and returns what the peer knows.
+func (c *Client) Exchange(ctx context.Context, address string, in *Exchange) (*Exchange, error) {
+	return invoke[Exchange](ctx, c, address, methodExchange, in)
+}
+
+// State asks a peer for all that a new entry needs.
+func (c *Client) State(ctx context.Context, address string, in *StateRequest) (*State, error) {
+	return invoke[State](ctx, c, address, methodState, in)
+}
+
+// Handoff offers a running request to a peer.
+func (c *Client) Handoff(ctx context.Context, address string, in *Handoff) (*HandoffReply, error) {
+	return invoke[HandoffReply](ctx, c, address, methodHandoff, in)
+}
+
+// Locate asks a peer whether it has a request.
+func (c *Client) Locate(ctx context.Context, address string, in *Locate) (*LocateReply, error) {
+	return invoke[LocateReply](ctx, c, address, methodLocate, in)
+}
+
+// Join receives a request's parts from a peer until it ends or receive fails.
+func (c *Client) Join(ctx context.Context, address string, in *Join, receive func(*JoinPart) error) error {
+	conn, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	stream, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, "/"+serviceName+"/"+methodJoin)
+	if err != nil {
+		return err
+	}
+	if err := stream.SendMsg(in); err != nil {
+		return err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return err
+	}
+	for {
+		part := new(JoinPart)
+		if err := stream.RecvMsg(part); err != nil {
+			return err
+		}
+		if err := receive(part); err != nil {
+			return err
+		}
+		if part.Done || part.Moved || len(part.Refusal) > 0 {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/replayer/replayer.go
@@ -0,0 +1,172 @@
+package replayer
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+// Kind says how an answer ended.
+type Kind int
+
+// The ways in which an answer ends.
+const (
+	Open Kind = iota
+	Done
+	Refused
+	Moved
+)
+
+// End is the end of an answer.
+type End struct {
+	Kind Kind
+	// Refusal is set if Kind is Refused.
+	Refusal *judge.Refusal
+}
+
+// Buffer holds the parts of one answer. The zero value is empty and open.
+type Buffer struct {
+	mu      sync.Mutex
+	text    []byte
+	ends    []uint32
+	end     End
+	readers []*Reader
+}
+
+// Append adds a part. Parts after the end are dropped.
+func (b *Buffer) Append(text string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end.Kind != Open {
+		return
+	}
+	b.text = append(b.text, text...)
+	b.ends = append(b.ends, uint32(len(b.text)))
+	b.wake()
+}
+
+// End ends the answer. Only the first end counts; it reports whether this was
+// the first.
+func (b *Buffer) End(end End) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end.Kind != Open {
+		return false
+	}
+	b.end = end
+	b.wake()
+	return true
+}
+
+func (b *Buffer) wake() {
+	for _, r := range b.readers {
+		select {
+		case r.signal <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Len returns the number of parts.
+func (b *Buffer) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.ends)
+}
+
+// Ended returns how the answer ended, Open if it has not.
+func (b *Buffer) Ended() End {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end
+}
+
+// Text returns a copy of all parts joined.
+func (b *Buffer) Text() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.text)
+}
+
+// Parts returns the parts.
+func (b *Buffer) Parts() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	parts := make([]string, len(b.ends))
+	for i := range b.ends {
+		parts[i] = b.part(i)
+	}
+	return parts
+}
+
+func (b *Buffer) part(i int) string {
+	start := uint32(0)
+	if i > 0 {
+		start = b.ends[i-1]
+	}
+	return string(b.text[start:b.ends[i]])
+}
+
+// Readers returns the number of open readers.
+func (b *Buffer) Readers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.readers)
+}
+
+// Reader reads a buffer from an offset on.
+type Reader struct {
+	buffer *Buffer
+	at     int
+	signal chan struct{}
+}
+
+// Reader returns a reader that starts at part from.
+func (b *Buffer) Reader(from int) *Reader {
+	r := &Reader{buffer: b, at: from, signal: make(chan struct{}, 1)}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers = append(b.readers, r)
+	return r
+}
+
+// Offset returns the offset of the part that Next returns next.
+func (r *Reader) Offset() int { return r.at }
+
+// Next returns the next part, or the end of the answer with an empty text. It
+// waits until there is either, or until ctx ends.
+func (r *Reader) Next(ctx context.Context) (string, End, error) {
+	for {
+		text, end, ok := r.poll()
+		if ok {
+			return text, end, nil
+		}
+		select {
+		case <-ctx.Done():
+			return "", End{}, ctx.Err()
+		case <-r.signal:
+		}
+	}
+}
+
+func (r *Reader) poll() (string, End, bool) {
+	b := r.buffer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.at < len(b.ends) {
+		text := b.part(r.at)
+		r.at++
+		return text, End{}, true
+	}
+	return "", b.end, b.end.Kind != Open
+}
+
+// Close ends the reading.
+func (r *Reader) Close() {
+	b := r.buffer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers = slices.DeleteFunc(b.readers, func(other *Reader) bool { return other == r })
+}
--- /dev/null
+++ b/internal/server/admin.go
@@ -0,0 +1,397 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/recorder"
+	"github.com/galenahitch/galenahitch/pkg/router"
+	"github.com/galenahitch/galenahitch/pkg/tracker"
+)
+
+const (
+	maxHistory   = 100
+	maxAuditRows = 500
+	operatorKey  = "operator"
+)
+
+// Submission is a request to put answers in force.
+type Submission struct {
+	Answers string `json:"answers"`
+	// Base is the generation that the operator saw; 0 takes the newest.
+	Base uint64 `json:"base"`
+}
+
+// Plan is what answers would change.
+type Plan struct {
+	Problems   []*planner.Problem `json:"problems"`
+	Changes    []planner.Change   `json:"changes"`
+	Generation uint64             `json:"generation"`
+	Config     *planner.Config    `json:"config,omitempty"`
+}
+
+// Accepted says which generation a submission became.
+type Accepted struct {
+	Generation uint64 `json:"generation"`
+}
+
+// Spread says where a generation is in force.
+type Spread struct {
+	Generation uint64           `json:"generation"`
+	Everywhere bool             `json:"everywhere"`
+	Entries    []tracker.Status `json:"entries"`
+}
+
+// MoveOrder is a request to move a deployment.
+type MoveOrder struct {
+	Deployment string `json:"deployment"`
+	To         string `json:"to"`
+	WithinMS   int64  `json:"within_ms"`
+}
+
+// MoveStatus is a move with what is known of it here.
+type MoveStatus struct {
+	mover.Move
+	Share    float64 `json:"share"`
+	Outcomes int     `json:"outcomes"`
+	LateMS   int64   `json:"late_ms"`
+}
+
+// Status is the state of one entry and its view of the others.
+type Status struct {
+	Self       tracker.Member   `json:"self"`
+	Ready      bool             `json:"ready"`
+	Reason     string           `json:"reason,omitempty"`
+	Generation uint64           `json:"generation"`
+	Firm       string           `json:"firm"`
+	OpenRuns   int              `json:"open_runs"`
+	Entries    []tracker.Status `json:"entries"`
+	Moves      []MoveStatus     `json:"moves"`
+}
+
+// UpstreamStatus is one upstream as this entry sees it.
+type UpstreamStatus struct {
+	ID            string `json:"id"`
+	Deployment    string `json:"deployment"`
+	Version       string `json:"version"`
+	FailureDomain string `json:"failure_domain"`
+	State         string `json:"state"`
+	InFlight      int    `json:"in_flight"`
+	Running       int    `json:"running"`
+	Slots         int    `json:"slots"`
+}
+
+// administration returns the HTTP interface for operators.
+func (s *Server) administration() http.Handler {
+	engine := gin.New()
+	engine.Use(gin.CustomRecovery(s.recovered))
+	engine.GET("/metrics", gin.WrapF(s.serveMetrics))
+	admin := engine.Group("/admin/v1", s.operatorOnly)
+	admin.POST("/answers/plan", s.adminPlan)
+	admin.POST("/answers/submit", s.adminSubmit)
+	admin.GET("/config", s.adminConfig)
+	admin.GET("/config/history", s.adminHistory)
+	admin.GET("/config/spread", s.adminSpread)
+	admin.POST("/moves", s.adminMoveStart)
+	admin.GET("/moves", s.adminMoves)
+	admin.POST("/moves/back", s.adminMoveBack)
+	admin.GET("/upstreams", s.adminUpstreams)
+	admin.GET("/audit", s.adminAudit)
+	admin.GET("/status", s.adminStatus)
+	engine.NoRoute(func(c *gin.Context) {
+		s.reply(c, judge.Refuse(judge.CodeNotFound, judge.NotRun, "there is nothing at this path"))
+	})
+	return engine
+}
+
+// operatorOnly lets operators through; callers' tokens are not known here.
+func (s *Server) operatorOnly(c *gin.Context) {
+	token, _ := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+	digest := digestOf(token)
+	at := slices.IndexFunc(s.cfg.Operators, func(o Operator) bool { return o.TokenSHA256 == digest })
+	if token == "" || at < 0 {
+		s.reply(c, judge.Refuse(judge.CodeUnauthorised, judge.NotRun, "an operator's bearer token is needed"))
+		return
+	}
+	c.Set(operatorKey, s.cfg.Operators[at].Name)
+}
+
+// readJSON reads a body of at most maxBodyBytes.
+func readJSON[T any](c *gin.Context) (T, *judge.Refusal) {
+	var value T
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(body, &value)
+	}
+	if err != nil {
+		return value, judge.Refuse(judge.CodeBadRequest, judge.NotRun, "the body can't be read: "+err.Error())
+	}
+	return value, nil
+}
+
+func (s *Server) plan(answers string) Plan {
+	checked, problems := planner.Check([]byte(answers))
+	if len(problems) > 0 {
+		return Plan{Problems: problems}
+	}
+	cfg := planner.Plan(checked)
+	was := planner.Config{}
+	if present := s.state.config(); present != nil {
+		was = *present
+	}
+	return Plan{Changes: planner.Diff(was, cfg), Generation: was.Generation, Config: &cfg}
+}
+
+func (s *Server) adminPlan(c *gin.Context) {
+	in, refusal := readJSON[Submission](c)
+	if refusal != nil {
+		s.reply(c, refusal)
+		return
+	}
+	c.JSON(http.StatusOK, s.plan(in.Answers))
+}
+
+func (s *Server) adminSubmit(c *gin.Context) {
+	in, refusal := readJSON[Submission](c)
+	if refusal != nil {
+		s.reply(c, refusal)
+		return
+	}
+	plan := s.plan(in.Answers)
+	if len(plan.Problems) > 0 {
+		c.JSON(http.StatusUnprocessableEntity, plan)
+		return
+	}
+	accepted, refusal := s.submit(c.Request.Context(), c.GetString(operatorKey), in, *plan.Config)
+	if refusal != nil {
+		s.reply(c, refusal)
+		return
+	}
+	c.JSON(http.StatusOK, accepted)
+}
+
+// submit inserts the next generation. The insert is the commit: of two
+// operators that race for a generation one gets a conflict, and the row is
+// itself the audit record of the change.
+func (s *Server) submit(ctx context.Context, operator string, in Submission, cfg planner.Config) (Accepted, *judge.Refusal) {
+	newest, err := s.newestGeneration(ctx)
+	if err != nil {
+		return Accepted{}, judge.Refuse(judge.CodeStore, judge.NotRun, "the platform's table can't be reached: "+err.Error()).After(s.jitter(time.Second))
+	}
+	if in.Base != 0 && in.Base != newest {
+		return Accepted{}, judge.Refuse(judge.CodeConflict, judge.NotRun, "the configuration has changed: generation "+strconv.FormatUint(newest, 10)+" is the newest; plan again")
+	}
+	cfg.Generation = newest + 1
+	cfg.Token = uuid.NewString()
+	cfg.SubmittedBy = operator
+	cfg.SubmittedMS = s.now().UnixMilli()
+	cfg.Answers = in.Answers
+	value, err := planner.Encode(cfg)
+	if err != nil {
+		return Accepted{}, judge.Refuse(judge.CodeBadRequest, judge.NotRun, err.Error())
+	}
+	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: planner.Key(cfg.Generation), Value: value})
+	if err != nil {
+		return Accepted{}, judge.Refuse(judge.CodeStore, judge.MayHaveRun, "the platform did not say whether the configuration was accepted; look at the history").After(s.jitter(time.Second))
+	}
+	if !result.Applied {
+		return Accepted{}, judge.Refuse(judge.CodeConflict, judge.NotRun, "another operator submitted at the same time; plan again")
+	}
+	s.applyConfig(value)
+	return Accepted{Generation: cfg.Generation}, nil
+}
+
+func (s *Server) newestGeneration(ctx context.Context) (uint64, error) {
+	rows, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: planner.KeyPrefix, Reverse: true, Limit: 1})
+	if err != nil || len(rows) == 0 {
+		return 0, err
+	}
+	cfg, err := planner.Decode(rows[0].Value)
+	return cfg.Generation, err
+}
+
+func (s *Server) adminConfig(c *gin.Context) {
+	cfg := s.state.config()
+	if cfg == nil {
+		s.reply(c, judge.Refuse(judge.CodeNotConfigured, judge.NotRun, "this entry has no configuration yet"))
+		return
+	}
+	c.JSON(http.StatusOK, cfg)
+}
+
+func (s *Server) adminHistory(c *gin.Context) {
+	rows, err := s.cfg.Table.Scan(c.Request.Context(), keeper.Scan{Prefix: planner.KeyPrefix, Reverse: true, Limit: maxHistory})
+	if err != nil {
+		s.reply(c, refusalOf(err))
+		return
+	}
+	history := make([]recorder.Record, 0, len(rows))
+	for _, row := range rows {
+		if cfg, err := planner.Decode(row.Value); err == nil {
+			history = append(history, configRecord(cfg))
+		}
+	}
+	c.JSON(http.StatusOK, history)
+}
+
+// configRecord is a generation as a line of the audit trail.
+func configRecord(cfg planner.Config) recorder.Record {
+	return recorder.Record{
+		AtMS: cfg.SubmittedMS, Actor: cfg.SubmittedBy, Event: "config_accepted",
+		Subject: "generation " + strconv.FormatUint(cfg.Generation, 10), Detail: "answers of " + cfg.Firm, Generation: cfg.Generation,
+	}
+}
+
+func (s *Server) adminSpread(c *gin.Context) {
+	generation, _ := strconv.ParseUint(c.Query("generation"), 10, 64)
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	spread := Spread{Generation: generation, Everywhere: s.state.listed && s.state.generationLocked() >= generation}
+	spread.Entries = s.state.tracker.Statuses(now)
+	for _, entry := range spread.Entries {
+		if !entry.Leaving && entry.Generation < generation {
+			spread.Everywhere = false
+		}
+	}
+	c.JSON(http.StatusOK, spread)
+}
+
+func (s *Server) adminMoveStart(c *gin.Context) {
+	in, refusal := readJSON[MoveOrder](c)
+	if refusal != nil {
+		s.reply(c, refusal)
+		return
+	}
+	m, err := s.startMove(c.Request.Context(), c.GetString(operatorKey), in.Deployment, in.To, time.Duration(in.WithinMS)*time.Millisecond)
+	if err != nil {
+		s.reply(c, refusalOf(err))
+		return
+	}
+	c.JSON(http.StatusOK, m)
+}
+
+func (s *Server) adminMoveBack(c *gin.Context) {
+	in, refusal := readJSON[MoveOrder](c)
+	if refusal != nil {
+		s.reply(c, refusal)
+		return
+	}
+	m, err := s.moveBack(c.Request.Context(), c.GetString(operatorKey), in.Deployment)
+	if err != nil {
+		s.reply(c, refusalOf(err))
+		return
+	}
+	c.JSON(http.StatusOK, m)
+}
+
+func (s *Server) adminMoves(c *gin.Context) { c.JSON(http.StatusOK, s.moveStatuses()) }
+
+func (s *Server) moveStatuses() []MoveStatus {
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	list := make([]MoveStatus, 0, len(s.state.moves))
+	for _, m := range s.state.moves {
+		status := MoveStatus{Move: m.move, Outcomes: m.outcomes}
+		if d, ok := s.state.cfg.Deployment(m.move.Deployment); ok {
+			policy := d.Move.Policy()
+			status.Share = mover.Share(m.move, policy)
+			status.LateMS = mover.Late(now, m.move, policy, m.pace(now)).Milliseconds()
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
+// pace is the number of outcomes a second of both versions since the start.
+func (m *moveState) pace(now time.Time) float64 {
+	total := 0
+	for _, evidence := range m.heard {
+		total += evidence.Present.Outcomes + evidence.Next.Outcomes
+	}
+	seconds := float64(now.UnixMilli()-m.move.StartedMS) / 1000
+	if seconds <= 0 {
+		return 0
+	}
+	return float64(total) / seconds
+}
+
+func (s *Server) adminUpstreams(c *gin.Context) {
+	s.state.mu.Lock()
+	statuses := s.state.router.Statuses()
+	s.state.mu.Unlock()
+	list := make([]UpstreamStatus, 0, len(statuses))
+	for _, status := range statuses {
+		list = append(list, upstreamStatus(status))
+	}
+	c.JSON(http.StatusOK, list)
+}
+
+func upstreamStatus(status router.Status) UpstreamStatus {
+	return UpstreamStatus{
+		ID: status.ID, Deployment: status.Deployment, Version: status.Version, FailureDomain: status.FailureDomain,
+		State: string(status.State), InFlight: status.InFlight, Running: status.Running, Slots: status.Slots,
+	}
+}
+
+// adminAudit merges the accepted configurations with the other records.
+func (s *Server) adminAudit(c *gin.Context) {
+	trail, err := s.auditTrail(c.Request.Context())
+	if err != nil {
+		s.reply(c, refusalOf(err))
+		return
+	}
+	c.JSON(http.StatusOK, trail)
+}
+
+func (s *Server) auditTrail(ctx context.Context) ([]recorder.Record, error) {
+	rows, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: "audit/", Reverse: true, Limit: maxAuditRows})
+	if err != nil {
+		return nil, err
+	}
+	trail := make([]recorder.Record, 0, len(rows))
+	for _, row := range rows {
+		var record recorder.Record
+		if json.Unmarshal(row.Value, &record) == nil {
+			trail = append(trail, record)
+		}
+	}
+	configs, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: planner.KeyPrefix, Reverse: true, Limit: maxHistory})
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range configs {
+		if cfg, err := planner.Decode(row.Value); err == nil {
+			trail = append(trail, configRecord(cfg))
+		}
+	}
+	slices.SortStableFunc(trail, func(a, b recorder.Record) int { return int(a.AtMS - b.AtMS) })
+	return trail, nil
+}
+
+func (s *Server) adminStatus(c *gin.Context) {
+	ready, why := s.state.ready()
+	status := Status{Self: s.cfg.Self, Ready: ready, Reason: why, OpenRuns: len(s.runs.open())}
+	if cfg := s.state.config(); cfg != nil {
+		status.Generation, status.Firm, status.Moves = cfg.Generation, cfg.Firm, s.moveStatuses()
+	}
+	now := s.now()
+	s.state.mu.Lock()
+	status.Entries = s.state.tracker.Statuses(now)
+	s.state.mu.Unlock()
+	c.JSON(http.StatusOK, status)
+}
--- /dev/null
+++ b/internal/server/claims.go
@@ -0,0 +1,174 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/claimer"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+const (
+	// maxDispatches bounds the upstreams that a claimed call is offered to
+	// while it is known not to have run.
+	maxDispatches = 3
+	// claimTime bounds the writing of a claim.
+	claimTime = 3 * time.Second
+	// askPause is the wait between questions about a call that still runs.
+	askPause = 200 * time.Millisecond
+	// maxOutcomeBody bounds the answer that is kept for duplicates.
+	maxOutcomeBody = 64 << 10
+)
+
+// held is a claim that this entry has written.
+type held struct {
+	key     string
+	version uint64
+	claim   claimer.Claim
+}
+
+// claimCall runs a call under its idempotency key at most once.
+func (s *Server) claimCall(ctx context.Context, call *callState) (dispatcher.Reply, *judge.Refusal) {
+	expect := uint64(0)
+	for range maxDispatches {
+		h, version, refusal := s.claim(ctx, call, expect)
+		if refusal != nil {
+			return dispatcher.Reply{}, refusal
+		}
+		if h.existing != nil {
+			if claimer.Decide(*h.existing, call.digest) == claimer.Retake {
+				expect = h.version
+				continue
+			}
+			return s.answerDuplicate(ctx, call, *h.existing)
+		}
+		reply, refusal, again := s.dispatchClaimed(ctx, call, h.held, version)
+		if !again {
+			return reply, refusal
+		}
+		expect = h.version
+	}
+	return dispatcher.Reply{}, judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream took the call").After(s.jitter(time.Second))
+}
+
+// claimed is the result of claim: a claim of this entry, or another's.
+type claimed struct {
+	held
+	existing *claimer.Claim
+}
+
+// claim writes the claim that names the one upstream of the dispatch. No byte
+// leaves before the write is known to have taken effect.
+func (s *Server) claim(ctx context.Context, call *callState, expect uint64) (claimed, string, *judge.Refusal) {
+	target, version, ok := s.chooseCall(call)
+	if !ok {
+		return claimed{}, "", judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+call.route.Deployment+" takes work").After(s.jitter(time.Second))
+	}
+	claim := claimer.Claim{
+		Token: uuid.NewString(), Digest: call.digest, RequestID: call.id, EntryID: s.cfg.Self.ID,
+		UpstreamID: target.ID, UpstreamAddress: target.Address, Attempt: call.attempts + 1,
+	}
+	key := claimer.Key(call.org.Name, call.key)
+	value, _ := json.Marshal(claim)
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: key, Value: value, Expect: expect})
+	if err != nil {
+		s.metrics.count("claims_refused_store")
+		s.abandon(held{key: key, claim: claim})
+		return claimed{}, "", judge.Refuse(judge.CodeStore, judge.NotRun, "the platform's table can't be reached, so the call can't be kept from running twice").After(s.jitter(2 * time.Second))
+	}
+	if result.Applied {
+		return claimed{held: held{key: key, version: result.Row.Version, claim: claim}}, version, nil
+	}
+	var existing claimer.Claim
+	if err := json.Unmarshal(result.Row.Value, &existing); err != nil {
+		return claimed{}, "", judge.Refuse(judge.CodeStore, judge.NotRun, "the claim of this key can't be read")
+	}
+	return claimed{held: held{key: key, version: result.Row.Version}, existing: &existing}, "", nil
+}
+
+// dispatchClaimed makes the one dispatch of a claim. It returns again if the
+// upstream is known not to have run it, so that the claim may name another.
+func (s *Server) dispatchClaimed(ctx context.Context, call *callState, h held, version string) (dispatcher.Reply, *judge.Refusal, bool) {
+	target := dispatcher.Target{ID: h.claim.UpstreamID, Address: h.claim.UpstreamAddress}
+	reply, err := s.tryCall(ctx, call, target, version)
+	if err == nil {
+		s.succeedCall(call)
+		s.settle(h, judge.Ran, reply)
+		return reply, nil, false
+	}
+	decision := s.afterCall(ctx, call, target, err)
+	if judge.Of(err) == judge.NotRun {
+		if decision.Retry && pauseFor(ctx, decision.Backoff) {
+			return dispatcher.Reply{}, nil, true
+		}
+		s.settle(h, judge.NotRun, dispatcher.Reply{})
+		return dispatcher.Reply{}, judge.Refuse(decision.Code, judge.NotRun, err.Error()).After(max(decision.RetryAfter, decision.Backoff)), false
+	}
+	refusal := s.ask(ctx, target, h.claim.RequestID, h.claim.Attempt)
+	if refusal.Verdict == judge.Ran {
+		s.settle(h, judge.Ran, dispatcher.Reply{})
+	}
+	return dispatcher.Reply{}, refusal, false
+}
+
+// ask asks an upstream what became of a dispatch whose answer did not arrive.
+// An upstream that does not know of it proves nothing: the request may still
+// be on its way.
+func (s *Server) ask(ctx context.Context, target dispatcher.Target, requestID string, attempt int) *judge.Refusal {
+	for {
+		progress, err := s.cfg.Upstreams.Progress(ctx, target, requestID, attempt)
+		switch {
+		case err == nil && progress.Done:
+			return judge.Refuse(judge.CodeDuplicate, judge.Ran, "it ran, but its answer was lost")
+		case err != nil || !progress.Known:
+			return judge.Refuse(judge.CodeUpstreamFailed, judge.MayHaveRun, "the upstream that got it can't say what became of it")
+		}
+		if !pauseFor(ctx, askPause) {
+			return judge.Refuse(judge.CodeInProgress, judge.MayHaveRun, "it is still running").After(s.jitter(time.Second))
+		}
+	}
+}
+
+// answerDuplicate answers a call whose key is another's.
+func (s *Server) answerDuplicate(ctx context.Context, call *callState, existing claimer.Claim) (dispatcher.Reply, *judge.Refusal) {
+	s.metrics.count("duplicates")
+	switch claimer.Decide(existing, call.digest) {
+	case claimer.RejectReuse:
+		return dispatcher.Reply{}, judge.Refuse(judge.CodeKeyReuse, judge.NotRun, "the key belongs to another request")
+	case claimer.Replay:
+		if existing.Status == 0 {
+			return dispatcher.Reply{}, judge.Refuse(judge.CodeDuplicate, judge.Ran, "it ran, but its answer was lost")
+		}
+		return dispatcher.Reply{Status: existing.Status, Type: existing.Type, Body: existing.Body}, nil
+	}
+	target := dispatcher.Target{ID: existing.UpstreamID, Address: existing.UpstreamAddress}
+	progress, err := s.cfg.Upstreams.Progress(ctx, target, existing.RequestID, existing.Attempt)
+	if err == nil && progress.Done {
+		return dispatcher.Reply{}, judge.Refuse(judge.CodeDuplicate, judge.Ran, "it ran; ask again for its answer").After(s.jitter(askPause))
+	}
+	return dispatcher.Reply{}, judge.Refuse(judge.CodeInProgress, judge.MayHaveRun, "the key was used for this request before and its outcome is not known yet").After(s.jitter(time.Second))
+}
+
+// settle records the outcome of a claim.
+func (s *Server) settle(h held, verdict judge.Verdict, reply dispatcher.Reply) {
+	h.claim.Verdict = verdict
+	if len(reply.Body) <= maxOutcomeBody {
+		h.claim.Status, h.claim.Type, h.claim.Body = reply.Status, reply.Type, reply.Body
+	}
+	s.outcomes.add(h)
+}
+
+// abandon records that a claim whose write has an unknown outcome was never
+// dispatched, so that the key is free again if the write did take effect.
+func (s *Server) abandon(h held) {
+	h.claim.Verdict = judge.NotRun
+	h.version = 0
+	s.outcomes.add(h)
+}
--- /dev/null
+++ b/internal/server/duties.go
@@ -0,0 +1,256 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/leaser"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+)
+
+const (
+	movePrefix   = "move/"
+	leaseKey     = "lease/moves"
+	dutyInterval = 250 * time.Millisecond
+)
+
+// duty holds the lease on driving version moves.
+type duty struct {
+	leaser *leaser.Leaser
+}
+
+func newDuty(cfg Config) *duty {
+	return &duty{leaser: leaser.New(leaser.Config{
+		Holder: cfg.Self.ID, Lifetime: cfg.LeaseLifetime, Margin: cfg.LeaseLifetime / leaseMarginDivisor,
+	})}
+}
+
+// driveMoves keeps the lease and, while it holds, advances the moves.
+func (s *Server) driveMoves(ctx context.Context) error {
+	for {
+		if s.keepLease(ctx) {
+			s.advanceMoves(ctx)
+		}
+		if !pauseFor(ctx, s.dutyPause()) {
+			return nil
+		}
+	}
+}
+
+// dutyPause is short only for the holder: the others look rarely.
+func (s *Server) dutyPause() time.Duration {
+	if s.duty.leaser.Holds(s.now()) {
+		return dutyInterval
+	}
+	return s.jitter(max(leastPoll, s.shared()))
+}
+
+// keepLease reads the lease and takes or renews it if that is due.
+func (s *Server) keepLease(ctx context.Context) bool {
+	l := s.duty.leaser
+	if !l.Holds(s.now()) || l.Version() == 0 {
+		row, err := s.cfg.Table.Get(ctx, leaseKey)
+		if err != nil {
+			return false
+		}
+		var lease leaser.Lease
+		_ = json.Unmarshal(row.Value, &lease)
+		l.Observe(s.now(), row.Version, lease)
+	}
+	closed, _ := s.state.closed()
+	want, due := l.Want(s.now())
+	if closed || !due {
+		return l.Holds(s.now())
+	}
+	want.Nonce = uuid.NewString()
+	value, _ := json.Marshal(want)
+	sentAt := s.now()
+	taken := l.Holder() != s.cfg.Self.ID
+	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: leaseKey, Value: value, Expect: l.Version()})
+	if err != nil {
+		return l.Holds(s.now())
+	}
+	if !result.Applied {
+		var lease leaser.Lease
+		_ = json.Unmarshal(result.Row.Value, &lease)
+		l.Observe(s.now(), result.Row.Version, lease)
+		return false
+	}
+	l.Won(sentAt, result.Row.Version, want)
+	if taken {
+		s.cfg.Log.Info().Str("event", "lease_taken").Str("duty", "moves").Uint64("fence", want.Fence).Send()
+	}
+	return l.Holds(s.now())
+}
+
+// advanceMoves takes each open move a step on if its evidence allows it.
+func (s *Server) advanceMoves(ctx context.Context) {
+	rows, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: movePrefix})
+	if err != nil {
+		return
+	}
+	for _, row := range rows {
+		var stored mover.Move
+		if json.Unmarshal(row.Value, &stored) != nil {
+			continue
+		}
+		s.noteMove(stored)
+		s.advanceMove(ctx, stored, row.Version)
+	}
+}
+
+func (s *Server) advanceMove(ctx context.Context, stored mover.Move, version uint64) {
+	now := s.now()
+	known := s.move(stored.Deployment)
+	if known.ID != stored.ID || !known.Open() {
+		return
+	}
+	policy, evidence, ok := s.evidenceFor(now, known)
+	if !ok {
+		return
+	}
+	next, event := mover.Advance(now, known, evidence, policy)
+	if event == "" || !s.duty.leaser.Holds(s.now()) {
+		return
+	}
+	if !s.writeMove(ctx, next, version) {
+		return
+	}
+	s.noteMove(next)
+	s.audit("system", "move_"+string(event), next.ID, next.Reason)
+}
+
+// evidenceFor gathers what the mover needs to know.
+func (s *Server) evidenceFor(now time.Time, m mover.Move) (mover.Policy, mover.Evidence, bool) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	if s.state.cfg == nil {
+		return mover.Policy{}, mover.Evidence{}, false
+	}
+	d, ok := s.state.cfg.Deployment(m.Deployment)
+	known := s.state.moves[m.Deployment]
+	if !ok || known == nil {
+		return mover.Policy{}, mover.Evidence{}, false
+	}
+	warm := s.state.router.Live(now, m.Deployment, m.To) > 0
+	return d.Move.Policy(), mover.Evidence{Outcomes: known.outcomes - known.stepOutcomes, Warm: warm}, true
+}
+
+// writeMove writes a move over the row at a version.
+func (s *Server) writeMove(ctx context.Context, m mover.Move, version uint64) bool {
+	value, _ := json.Marshal(m)
+	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: movePrefix + m.Deployment, Value: value, Expect: version})
+	return err == nil && result.Applied
+}
+
+// move returns the newest move of a deployment; its ID is empty if there is
+// none.
+func (s *Server) move(deployment string) mover.Move {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	if m, ok := s.state.moves[deployment]; ok {
+		return m.move
+	}
+	return mover.Move{}
+}
+
+// takenBack acts on a move that this entry's evidence took back: peers hear of
+// it at once, the platform when it can be reached.
+func (s *Server) takenBack(m mover.Move) {
+	s.metrics.count("moves_taken_back")
+	s.audit("system", "move_taken_back", m.ID, m.Reason)
+	s.urgent()
+	go s.syncMoves(s.base)
+}
+
+// moveRefused is the reason why a move can't start or go back.
+type moveRefused struct{ why string }
+
+func (e moveRefused) Error() string { return e.why }
+
+// startMove begins a move of a deployment to a version.
+func (s *Server) startMove(ctx context.Context, operator, deployment, to string, within time.Duration) (mover.Move, error) {
+	cfg := s.state.config()
+	if cfg == nil {
+		return mover.Move{}, moveRefused{"there is no configuration yet"}
+	}
+	d, ok := cfg.Deployment(deployment)
+	if !ok {
+		return mover.Move{}, moveRefused{"deployment " + deployment + " is not known"}
+	}
+	row, err := s.cfg.Table.Get(ctx, movePrefix+deployment)
+	if err != nil {
+		return mover.Move{}, err
+	}
+	present, epoch, err := lastMove(row, d)
+	if err != nil {
+		return mover.Move{}, err
+	}
+	if present == to {
+		return mover.Move{}, moveRefused{deployment + " is at " + to + " already"}
+	}
+	if within <= 0 {
+		within = time.Duration(d.Move.FinishWithinMS) * time.Millisecond
+	}
+	now := s.now()
+	m := mover.Move{
+		ID: uuid.NewString(), Epoch: epoch + 1, Deployment: deployment, From: present, To: to, State: mover.Moving,
+		StartedMS: now.UnixMilli(), StepMS: now.UnixMilli(), DeadlineMS: now.Add(within).UnixMilli(), StartedBy: operator,
+	}
+	value, _ := json.Marshal(m)
+	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: movePrefix + deployment, Value: value, Expect: row.Version})
+	if err != nil {
+		return mover.Move{}, err
+	}
+	if !result.Applied {
+		return mover.Move{}, moveRefused{"another operator changed the move at the same time; look at its status"}
+	}
+	s.noteMove(m)
+	s.audit(operator, "move_started", m.ID, deployment+" from "+m.From+" to "+to)
+	return m, nil
+}
+
+// lastMove returns the present version and the epoch of the last move.
+func lastMove(row keeper.Row, d planner.Deployment) (string, uint64, error) {
+	if row.Version == 0 {
+		return d.Version, 0, nil
+	}
+	var last mover.Move
+	if err := json.Unmarshal(row.Value, &last); err != nil {
+		return "", 0, err
+	}
+	if last.Open() {
+		return "", 0, moveRefused{"a move to " + last.To + " goes on; take it back first"}
+	}
+	return last.Present(), last.Epoch, nil
+}
+
+// moveBack takes a deployment's open move back by an operator's order. It
+// holds here and at the peers in reach also while the platform is down.
+func (s *Server) moveBack(ctx context.Context, operator, deployment string) (mover.Move, error) {
+	m := s.move(deployment)
+	if !m.Open() {
+		return m, moveRefused{"no move of " + deployment + " is open"}
+	}
+	back := mover.TakeBack(s.now(), m, "by operator "+operator)
+	s.noteMove(back)
+	s.audit(operator, "move_taken_back", back.ID, back.Reason)
+	s.syncMoves(ctx)
+	return back, nil
+}
+
+// refusalOf turns an administration error into its answer.
+func refusalOf(err error) *judge.Refusal {
+	var refused moveRefused
+	if errors.As(err, &refused) {
+		return judge.Refuse(judge.CodeConflict, judge.NotRun, refused.why)
+	}
+	return judge.Refuse(judge.CodeStore, judge.MayHaveRun, "the platform's table can't be reached: "+err.Error()).After(time.Second)
+}
--- /dev/null
+++ b/internal/server/moves.go
@@ -0,0 +1,216 @@
+package server
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/recorder"
+)
+
+// moveState is what the entry knows of a deployment's newest move.
+type moveState struct {
+	move     mover.Move
+	inFlight int
+	// watches, own and heard are by route; heard also by entry.
+	watches map[string]*mover.Watch
+	heard   map[evidenceKey]messenger.Evidence
+	// outcomes counts the new version's outcomes of all entries heard of, and
+	// stepOutcomes those that had been seen when the step began.
+	outcomes     int
+	stepOutcomes int
+}
+
+type evidenceKey struct {
+	entryID string
+	route   string
+}
+
+func newMoveState(m mover.Move) *moveState {
+	return &moveState{move: m, watches: map[string]*mover.Watch{}, heard: map[evidenceKey]messenger.Evidence{}}
+}
+
+// mergeMove takes a state of a move from the platform, a peer or this entry's
+// own decision, and reports whether it changed what is known.
+func (s *state) mergeMove(now time.Time, m mover.Move) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mergeMoveLocked(now, m)
+}
+
+func (s *state) mergeMoveLocked(now time.Time, m mover.Move) bool {
+	known, ok := s.moves[m.Deployment]
+	if !ok {
+		s.moves[m.Deployment] = newMoveState(m)
+		return true
+	}
+	merged := mover.Merge(known.move, m)
+	if merged == known.move {
+		return false
+	}
+	if merged.ID != known.move.ID {
+		fresh := newMoveState(merged)
+		s.moves[m.Deployment] = fresh
+		return true
+	}
+	if merged.Step != known.move.Step {
+		known.stepOutcomes = known.outcomes
+	}
+	ended := known.move.Open() && !merged.Open()
+	known.move = merged
+	if ended {
+		s.recorder.Add(now, recorder.Record{
+			Actor: "system", Event: "move_" + string(merged.State) + "_seen", Subject: merged.ID,
+			Detail: merged.Reason, Generation: s.generationLocked(),
+		})
+	}
+	return true
+}
+
+// version chooses the version that a request goes to. The lock must be held.
+func (s *state) version(requestID string, d planner.Deployment) string {
+	m, ok := s.moves[d.Name]
+	if !ok {
+		return d.Version
+	}
+	if !m.move.Open() {
+		return m.move.Present()
+	}
+	policy := d.Move.Policy()
+	share := mover.Share(m.move, policy)
+	if mover.Draw(requestID, m.move, share) && mover.MayStart(m.move, policy, m.inFlight) {
+		return m.move.To
+	}
+	return m.move.From
+}
+
+// outcome is what became of one attempt, for the comparison of versions.
+type outcome struct {
+	deployment string
+	route      string
+	version    string
+	failed     bool
+	firstToken time.Duration
+	floor      time.Duration
+}
+
+// observe counts an outcome and takes the move back if the evidence says so.
+// It returns the move as taken back, if it was.
+func (s *state) observe(now time.Time, o outcome) (mover.Move, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late, ok := s.late[o.route]
+	if !ok {
+		late = &mover.LateMark{}
+		s.late[o.route] = late
+	}
+	slow := !o.failed && o.firstToken > late.Mark(o.floor)
+	counts := mover.Counts{Outcomes: 1, Failed: boolToInt(o.failed), Slow: boolToInt(slow)}
+	m, ok := s.moves[o.deployment]
+	if !ok || !m.move.Open() {
+		if !o.failed {
+			late.Observe(o.firstToken)
+		}
+		return mover.Move{}, false
+	}
+	evidence := m.heard[evidenceKey{entryID: s.self.ID, route: o.route}]
+	evidence.EntryID, evidence.MoveID, evidence.Route = s.self.ID, m.move.ID, o.route
+	if o.version == m.move.To {
+		evidence.Next = evidence.Next.Add(counts)
+	} else {
+		evidence.Present = evidence.Present.Add(counts)
+		if !o.failed {
+			late.Observe(o.firstToken)
+		}
+	}
+	return s.weigh(now, m, evidence)
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// weigh feeds what is new in evidence to the route's watch.
+func (s *state) weigh(now time.Time, m *moveState, evidence messenger.Evidence) (mover.Move, bool) {
+	key := evidenceKey{entryID: evidence.EntryID, route: evidence.Route}
+	before := m.heard[key]
+	present, next := evidence.Present.Sub(before.Present), evidence.Next.Sub(before.Next)
+	if present.Outcomes < 0 || next.Outcomes < 0 || present.Outcomes+next.Outcomes == 0 {
+		return mover.Move{}, false
+	}
+	m.heard[key] = evidence
+	m.outcomes += next.Outcomes
+	watch, ok := m.watches[evidence.Route]
+	if !ok {
+		watch = &mover.Watch{}
+		m.watches[evidence.Route] = watch
+	}
+	watch.Feed(present, next)
+	reason := watch.Tripped()
+	if reason == "" || !m.move.Open() {
+		return mover.Move{}, false
+	}
+	back := mover.TakeBack(now, m.move, fmt.Sprintf("%s on route %s", reason, evidence.Route))
+	s.mergeMoveLocked(now, back)
+	return back, true
+}
+
+// hearEvidence takes the outcomes that peers tell of.
+func (s *state) hearEvidence(now time.Time, list []messenger.Evidence) (mover.Move, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, evidence := range list {
+		if evidence.EntryID == s.self.ID {
+			continue
+		}
+		for _, m := range s.moves {
+			if m.move.ID != evidence.MoveID || !m.move.Open() {
+				continue
+			}
+			if back, tripped := s.weigh(now, m, evidence); tripped {
+				return back, true
+			}
+		}
+	}
+	return mover.Move{}, false
+}
+
+// maxEvidence bounds the evidence in one exchange.
+const maxEvidence = 64
+
+// evidence lists what this entry and its peers saw of open moves. The lock
+// must be held.
+func (s *state) evidence() []messenger.Evidence {
+	var list []messenger.Evidence
+	for _, m := range s.moves {
+		if !m.move.Open() {
+			continue
+		}
+		for _, evidence := range m.heard {
+			if len(list) < maxEvidence || evidence.EntryID == s.self.ID {
+				list = append(list, evidence)
+			}
+		}
+	}
+	return list
+}
+
+// allMoves lists the newest move of each deployment.
+func (s *state) allMoves() []mover.Move {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allMovesLocked()
+}
+
+func (s *state) allMovesLocked() []mover.Move {
+	list := make([]mover.Move, 0, len(s.moves))
+	for _, m := range s.moves {
+		list = append(list, m.move)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/server/peers.go
@@ -0,0 +1,321 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/internal/replayer"
+	"github.com/galenahitch/galenahitch/pkg/charter"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/tracker"
+)
+
+const (
+	exchangeInterval = 500 * time.Millisecond
+	exchangeTimeout  = time.Second
+	locateTimeout    = 300 * time.Millisecond
+	// askedPeers bounds the peers that are asked for a request.
+	askedPeers = 8
+	// urgentPeers bounds the peers that news goes to at once.
+	urgentPeers = 8
+	// maxLearned bounds the members in one exchange.
+	maxLearned = 8
+)
+
+// gossip exchanges with a few peers now and again, and with more of them at
+// once when there is news.
+func (s *Server) gossip(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(s.jitter(exchangeInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-s.news:
+			timer.Stop()
+			s.exchangeWith(ctx, s.near(urgentPeers))
+		case <-timer.C:
+			s.state.mu.Lock()
+			round := s.state.tracker.Round(s.state.random)
+			s.state.mu.Unlock()
+			s.exchangeWith(ctx, round)
+		}
+	}
+}
+
+// urgent asks for an exchange without delay.
+func (s *Server) urgent() {
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Server) near(n int) []tracker.Member {
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.tracker.Near(now, s.cfg.Self.ID, n)
+}
+
+// exchangeWith exchanges with peers side by side. A peer that does not answer
+// delays nobody.
+func (s *Server) exchangeWith(ctx context.Context, peers []tracker.Member) {
+	for _, peer := range peers {
+		if !s.busyWith(peer.ID) {
+			continue
+		}
+		go func() {
+			defer s.freeOf(peer.ID)
+			ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+			defer cancel()
+			reply, err := s.cfg.Peers.Exchange(ctx, peer.Address, s.digest())
+			if err == nil {
+				s.hear(ctx, reply)
+			}
+		}()
+	}
+}
+
+// busyWith marks an exchange with a peer; one at a time is enough.
+func (s *Server) busyWith(id string) bool {
+	s.exchanging.Lock()
+	defer s.exchanging.Unlock()
+	if s.exchanges[id] {
+		return false
+	}
+	s.exchanges[id] = true
+	return true
+}
+
+func (s *Server) freeOf(id string) {
+	s.exchanging.Lock()
+	defer s.exchanging.Unlock()
+	delete(s.exchanges, id)
+}
+
+// digest is what this entry tells its peers.
+func (s *Server) digest() *messenger.Exchange {
+	now := s.now()
+	ready, _ := s.state.ready()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	members := make([]tracker.Member, 0, maxLearned)
+	for _, m := range s.state.tracker.Near(now, s.cfg.Self.ID, maxLearned) {
+		members = append(members, m)
+	}
+	return &messenger.Exchange{
+		From:         s.cfg.Self,
+		Generation:   s.state.generationLocked(),
+		Ready:        ready,
+		Leaving:      s.state.leaving || s.state.stopping,
+		Members:      members,
+		Notices:      s.state.openNotices(now),
+		Moves:        s.state.allMovesLocked(),
+		Implications: s.state.isolator.All(now),
+		Evidence:     s.state.evidence(),
+	}
+}
+
+// hear takes what a peer tells.
+func (s *Server) hear(ctx context.Context, in *messenger.Exchange) {
+	now := s.now()
+	s.state.mu.Lock()
+	s.state.tracker.Heard(now, in.From, in.Generation, in.Ready, in.Leaving)
+	for _, m := range in.Members {
+		s.state.tracker.Learn(now, m)
+	}
+	news := false
+	for _, implication := range in.Implications {
+		if s.state.isolator.Merge(now, implication) {
+			news = true
+		}
+	}
+	generation := s.state.generationLocked()
+	s.state.mu.Unlock()
+	s.takeNotices(in.Notices)
+	for _, m := range in.Moves {
+		s.noteMove(m)
+	}
+	if back, tripped := s.state.hearEvidence(now, in.Evidence); tripped {
+		s.takenBack(back)
+	}
+	if news {
+		s.urgent()
+	}
+	if in.Generation > generation {
+		s.fetchState(ctx, in.From.Address)
+	}
+}
+
+// noteMove merges a move and passes on what is new.
+func (s *Server) noteMove(m mover.Move) {
+	if s.state.mergeMove(s.now(), m) {
+		s.urgent()
+	}
+}
+
+// Exchange answers a peer's exchange.
+func (s *Server) Exchange(ctx context.Context, in *messenger.Exchange) (*messenger.Exchange, error) {
+	go s.hear(context.WithoutCancel(ctx), in)
+	return s.digest(), nil
+}
+
+// State gives a peer what it needs to serve.
+func (s *Server) State(_ context.Context, in *messenger.StateRequest) (*messenger.State, error) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	state := &messenger.State{VMs: s.state.vms, Moves: s.state.allMovesLocked()}
+	if s.state.generationLocked() > in.Above {
+		state.Config = s.state.encoded
+	}
+	return state, nil
+}
+
+// Handoff takes a running request over from a peer that is leaving.
+func (s *Server) Handoff(_ context.Context, in *messenger.Handoff) (*messenger.HandoffReply, error) {
+	if closed, _ := s.state.closed(); closed {
+		return &messenger.HandoffReply{}, nil
+	}
+	cfg := s.state.config()
+	if cfg == nil {
+		return &messenger.HandoffReply{}, nil
+	}
+	route, ok := cfg.Route(in.Route)
+	if !ok {
+		return &messenger.HandoffReply{}, nil
+	}
+	now := s.now()
+	r := &request{
+		id: in.RequestID, org: planner.Organisation{Name: in.Organisation}, route: route, digest: in.Digest,
+		body: in.Body, maxTokens: in.MaxTokens, fingerprint: isolator.Sum(in.Organisation, route.Name, in.Body),
+		started: now, deadline: now.Add(time.Duration(in.LeftMS) * time.Millisecond),
+		state: charter.Request().Initial(), relayed: make(chan struct{}), attempts: in.Attempts,
+	}
+	for _, part := range in.Parts {
+		r.buffer.Append(part)
+	}
+	r.step("admit")
+	if _, fresh := s.runs.start(r); fresh {
+		s.metrics.count("handoffs_taken")
+		s.launch(r)
+	}
+	return &messenger.HandoffReply{Accepted: true}, nil
+}
+
+// Locate tells a peer whether a request is here.
+func (s *Server) Locate(_ context.Context, in *messenger.Locate) (*messenger.LocateReply, error) {
+	r, ok := s.runs.find(in.RequestID)
+	if !ok || r.org.Name != in.Organisation {
+		return &messenger.LocateReply{}, nil
+	}
+	kind := r.buffer.Ended().Kind
+	if kind != replayer.Open && kind != replayer.Done {
+		return &messenger.LocateReply{}, nil
+	}
+	return &messenger.LocateReply{Found: true, Digest: r.digest}, nil
+}
+
+// Join sends a request's parts to a peer.
+func (s *Server) Join(ctx context.Context, in *messenger.Join, send func(*messenger.JoinPart) error) error {
+	r, ok := s.runs.find(in.RequestID)
+	if !ok || r.org.Name != in.Organisation {
+		return send(&messenger.JoinPart{Moved: true})
+	}
+	reader := r.buffer.Reader(in.From)
+	defer reader.Close()
+	for {
+		offset := reader.Offset()
+		text, end, err := reader.Next(ctx)
+		if err != nil {
+			return err
+		}
+		part := &messenger.JoinPart{Offset: offset, Text: text, Done: end.Kind == replayer.Done, Moved: end.Kind == replayer.Moved}
+		if end.Kind == replayer.Refused {
+			part.Refusal, _ = json.Marshal(end.Refusal)
+		}
+		if err := send(part); err != nil {
+			return err
+		}
+		if end.Kind != replayer.Open {
+			return nil
+		}
+	}
+}
+
+// locateAtPeer asks the peers nearest to a request's id for it.
+func (s *Server) locateAtPeer(ctx context.Context, id string, org planner.Organisation) (located, bool) {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	now := s.now()
+	s.state.mu.Lock()
+	peers := s.state.tracker.Near(now, id, askedPeers)
+	alive := peers[:0]
+	statuses := s.state.tracker.Statuses(now)
+	for _, peer := range peers {
+		for _, status := range statuses {
+			if status.ID == peer.ID && status.Reach == tracker.Alive {
+				alive = append(alive, peer)
+			}
+		}
+	}
+	s.state.mu.Unlock()
+	answers := make(chan located, len(alive))
+	for _, peer := range alive {
+		go func() {
+			reply, err := s.cfg.Peers.Locate(ctx, peer.Address, &messenger.Locate{RequestID: id, Organisation: org.Name})
+			if err != nil || !reply.Found {
+				answers <- located{}
+				return
+			}
+			answers <- located{peer: peer.Address, digest: reply.Digest, id: id}
+		}()
+	}
+	for range alive {
+		if answer := <-answers; answer.peer != "" {
+			return answer, true
+		}
+	}
+	return located{}, false
+}
+
+// errMoved ends a join whose request went to yet another entry.
+var errMoved = errors.New("moved")
+
+// pull copies a peer's run into a buffer, following the run when it moves.
+func (s *Server) pull(ctx context.Context, buffer *replayer.Buffer, at located, org planner.Organisation, from int) {
+	next := from
+	for {
+		err := s.cfg.Peers.Join(ctx, at.peer, &messenger.Join{RequestID: at.id, Organisation: org.Name, From: next}, func(part *messenger.JoinPart) error {
+			switch {
+			case part.Text != "":
+				buffer.Append(part.Text)
+				next++
+			case part.Done:
+				buffer.End(replayer.End{Kind: replayer.Done})
+			case part.Moved:
+				return errMoved
+			default:
+				var refusal judge.Refusal
+				_ = json.Unmarshal(part.Refusal, &refusal)
+				buffer.End(replayer.End{Kind: replayer.Refused, Refusal: judge.Refuse(refusal.Code, refusal.Verdict, refusal.Message)})
+			}
+			return nil
+		})
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		found, ok := s.locateAtPeer(ctx, at.id, org)
+		if !ok {
+			buffer.End(replayer.End{Kind: replayer.Moved})
+			return
+		}
+		at = found
+	}
+}
--- /dev/null
+++ b/internal/server/reclaim.go
@@ -0,0 +1,167 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/internal/replayer"
+	"github.com/galenahitch/galenahitch/pkg/reclaimer"
+)
+
+const (
+	// assumedToken, assumedPrefill and assumedTransfer are the rates that a
+	// reclaim is planned with.
+	assumedToken    = 60 * time.Millisecond
+	assumedPrefill  = 500 * time.Microsecond
+	assumedTransfer = 50 * time.Microsecond
+	bytesPerToken   = 4
+	// moveTime bounds the moving of one KV cache.
+	moveTime = 2 * time.Second
+	// handoffPeers bounds the peers that a run is offered to.
+	handoffPeers = 4
+	handoffTime  = time.Second
+	// handoffMargin is kept free before this VM is gone.
+	handoffMargin = time.Second
+)
+
+// takeNotices acts on the reclaims that are news.
+func (s *Server) takeNotices(notices []keeper.Notice) {
+	for _, n := range notices {
+		if !s.state.notice(s.now(), n) {
+			continue
+		}
+		s.metrics.count("notices")
+		s.cfg.Log.Info().Str("event", "reclaim_notice").Str("vm", n.VMID).Int64("left_ms", n.LeftMS).Send()
+		s.urgent()
+		if n.VMID == s.cfg.Self.ID {
+			go s.leaveVM(n.Left())
+			continue
+		}
+		s.leaveUpstream(n.VMID, n.Left())
+	}
+}
+
+// leaveUpstream plans what becomes of the streams on a leaving upstream.
+func (s *Server) leaveUpstream(id string, left time.Duration) {
+	byID := map[string]*request{}
+	var streams []reclaimer.Stream
+	for _, r := range s.runs.open() {
+		if r.on().ID != id {
+			continue
+		}
+		byID[r.id] = r
+		streams = append(streams, streamOf(r))
+	}
+	costs := reclaimer.Costs{EachToken: assumedToken, EachPrefill: assumedPrefill, EachTransfer: assumedTransfer}
+	for _, step := range reclaimer.Plan(streams, left, costs) {
+		r := byID[step.RequestID]
+		s.metrics.count("reclaim_" + string(step.Way))
+		after := step.After
+		if step.Way == reclaimer.Finish {
+			// What does not finish as expected leaves just before the end.
+			after = max(0, left-handoffMargin/2)
+		}
+		time.AfterFunc(after, func() { s.leaveNow(r, id, step.Way) })
+	}
+}
+
+func streamOf(r *request) reclaimer.Stream {
+	sent := r.buffer.Len()
+	return reclaimer.Stream{
+		RequestID:      r.id,
+		Urgency:        int(r.route.Urgency),
+		PromptTokens:   len(r.body) / bytesPerToken,
+		SentTokens:     sent,
+		ExpectedTokens: max(0, r.maxTokens-sent),
+	}
+}
+
+// leaveNow takes a run off an upstream if it is still there.
+func (s *Server) leaveNow(r *request, upstream string, way reclaimer.Way) {
+	if r.buffer.Ended().Kind != replayer.Open || r.on().ID != upstream {
+		return
+	}
+	o := order{way: reclaimer.Resume}
+	if way == reclaimer.MoveKV {
+		if to, version, ok := s.moveKV(r); ok {
+			o = order{way: reclaimer.MoveKV, to: to, version: version}
+		}
+	}
+	r.interrupt(o)
+}
+
+// moveKV moves a run's cache to the upstream that it will go on at.
+func (s *Server) moveKV(r *request) (dispatcher.Target, string, bool) {
+	from, attempt := r.on(), r.attemptCount()
+	to, version, ok := s.choose(r)
+	if !ok || to.ID == from.ID {
+		return dispatcher.Target{}, "", false
+	}
+	ctx, cancel := context.WithTimeout(s.base, moveTime)
+	defer cancel()
+	if err := s.cfg.Upstreams.MoveKV(ctx, from, to, r.id, attempt); err != nil {
+		s.metrics.count("kv_moves_failed")
+		return dispatcher.Target{}, "", false
+	}
+	return to, version, true
+}
+
+// leaveVM brings this entry's runs through its own reclaim: what can finish
+// finishes, the rest goes to peers.
+func (s *Server) leaveVM(left time.Duration) {
+	s.audit("system", "entry_reclaimed", s.cfg.Self.ID, "left="+left.String())
+	usable := max(0, left-handoffMargin)
+	for _, r := range s.runs.open() {
+		expected := time.Duration(max(0, r.maxTokens-r.buffer.Len())) * assumedToken
+		if expected <= usable {
+			time.AfterFunc(usable, func() { s.handOff(r) })
+			continue
+		}
+		go s.handOff(r)
+	}
+}
+
+// handOff gives a run to a peer. If none takes it, it goes on here.
+func (s *Server) handOff(r *request) {
+	if r.buffer.Ended().Kind != replayer.Open {
+		return
+	}
+	r.interrupt(order{stop: true})
+	<-r.relayed
+	if r.buffer.Ended().Kind != replayer.Open {
+		return
+	}
+	if s.offerToPeers(r) {
+		r.step("hand_over")
+		r.buffer.End(replayer.End{Kind: replayer.Moved})
+		s.metrics.count("handoffs_given")
+		return
+	}
+	s.metrics.count("handoffs_failed")
+	r.clearOrder()
+	r.relayed = make(chan struct{})
+	s.launch(r)
+}
+
+func (s *Server) offerToPeers(r *request) bool {
+	now := s.now()
+	handoff := &messenger.Handoff{
+		RequestID: r.id, Organisation: r.org.Name, Route: r.route.Name, Digest: r.digest, Body: r.body,
+		MaxTokens: r.maxTokens, Parts: r.buffer.Parts(), Attempts: r.attemptCount(), LeftMS: r.deadline.Sub(now).Milliseconds(),
+	}
+	s.state.mu.Lock()
+	peers := s.state.tracker.Near(now, r.id, handoffPeers)
+	s.state.mu.Unlock()
+	for _, peer := range peers {
+		ctx, cancel := context.WithTimeout(s.base, handoffTime)
+		reply, err := s.cfg.Peers.Handoff(ctx, peer.Address, handoff)
+		cancel()
+		if err == nil && reply.Accepted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/server/relay.go
@@ -0,0 +1,303 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/internal/replayer"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/reclaimer"
+	"github.com/galenahitch/galenahitch/pkg/retrier"
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+const (
+	// firstStall is the longest wait for a first token before the upstream is
+	// asked about it; laterStall the same between tokens.
+	firstStall = 2 * time.Second
+	laterStall = 1500 * time.Millisecond
+	// suspectTime keeps new work from an upstream that did not answer a probe.
+	suspectTime = 5 * time.Second
+	// noUpstreamPause is the wait of an accepted request for an upstream.
+	noUpstreamPause = 100 * time.Millisecond
+)
+
+// relay brings a run to its end: it pulls parts from one upstream after
+// another until the answer is whole, given up or handed to a peer.
+func (s *Server) relay(ctx context.Context, r *request) {
+	began := s.now()
+	defer func() {
+		if r.admitted {
+			r.admitted = false
+			s.state.release(s.now(), r.org, r.route, s.now().Sub(began))
+		}
+		close(r.relayed)
+	}()
+	var next order
+	for {
+		if o := r.takeOrder(); o != nil && o.stop {
+			return
+		}
+		target, version, ok := s.chooseNext(r, next)
+		if !ok {
+			if !s.waitForUpstream(ctx, r) {
+				return
+			}
+			continue
+		}
+		if !r.step("dispatch") {
+			r.step("redispatch")
+		}
+		err := s.attempt(ctx, r, target, version, next.way == reclaimer.MoveKV)
+		next = order{}
+		if err == nil {
+			r.step("finish")
+			r.buffer.End(replayer.End{Kind: replayer.Done})
+			s.succeed(r)
+			return
+		}
+		if o := r.takeOrder(); o != nil {
+			if o.stop {
+				return
+			}
+			next = *o
+			s.metrics.count("streams_moved_" + string(o.way))
+			r.avoid(target.ID)
+			continue
+		}
+		if !s.after(ctx, r, target, err) {
+			return
+		}
+	}
+}
+
+// chooseNext follows an order that names the next upstream.
+func (s *Server) chooseNext(r *request, o order) (dispatcher.Target, string, bool) {
+	if o.to.ID != "" {
+		return o.to, o.version, true
+	}
+	return s.choose(r)
+}
+
+// choose picks the version and the upstream of a run's next attempt.
+func (s *Server) choose(r *request) (dispatcher.Target, string, bool) {
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	ask, version, ok := s.state.ask(now, r)
+	if !ok {
+		return dispatcher.Target{}, "", false
+	}
+	u, ok := s.state.router.Pick(now, ask)
+	if !ok {
+		return dispatcher.Target{}, "", false
+	}
+	return dispatcher.Target{ID: u.ID, Address: u.Address}, version, true
+}
+
+func (s *state) ask(now time.Time, r *request) (router.Ask, string, bool) {
+	d, ok := s.cfg.Deployment(r.route.Deployment)
+	if !ok {
+		return router.Ask{}, "", false
+	}
+	version := s.version(r.id, d)
+	ask := router.Ask{Deployment: d.Name, Version: version, Prefix: prefixOf(r), Exclude: r.avoided()}
+	if s.isolator.Standing(now, r.fingerprint) == isolator.Suspect {
+		ask.Prefix, ask.Alone = uint64(r.fingerprint)|1, true
+	}
+	return ask, version, true
+}
+
+// waitForUpstream holds an accepted run until an upstream may take it, and
+// ends it when that can't be in time.
+func (s *Server) waitForUpstream(ctx context.Context, r *request) bool {
+	r.forgive()
+	if s.now().Add(noUpstreamPause).After(r.deadline) || ctx.Err() != nil {
+		s.giveUp(ctx, r, judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+r.route.Deployment+" takes work"))
+		return false
+	}
+	timer := time.NewTimer(noUpstreamPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return true
+}
+
+// giveUp ends a run with its final answer at once.
+func (s *Server) giveUp(ctx context.Context, r *request, refusal *judge.Refusal) {
+	if ctx.Err() != nil && !s.now().Before(r.deadline) {
+		refusal = judge.Refuse(judge.CodeDeadline, refusal.Verdict, "the deadline passed")
+	}
+	if refusal.RetryAfterMS == 0 {
+		refusal = refusal.After(s.jitter(time.Second))
+	}
+	s.metrics.count("runs_refused_" + string(refusal.Code))
+	r.refuse(refusal)
+}
+
+func (s *Server) jitter(d time.Duration) time.Duration {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return retrier.Jitter(d, s.state.random)
+}
+
+// attempt runs one attempt. A nil error means that the answer is whole.
+func (s *Server) attempt(parent context.Context, r *request, target dispatcher.Target, version string, kv bool) error {
+	ctx, number := r.begin(parent, target)
+	defer r.finish()
+	r.boot = s.enter(r.route.Deployment, target, version)
+	defer s.leave(r.route.Deployment, target, version)
+	sent := r.buffer.Text()
+	from := r.buffer.Len()
+	began := s.now()
+	guard := s.watchdog(ctx, r, target, number, from)
+	defer guard.stop()
+	stream, err := s.cfg.Upstreams.Generate(ctx, target, dispatcher.Attempt{
+		RequestID: r.id, Number: number, Route: r.route.Name, Body: r.body, From: from, Sent: sent, KV: kv,
+	})
+	if err != nil {
+		s.observe(r, version, err, 0)
+		return guard.explain(err)
+	}
+	defer stream.Close()
+	first := time.Duration(0)
+	for {
+		part, err := stream.Next()
+		if err != nil {
+			s.observe(r, version, err, first)
+			return guard.explain(err)
+		}
+		if first == 0 {
+			first = s.now().Sub(began)
+			s.metrics.firstToken(first)
+		}
+		guard.progress(part.Offset + 1)
+		r.step("part")
+		r.buffer.Append(part.Text)
+		if part.Done || part.Offset+1 >= r.maxTokens {
+			s.observe(r, version, nil, first)
+			return nil
+		}
+	}
+}
+
+// enter counts an attempt on an upstream and on the version that moves in. It
+// returns the boot of the upstream's process, as far as known.
+func (s *Server) enter(deployment string, target dispatcher.Target, version string) string {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.router.Begin(target.ID)
+	if m, ok := s.state.moves[deployment]; ok && m.move.To == version {
+		m.inFlight++
+	}
+	return s.state.boots[target.ID]
+}
+
+// leave ends what enter began.
+func (s *Server) leave(deployment string, target dispatcher.Target, version string) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.router.End(target.ID)
+	if m, ok := s.state.moves[deployment]; ok && m.move.To == version && m.inFlight > 0 {
+		m.inFlight--
+	}
+}
+
+// observe tells the comparison of versions how an attempt went. Attempts that
+// this entry ended itself say nothing about the version.
+func (s *Server) observe(r *request, version string, err error, first time.Duration) {
+	if err != nil && r.interrupted() {
+		return
+	}
+	now := s.now()
+	if err != nil && s.excused(r.on()) {
+		return
+	}
+	back, tripped := s.state.observe(now, outcome{
+		deployment: r.route.Deployment, route: r.route.Name, version: version,
+		failed: err != nil, firstToken: first, floor: r.route.AnswerWithin() / 4,
+	})
+	if tripped {
+		s.takenBack(back)
+	}
+}
+
+func (r *request) interrupted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.order != nil
+}
+
+// excused reports whether a failure on an upstream is explained by a reclaim.
+func (s *Server) excused(target dispatcher.Target) bool {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.router.Leaving(target.ID)
+}
+
+func (s *Server) succeed(r *request) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.budget(budgetKey{organisation: r.org.Name, route: r.route.Name}).Succeed()
+	s.metrics.count("runs_done")
+}
+
+// after decides what follows a failed attempt. It returns false if the run is
+// over.
+func (s *Server) after(ctx context.Context, r *request, target dispatcher.Target, cause error) bool {
+	now := s.now()
+	announced := s.excused(target)
+	if !announced {
+		s.investigate(ctx, r, target, cause)
+	}
+	r.avoid(target.ID)
+	s.metrics.count("attempts_failed")
+	s.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", r.id).Str("upstream", target.ID).
+		Bool("announced", announced).Int("parts", r.buffer.Len()).Err(cause).Send()
+	if s.standing(r.fingerprint) == isolator.Convicted {
+		s.giveUp(ctx, r, judge.Refuse(judge.CodeConvicted, judge.MayHaveRun, "this request crashes the upstreams that run it"))
+		return false
+	}
+	decision := s.decide(now, r, cause, announced)
+	if !decision.Retry {
+		refusal := judge.Refuse(decision.Code, judge.Of(cause), cause.Error()).After(decision.RetryAfter)
+		s.giveUp(ctx, r, refusal)
+		return false
+	}
+	s.metrics.count("retries")
+	return s.backoff(ctx, r, decision.Backoff)
+}
+
+func (s *Server) decide(now time.Time, r *request, cause error, announced bool) retrier.Decision {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return retrier.Decide(now, s.state.budget(budgetKey{organisation: r.org.Name, route: r.route.Name}), retrier.Failure{
+		Verdict: judge.Of(cause), Idempotent: r.route.Idempotent, Attempts: r.attemptCount(),
+		Deadline: r.deadline, Announced: announced,
+	}, s.state.random)
+}
+
+func (s *Server) backoff(ctx context.Context, r *request, wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		s.giveUp(ctx, r, judge.Refuse(judge.CodeDeadline, judge.MayHaveRun, "the request was ended"))
+		return false
+	}
+}
+
+func (s *Server) standing(f isolator.Fingerprint) isolator.Standing {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.isolator.Standing(s.now(), f)
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,213 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/oklog/run"
+	"google.golang.org/grpc"
+
+	"github.com/galenahitch/galenahitch/internal/messenger"
+)
+
+// Server is one entry process. New makes one; Run serves until it is stopped.
+type Server struct {
+	cfg     Config
+	state   *state
+	runs    *registry
+	metrics *measures
+	duty    *duty
+	news    chan struct{}
+
+	outcomes *outcomes
+
+	exchanging sync.Mutex
+	exchanges  map[string]bool
+
+	base   context.Context
+	cancel context.CancelFunc
+}
+
+// New returns an entry that is not serving yet.
+func New(cfg Config) *Server {
+	cfg.fill()
+	base, cancel := context.WithCancel(context.Background())
+	return &Server{
+		cfg:       cfg,
+		state:     newState(cfg),
+		runs:      newRegistry(),
+		metrics:   newMeasures(),
+		duty:      newDuty(cfg),
+		news:      make(chan struct{}, 1),
+		outcomes:  newOutcomes(),
+		exchanges: map[string]bool{},
+		base:      base,
+		cancel:    cancel,
+	}
+}
+
+func (s *Server) now() time.Time { return s.cfg.Now() }
+
+// listeners are the three addresses of an entry.
+type listeners struct {
+	callers net.Listener
+	admin   net.Listener
+	peers   net.Listener
+}
+
+func (s *Server) listen() (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = net.Listen("tcp", s.cfg.Listen); err != nil {
+		return l, err
+	}
+	if l.admin, err = net.Listen("tcp", s.cfg.AdminListen); err != nil {
+		_ = l.callers.Close()
+		return l, err
+	}
+	if l.peers, err = net.Listen("tcp", s.cfg.PeerListen); err != nil {
+		_ = l.callers.Close()
+		_ = l.admin.Close()
+	}
+	return l, err
+}
+
+// Run serves until ctx ends, then stops without cutting a request: it turns
+// new ones away, finishes what it accepted within the grace, and returns.
+func (s *Server) Run(ctx context.Context) error {
+	gin.SetMode(gin.ReleaseMode)
+	l, err := s.listen()
+	if err != nil {
+		return err
+	}
+	peers, err := messenger.NewServer(s, s.cfg.Security)
+	if err != nil {
+		return err
+	}
+	s.cfg.Log.Info().Str("event", "entry_started").Str("id", s.cfg.Self.ID).Str("listen", s.cfg.Listen).
+		Str("admin", s.cfg.AdminListen).Str("peers", s.cfg.PeerListen).Str("failure_domain", s.cfg.Self.FailureDomain).Send()
+	var group run.Group
+	s.addHTTP(&group, l.callers, s.callers())
+	s.addHTTP(&group, l.admin, s.administration())
+	s.addPeers(&group, peers, l.peers)
+	s.addTasks(&group)
+	group.Add(func() error {
+		<-ctx.Done()
+		s.drain()
+		return nil
+	}, func(error) {})
+	err = group.Run()
+	s.cancel()
+	s.cfg.Log.Info().Str("event", "entry_stopped").Str("id", s.cfg.Self.ID).Err(err).Send()
+	return err
+}
+
+func (s *Server) addHTTP(group *run.Group, listener net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	group.Add(func() error {
+		return server.Serve(listener)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), s.cfg.StopGrace)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+}
+
+func (s *Server) addPeers(group *run.Group, server *grpc.Server, listener net.Listener) {
+	group.Add(func() error { return server.Serve(listener) }, func(error) { server.Stop() })
+}
+
+// addTasks starts everything that goes on beside the requests.
+func (s *Server) addTasks(group *run.Group) {
+	tasks := []func(context.Context) error{
+		s.gossip,
+		s.driveMoves,
+		s.writeOutcomes,
+		s.every(s.shared, s.syncConfig),
+		s.every(s.shared, s.syncVMs),
+		s.every(s.shared, s.syncNotices),
+		s.every(s.shared, s.syncMoves),
+		s.every(func() time.Duration { return loadPoll }, s.syncLoads),
+		s.every(func() time.Duration { return leastPoll }, s.writeAudit),
+		s.every(func() time.Duration { return time.Second }, s.housekeep),
+		s.bootstrapUntilKnown,
+	}
+	for _, task := range tasks {
+		ctx, cancel := context.WithCancel(context.Background())
+		group.Add(func() error {
+			err := task(ctx)
+			<-ctx.Done()
+			return err
+		}, func(error) { cancel() })
+	}
+}
+
+func (s *Server) every(interval func() time.Duration, task func(context.Context)) func(context.Context) error {
+	return func(ctx context.Context) error { return s.poll(ctx, interval, task) }
+}
+
+func (s *Server) bootstrapUntilKnown(ctx context.Context) error {
+	for s.state.generation() == 0 || !s.knowsVMs() {
+		s.bootstrap(ctx)
+		if !pauseFor(ctx, leastPoll) {
+			break
+		}
+	}
+	return nil
+}
+
+// housekeep fits limits to the members in reach, ends runs that nobody reads
+// and drops old ones.
+func (s *Server) housekeep(context.Context) {
+	now := s.now()
+	s.state.mu.Lock()
+	s.state.resize(now)
+	s.state.mu.Unlock()
+	for _, r := range s.runs.sweep(now) {
+		if r.unreadSince(now) > abandonTime {
+			s.metrics.count("runs_abandoned")
+			r.cancel()
+		}
+	}
+}
+
+// drainPoll is the time between looks at what is still running.
+const drainPoll = 20 * time.Millisecond
+
+// drain turns new requests away and waits for the accepted ones.
+func (s *Server) drain() {
+	s.state.mu.Lock()
+	s.state.stopping = true
+	s.state.mu.Unlock()
+	s.cfg.Log.Info().Str("event", "stopping").Int("open_runs", len(s.runs.open())).Send()
+	s.urgent()
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.StopGrace)
+	defer cancel()
+	for len(s.runs.open()) > 0 || s.busy() || s.outcomes.len() > 0 {
+		if !pauseFor(ctx, drainPoll) {
+			break
+		}
+	}
+	s.writeAudit(ctx)
+}
+
+// busy reports whether admitted requests are running.
+func (s *Server) busy() bool {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	for _, p := range s.state.pools {
+		if p.limiter.Running() > 0 || p.limiter.Queued() > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/server/services.go
@@ -0,0 +1,220 @@
+package server
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/pkg/claimer"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/retrier"
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+// callState is one request to a plain service.
+type callState struct {
+	caller
+	route       planner.Route
+	call        dispatcher.Call
+	digest      string
+	fingerprint isolator.Fingerprint
+	end         time.Time
+	exclude     []string
+	attempts    int
+}
+
+func (s *Server) serveService(c *gin.Context) {
+	who, refusal := s.receive(c)
+	if refusal != nil {
+		s.reply(c, refusal)
+		return
+	}
+	route, ok := who.cfg.Route(c.Param("route"))
+	d, _ := who.cfg.Deployment(route.Deployment)
+	if !ok || d.Kind != planner.KindService {
+		s.reply(c, judge.Refuse(judge.CodeUnknownRoute, judge.NotRun, "there is no such service").For(who.id))
+		return
+	}
+	path := route.Name + c.Param("path")
+	if query := c.Request.URL.RawQuery; query != "" {
+		path += "?" + query
+	}
+	if strings.Contains(path, "..") {
+		s.reply(c, judge.Refuse(judge.CodeBadRequest, judge.NotRun, "the path may not contain ..").For(who.id))
+		return
+	}
+	call := &callState{
+		caller:      who,
+		route:       route,
+		digest:      claimer.Digest([]byte(c.Request.Method), []byte(path), who.body),
+		fingerprint: isolator.Sum(who.org.Name, path, who.body),
+		end:         s.now().Add(who.within(route)),
+		call: dispatcher.Call{
+			Attempt: dispatcher.Attempt{RequestID: who.id, Route: route.Name, Body: who.body},
+			Method:  c.Request.Method,
+			Path:    path,
+			Type:    c.GetHeader("Content-Type"),
+			Key:     who.key,
+			Fresh:   !route.Idempotent,
+		},
+	}
+	reply, refusal := s.serveCall(c.Request.Context(), call)
+	if refusal != nil {
+		s.reply(c, refusal.For(who.id))
+		return
+	}
+	c.Header(headerRequestID, who.id)
+	c.Header(headerVerdict, string(judge.Ran))
+	slowly(c, s.now())
+	c.Data(reply.Status, reply.Type, reply.Body)
+}
+
+// serveCall admits a call and sees it through. A call that may not be repeated
+// goes on when its caller hangs up, so that its outcome is recorded.
+func (s *Server) serveCall(ctx context.Context, call *callState) (dispatcher.Reply, *judge.Refusal) {
+	if s.standing(call.fingerprint) == isolator.Convicted {
+		return dispatcher.Reply{}, judge.Refuse(judge.CodeConvicted, judge.NotRun, "this request crashes the upstreams that run it")
+	}
+	now := s.now()
+	if refusal := s.state.admit(ctx, now, call.org, call.route, now.Add(call.admitWithin(call.route))); refusal != nil {
+		return dispatcher.Reply{}, refusal
+	}
+	defer func() { s.state.release(s.now(), call.org, call.route, s.now().Sub(now)) }()
+	limit := call.end.Sub(s.now())
+	if call.route.Idempotent {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return s.retryCall(ctx, call)
+	}
+	ctx, cancel := s.detached(limit)
+	defer cancel()
+	if call.key == "" {
+		return s.retryCall(ctx, call)
+	}
+	return s.claimCall(ctx, call)
+}
+
+// retryCall makes attempts as the verdicts allow: a call that may not be
+// repeated gets another only if the last one is known not to have run.
+func (s *Server) retryCall(ctx context.Context, call *callState) (dispatcher.Reply, *judge.Refusal) {
+	for {
+		target, version, ok := s.chooseCall(call)
+		if !ok {
+			return dispatcher.Reply{}, judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+call.route.Deployment+" takes work").After(s.jitter(time.Second))
+		}
+		reply, err := s.tryCall(ctx, call, target, version)
+		if err == nil {
+			s.succeedCall(call)
+			return reply, nil
+		}
+		decision := s.afterCall(ctx, call, target, err)
+		if !decision.Retry {
+			return dispatcher.Reply{}, judge.Refuse(decision.Code, judge.Of(err), err.Error()).After(decision.RetryAfter)
+		}
+		if !pauseFor(ctx, decision.Backoff) {
+			return dispatcher.Reply{}, judge.Refuse(judge.CodeDeadline, judge.Of(err), "the deadline passed").After(decision.Backoff)
+		}
+	}
+}
+
+func pauseFor(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) chooseCall(call *callState) (dispatcher.Target, string, bool) {
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	d, ok := s.state.cfg.Deployment(call.route.Deployment)
+	if !ok {
+		return dispatcher.Target{}, "", false
+	}
+	version := s.state.version(call.id, d)
+	ask := router.Ask{Deployment: d.Name, Version: version, Exclude: call.exclude}
+	u, ok := s.state.router.Pick(now, ask)
+	if !ok {
+		return dispatcher.Target{}, "", false
+	}
+	return dispatcher.Target{ID: u.ID, Address: u.Address}, version, true
+}
+
+// tryCall makes one attempt and tells the comparison of versions of it.
+func (s *Server) tryCall(ctx context.Context, call *callState, target dispatcher.Target, version string) (dispatcher.Reply, error) {
+	call.attempts++
+	call.call.Number = call.attempts
+	s.enter(call.route.Deployment, target, version)
+	began := s.now()
+	reply, err := s.cfg.Upstreams.Call(ctx, target, call.call)
+	s.leave(call.route.Deployment, target, version)
+	if err != nil && s.excused(target) {
+		return reply, err
+	}
+	back, tripped := s.state.observe(s.now(), outcome{
+		deployment: call.route.Deployment, route: call.route.Name, version: version,
+		failed: err != nil, firstToken: s.now().Sub(began), floor: call.route.AnswerWithin() / 4,
+	})
+	if tripped {
+		s.takenBack(back)
+	}
+	return reply, err
+}
+
+func (s *Server) afterCall(ctx context.Context, call *callState, target dispatcher.Target, cause error) retrier.Decision {
+	announced := s.excused(target)
+	if !announced && judge.Of(cause) == judge.NotRun {
+		s.suspect(target.ID)
+	}
+	if !announced && judge.Of(cause) != judge.NotRun {
+		s.probeCall(ctx, call, target)
+	}
+	call.exclude = append(call.exclude, target.ID)
+	s.metrics.count("attempts_failed")
+	s.cfg.Log.Info().Str("event", "call_failed").Str("request_id", call.id).Str("upstream", target.ID).
+		Str("verdict", string(judge.Of(cause))).Err(cause).Send()
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return retrier.Decide(now, s.state.budget(budgetKey{organisation: call.org.Name, route: call.route.Name}), retrier.Failure{
+		Verdict: judge.Of(cause), Idempotent: call.route.Idempotent, Attempts: call.attempts, Deadline: call.end, Announced: announced,
+	}, s.state.random)
+}
+
+// probeCall asks an upstream whether it is alive; if its address refuses
+// connections it died, and the call is implicated.
+func (s *Server) probeCall(ctx context.Context, call *callState, target dispatcher.Target) {
+	_, err := s.cfg.Upstreams.Load(context.WithoutCancel(ctx), target)
+	if err == nil {
+		return
+	}
+	s.suspect(target.ID)
+	if judge.Of(err) != judge.NotRun {
+		return
+	}
+	now := s.now()
+	s.state.mu.Lock()
+	news := s.state.isolator.Implicate(now, target.ID, []isolator.Fingerprint{call.fingerprint})
+	s.state.mu.Unlock()
+	if len(news) > 0 {
+		s.metrics.count("upstream_deaths")
+		s.urgent()
+	}
+}
+
+// succeedCall fills the retry budget.
+func (s *Server) succeedCall(call *callState) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.budget(budgetKey{organisation: call.org.Name, route: call.route.Name}).Succeed()
+}
--- /dev/null
+++ b/internal/server/state.go
@@ -0,0 +1,248 @@
+package server
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+	"github.com/galenahitch/galenahitch/pkg/limiter"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/recorder"
+	"github.com/galenahitch/galenahitch/pkg/retrier"
+	"github.com/galenahitch/galenahitch/pkg/router"
+	"github.com/galenahitch/galenahitch/pkg/tracker"
+)
+
+// state is what the entry knows. Its methods lock it; each is short.
+type state struct {
+	mu       sync.Mutex
+	self     tracker.Member
+	cfg      *planner.Config
+	encoded  []byte
+	vms      []keeper.VM
+	listed   bool
+	router   *router.Router
+	tracker  *tracker.Tracker
+	isolator isolator.Isolator
+	recorder *recorder.Recorder
+	pools    map[string]*pool
+	budgets  map[budgetKey]*retrier.Budget
+	notices  map[string]time.Time
+	boots    map[string]string
+	moves    map[string]*moveState
+	late     map[string]*mover.LateMark
+	random   *rand.Rand
+	leaving  bool
+	stopping bool
+	goneAt   time.Time
+}
+
+type budgetKey struct {
+	organisation string
+	route        string
+}
+
+func newState(cfg Config) *state {
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = xxhash.Sum64String(cfg.Self.ID)
+	}
+	return &state{
+		self:     cfg.Self,
+		router:   router.New(router.Config{EntryID: cfg.Self.ID, FailureDomain: cfg.Self.FailureDomain, Seed: seed}),
+		tracker:  tracker.New(tracker.Config{Self: cfg.Self}),
+		recorder: recorder.New(recorder.Config{EntryID: cfg.Self.ID}),
+		pools:    map[string]*pool{},
+		budgets:  map[budgetKey]*retrier.Budget{},
+		notices:  map[string]time.Time{},
+		boots:    map[string]string{},
+		moves:    map[string]*moveState{},
+		late:     map[string]*mover.LateMark{},
+		random:   rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// config returns the configuration in force, nil if none is known.
+func (s *state) config() *planner.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg
+}
+
+func (s *state) generation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.generationLocked()
+}
+
+func (s *state) generationLocked() uint64 {
+	if s.cfg == nil {
+		return 0
+	}
+	return s.cfg.Generation
+}
+
+// apply puts a configuration in force if it is newer than the present one.
+func (s *state) apply(now time.Time, value []byte) bool {
+	cfg, err := planner.Decode(value)
+	if err != nil || cfg.Generation == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cfg.Generation <= s.generationLocked() {
+		return false
+	}
+	s.cfg = &cfg
+	s.encoded = value
+	s.resize(now)
+	return true
+}
+
+// takeVMs takes a VM list from the platform or from a peer.
+func (s *state) takeVMs(now time.Time, vms []keeper.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = vms
+	s.listed = true
+	var upstreams []router.Upstream
+	var members []tracker.Member
+	for _, vm := range vms {
+		if vm.Role == keeper.RoleEntry {
+			members = append(members, tracker.Member{ID: vm.ID, Address: vm.PeerAddress, FailureDomain: vm.FailureDomain})
+			continue
+		}
+		upstreams = append(upstreams, router.Upstream{
+			ID: vm.ID, Address: vm.Address, Deployment: vm.Deployment, Version: vm.Version,
+			FailureDomain: vm.FailureDomain, Slots: vm.Slots, PricePerHour: vm.PricePerHour,
+		})
+	}
+	s.router.Replace(now, upstreams)
+	s.tracker.List(now, members)
+	for id, gone := range s.notices {
+		s.router.Leave(now, id, gone.Sub(now))
+		s.tracker.Leave(id)
+	}
+	s.resize(now)
+}
+
+// notice records a reclaim and reports whether it was news.
+func (s *state) notice(now time.Time, n keeper.Notice) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.notices[n.VMID]; known {
+		return false
+	}
+	s.notices[n.VMID] = now.Add(n.Left())
+	s.router.Leave(now, n.VMID, n.Left())
+	s.tracker.Leave(n.VMID)
+	if n.VMID == s.self.ID {
+		s.leaving = true
+		s.goneAt = now.Add(n.Left())
+	}
+	s.resize(now)
+	return true
+}
+
+// openNotices lists the notices worth passing on.
+func (s *state) openNotices(now time.Time) []keeper.Notice {
+	var open []keeper.Notice
+	for id, gone := range s.notices {
+		if now.Sub(gone) < noticeMemory {
+			open = append(open, keeper.Notice{VMID: id, LeftMS: max(0, gone.Sub(now).Milliseconds())})
+		}
+	}
+	return open
+}
+
+// noticeMemory is how long after a VM's end its notice is passed on.
+const noticeMemory = time.Minute
+
+// forgetNotices drops notices that can't matter any more.
+func (s *state) forgetNotices(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, gone := range s.notices {
+		if now.Sub(gone) > 10*noticeMemory {
+			delete(s.notices, id)
+		}
+	}
+}
+
+// pool returns the admission state of a deployment. The lock must be held.
+func (s *state) pool(deployment string) *pool {
+	p, ok := s.pools[deployment]
+	if !ok {
+		p = &pool{waiting: map[limiter.Ticket]chan bool{}}
+		s.pools[deployment] = p
+	}
+	return p
+}
+
+// resize fits the limits to the upstreams in reach and to the entries that
+// share them. The lock must be held.
+func (s *state) resize(now time.Time) {
+	if s.cfg == nil {
+		return
+	}
+	sharing := s.tracker.Sharing(now)
+	for _, d := range s.cfg.Deployments {
+		p := s.pool(d.Name)
+		slots := s.router.Capacity(now, d.Name)
+		p.limiter.SetCapacity(shareOf(slots, sharing))
+		p.wake(p.limiter.Grant(now))
+	}
+}
+
+// oversubscription lets an entry use more than its even share of the slots,
+// since the balancer does not spread load evenly.
+const oversubscription = 2
+
+func shareOf(slots, sharing int) int {
+	if slots == 0 {
+		return 0
+	}
+	return max(1, min(slots, slots*oversubscription/max(1, sharing)))
+}
+
+// budget returns the retry budget of an organisation's route. The lock must be
+// held.
+func (s *state) budget(key budgetKey) *retrier.Budget {
+	b, ok := s.budgets[key]
+	if !ok {
+		b = &retrier.Budget{}
+		s.budgets[key] = b
+	}
+	return b
+}
+
+// record adds a line to the audit trail.
+func (s *state) record(now time.Time, record recorder.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record.Generation = s.generationLocked()
+	s.recorder.Add(now, record)
+}
+
+// ready says whether callers may be sent here, and if not, why.
+func (s *state) ready() (bool, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.stopping:
+		return false, "stopping"
+	case s.leaving:
+		return false, "this VM is being reclaimed"
+	case s.cfg == nil:
+		return false, "no configuration: none submitted, or neither the platform nor a peer could be asked"
+	case !s.listed:
+		return false, "no VM list: neither the platform nor a peer could be asked"
+	default:
+		return true, ""
+	}
+}
--- /dev/null
+++ b/internal/server/sync.go
@@ -0,0 +1,218 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/recorder"
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+const (
+	// readBudget is the calls a second that all entries together may spend on
+	// each kind of reading; the interval of one entry grows with their number.
+	readBudget   = 100.0
+	leastPoll    = 500 * time.Millisecond
+	loadPoll     = time.Second
+	probeWorkers = 8
+	auditBatch   = 100
+)
+
+// pollInterval is the time between two polls of one kind at one entry.
+func pollInterval(entries int) time.Duration {
+	return max(leastPoll, time.Duration(float64(entries)/readBudget*float64(time.Second)))
+}
+
+// poll calls task at jittered intervals until ctx ends.
+func (s *Server) poll(ctx context.Context, interval func() time.Duration, task func(context.Context)) error {
+	for {
+		task(ctx)
+		if !pauseFor(ctx, s.jitter(interval())) {
+			return nil
+		}
+	}
+}
+
+func (s *Server) shared() time.Duration {
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return pollInterval(s.state.tracker.Sharing(now))
+}
+
+// syncConfig reads the newest generation above the one in force.
+func (s *Server) syncConfig(ctx context.Context) {
+	rows, err := s.cfg.Table.Scan(ctx, keeper.Scan{
+		Prefix: planner.KeyPrefix, After: planner.Key(s.state.generation()), Reverse: true, Limit: 1,
+	})
+	s.reached("table", err)
+	if err != nil || len(rows) == 0 {
+		return
+	}
+	s.applyConfig(rows[0].Value)
+}
+
+// applyConfig puts a generation in force and passes it on at once.
+func (s *Server) applyConfig(value []byte) {
+	if !s.state.apply(s.now(), value) {
+		return
+	}
+	cfg := s.state.config()
+	s.cfg.Log.Info().Str("event", "config_in_force").Uint64("generation", cfg.Generation).Str("by", cfg.SubmittedBy).Send()
+	s.urgent()
+}
+
+// syncVMs reads the VM list.
+func (s *Server) syncVMs(ctx context.Context) {
+	vms, err := s.cfg.Cloud.VMs(ctx)
+	s.reached("vm_list", err)
+	if err == nil {
+		s.state.takeVMs(s.now(), vms)
+	}
+}
+
+// syncNotices reads the reclaims that are announced.
+func (s *Server) syncNotices(ctx context.Context) {
+	notices, err := s.cfg.Cloud.Notices(ctx)
+	if err == nil {
+		s.takeNotices(notices)
+	}
+	s.state.forgetNotices(s.now())
+}
+
+// syncMoves reads the moves and writes back what this entry knows better: a
+// move that was taken back while the platform was down.
+func (s *Server) syncMoves(ctx context.Context) {
+	rows, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: movePrefix})
+	if err != nil {
+		return
+	}
+	for _, row := range rows {
+		var stored mover.Move
+		if json.Unmarshal(row.Value, &stored) != nil {
+			continue
+		}
+		s.noteMove(stored)
+		known := s.move(stored.Deployment)
+		if known.Epoch == stored.Epoch && !known.Open() && stored.Open() {
+			s.writeMove(ctx, known, row.Version)
+		}
+	}
+}
+
+// reached counts what the platform could not be asked for.
+func (s *Server) reached(what string, err error) {
+	if err != nil {
+		s.metrics.count("platform_unreachable_" + what)
+	}
+}
+
+// syncLoads asks the upstreams in use for their load, a few at a time.
+func (s *Server) syncLoads(ctx context.Context) {
+	s.state.mu.Lock()
+	upstreams := s.state.router.Listed()
+	s.state.mu.Unlock()
+	jobs := make(chan router.Upstream)
+	done := make(chan struct{})
+	for range probeWorkers {
+		go func() {
+			for u := range jobs {
+				s.syncLoad(ctx, u)
+			}
+			done <- struct{}{}
+		}()
+	}
+	for _, u := range upstreams {
+		jobs <- u
+	}
+	close(jobs)
+	for range probeWorkers {
+		<-done
+	}
+}
+
+func (s *Server) syncLoad(ctx context.Context, u router.Upstream) {
+	load, err := s.cfg.Upstreams.Load(ctx, dispatcher.Target{ID: u.ID, Address: u.Address})
+	if err != nil {
+		return
+	}
+	now := s.now()
+	s.state.mu.Lock()
+	s.state.router.Report(now, u.ID, load.Running, load.Slots)
+	s.state.boots[u.ID] = load.Boot
+	s.state.mu.Unlock()
+	if load.Leaving > 0 {
+		s.takeNotices([]keeper.Notice{{VMID: u.ID, LeftMS: load.Leaving.Milliseconds()}})
+	}
+}
+
+// writeAudit writes the audit records that wait.
+func (s *Server) writeAudit(ctx context.Context) {
+	s.state.mu.Lock()
+	batch := s.state.recorder.Pending(auditBatch)
+	s.state.mu.Unlock()
+	if len(batch) == 0 {
+		return
+	}
+	puts := make([]keeper.Put, 0, len(batch))
+	for _, record := range batch {
+		value, _ := json.Marshal(record)
+		puts = append(puts, keeper.Put{Key: record.Key(), Value: value})
+	}
+	if _, err := s.cfg.Table.Batch(ctx, puts); err != nil {
+		return
+	}
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.recorder.Written(now, batch)
+}
+
+// bootstrap asks the seeds for what this entry needs while the platform is
+// down. It returns when a configuration is known or none could tell.
+func (s *Server) bootstrap(ctx context.Context) {
+	for _, seed := range s.cfg.Seeds {
+		if s.state.generation() > 0 && s.knowsVMs() {
+			return
+		}
+		s.fetchState(ctx, seed)
+	}
+}
+
+func (s *Server) knowsVMs() bool {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.listed
+}
+
+// fetchState takes a newer configuration and, if there is no list yet, the VM
+// list from a peer.
+func (s *Server) fetchState(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	state, err := s.cfg.Peers.State(ctx, address, &messenger.StateRequest{Above: s.state.generation()})
+	if err != nil {
+		return
+	}
+	if len(state.Config) > 0 {
+		s.applyConfig(state.Config)
+	}
+	if !s.knowsVMs() && len(state.VMs) > 0 {
+		s.state.takeVMs(s.now(), state.VMs)
+	}
+	for _, m := range state.Moves {
+		s.noteMove(m)
+	}
+}
+
+// audit adds a record to the trail and a line to the log.
+func (s *Server) audit(actor, event, subject, detail string) {
+	s.state.record(s.now(), recorder.Record{Actor: actor, Event: event, Subject: subject, Detail: detail})
+	s.cfg.Log.Info().Str("event", event).Str("actor", actor).Str("subject", subject).Str("detail", detail).Send()
+}
--- /dev/null
+++ b/internal/server/watchdog.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+// watchdog ends an attempt whose connection has gone silent. Silence alone
+// proves nothing: it asks the upstream on a new connection, and ends the
+// attempt only if the upstream can't be asked, has forgotten the attempt or
+// has made parts that did not arrive.
+type watchdog struct {
+	s       *Server
+	r       *request
+	target  dispatcher.Target
+	number  int
+	cancel  context.CancelFunc
+	timer   *time.Timer
+	mu      sync.Mutex
+	from    int
+	offset  int
+	stopped bool
+	reason  error
+}
+
+func (s *Server) watchdog(ctx context.Context, r *request, target dispatcher.Target, number, from int) *watchdog {
+	w := &watchdog{s: s, r: r, target: target, number: number, from: from, offset: from}
+	r.mu.Lock()
+	w.cancel = r.interval
+	r.mu.Unlock()
+	w.timer = time.AfterFunc(firstStall, func() { w.bark(ctx) })
+	return w
+}
+
+// progress records that parts up to offset have arrived.
+func (w *watchdog) progress(offset int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.offset = offset
+	if !w.stopped {
+		w.timer.Reset(laterStall)
+	}
+}
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+func (w *watchdog) bark(ctx context.Context) {
+	w.mu.Lock()
+	offset := w.offset
+	w.mu.Unlock()
+	progress, err := w.s.cfg.Upstreams.Progress(ctx, w.target, w.r.id, w.number)
+	if ctx.Err() != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.offset != offset {
+		return
+	}
+	switch {
+	case err != nil:
+		w.reason = judge.Wrap(judge.MayHaveRun, err, "%s is silent and can't be asked", w.target.ID)
+		w.s.suspect(w.target.ID)
+	case !progress.Known:
+		w.reason = judge.Mark(judge.MayHaveRun, "%s knows nothing of the request", w.target.ID)
+	case w.from+progress.Tokens > w.offset || progress.Done:
+		w.reason = judge.Mark(judge.MayHaveRun, "the connection to %s went silent", w.target.ID)
+		w.s.metrics.count("silent_connections")
+	default:
+		w.timer.Reset(laterStall)
+		return
+	}
+	w.cancel()
+}
+
+// explain returns why the attempt ended: the watchdog's finding before the
+// error that its cancelling caused.
+func (w *watchdog) explain(err error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reason != nil {
+		return w.reason
+	}
+	return err
+}
+
+// suspect keeps new work from an upstream for a while.
+func (s *Server) suspect(id string) {
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.router.Suspect(id, now.Add(suspectTime))
+}
+
+// investigate probes an upstream whose attempt failed. If it died without
+// notice, the requests in flight on it are implicated.
+func (s *Server) investigate(ctx context.Context, r *request, target dispatcher.Target, cause error) {
+	if judge.Of(cause) == judge.NotRun {
+		s.suspect(target.ID)
+		return
+	}
+	load, err := s.cfg.Upstreams.Load(context.WithoutCancel(ctx), target)
+	if err == nil && (r.boot == "" || load.Boot == r.boot) {
+		return
+	}
+	if err != nil {
+		s.suspect(target.ID)
+		if judge.Of(err) != judge.NotRun {
+			// It does not answer, but its address is there: it may be frozen
+			// or cut off rather than dead.
+			return
+		}
+	}
+	s.implicate(r, target.ID)
+}
+
+// implicate records the death of an upstream for the requests that were in
+// flight on it, the given one among them.
+func (s *Server) implicate(r *request, upstream string) {
+	fingerprints := []isolator.Fingerprint{r.fingerprint}
+	for _, other := range s.runs.open() {
+		if other != r && other.on().ID == upstream {
+			fingerprints = append(fingerprints, other.fingerprint)
+		}
+	}
+	now := s.now()
+	s.state.mu.Lock()
+	news := s.state.isolator.Implicate(now, upstream, fingerprints)
+	s.state.mu.Unlock()
+	if len(news) > 0 {
+		s.metrics.count("upstream_deaths")
+		s.urgent()
+	}
+}
--- /dev/null
+++ b/pkg/isolator/isolator.go
@@ -0,0 +1,160 @@
+package isolator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// alonePoint is the number of deaths after which a request that alone was
+	// in all of them is convicted.
+	alonePoint = 2
+	// certainPoint is the number of deaths after which a request is convicted
+	// in any case. It bounds what one request can cost.
+	certainPoint = 3
+	// memory is how long an implication counts.
+	memory = time.Hour
+	// maxFingerprints bounds the state.
+	maxFingerprints = 4096
+)
+
+// Fingerprint identifies a request by what it asks, whoever sends it again.
+type Fingerprint uint64
+
+// Sum returns the fingerprint of a request.
+func Sum(organisation, route string, body []byte) Fingerprint {
+	d := xxhash.New()
+	_, _ = d.WriteString(organisation + "\x00" + route + "\x00")
+	_, _ = d.Write(body)
+	return Fingerprint(d.Sum64())
+}
+
+// Standing is what is held against a request.
+type Standing int
+
+// The standings.
+const (
+	Clear Standing = iota
+	Suspect
+	Convicted
+)
+
+// Implication says that a request was in flight on an upstream that died.
+type Implication struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Upstream    string      `json:"upstream"`
+}
+
+// Isolator holds the implications of the last hour. The zero value is useful.
+type Isolator struct {
+	deaths map[Fingerprint]map[string]time.Time
+}
+
+// Implicate records the death of an upstream and returns what was news.
+func (i *Isolator) Implicate(now time.Time, upstream string, inFlight []Fingerprint) []Implication {
+	var news []Implication
+	for _, f := range inFlight {
+		implication := Implication{Fingerprint: f, Upstream: upstream}
+		if i.Merge(now, implication) {
+			news = append(news, implication)
+		}
+	}
+	return news
+}
+
+// Merge takes an implication from a peer and reports whether it was news.
+func (i *Isolator) Merge(now time.Time, implication Implication) bool {
+	if i.deaths == nil {
+		i.deaths = map[Fingerprint]map[string]time.Time{}
+	}
+	upstreams, ok := i.deaths[implication.Fingerprint]
+	if !ok {
+		if len(i.deaths) >= maxFingerprints {
+			i.forget(now)
+		}
+		upstreams = map[string]time.Time{}
+		i.deaths[implication.Fingerprint] = upstreams
+	}
+	if _, known := upstreams[implication.Upstream]; known {
+		return false
+	}
+	upstreams[implication.Upstream] = now
+	return true
+}
+
+// forget drops what is too old, or else the oldest.
+func (i *Isolator) forget(now time.Time) {
+	var oldest Fingerprint
+	oldestAt := now
+	for f, upstreams := range i.deaths {
+		newest := time.Time{}
+		for _, at := range upstreams {
+			if at.After(newest) {
+				newest = at
+			}
+		}
+		if now.Sub(newest) > memory {
+			delete(i.deaths, f)
+			continue
+		}
+		if !newest.After(oldestAt) {
+			oldest, oldestAt = f, newest
+		}
+	}
+	if len(i.deaths) >= maxFingerprints {
+		delete(i.deaths, oldest)
+	}
+}
+
+// Standing returns what is held against a request at now.
+func (i *Isolator) Standing(now time.Time, f Fingerprint) Standing {
+	upstreams := i.live(now, f)
+	switch {
+	case len(upstreams) == 0:
+		return Clear
+	case len(upstreams) >= certainPoint:
+		return Convicted
+	case len(upstreams) >= alonePoint && i.alone(now, f, upstreams):
+		return Convicted
+	default:
+		return Suspect
+	}
+}
+
+func (i *Isolator) live(now time.Time, f Fingerprint) []string {
+	var upstreams []string
+	for upstream, at := range i.deaths[f] {
+		if now.Sub(at) <= memory {
+			upstreams = append(upstreams, upstream)
+		}
+	}
+	return upstreams
+}
+
+// alone reports whether no other request was in flight at all those deaths.
+func (i *Isolator) alone(now time.Time, f Fingerprint, upstreams []string) bool {
+	for other := range i.deaths {
+		if other == f {
+			continue
+		}
+		shared := i.live(now, other)
+		missing := slices.ContainsFunc(upstreams, func(u string) bool { return !slices.Contains(shared, u) })
+		if !missing {
+			return false
+		}
+	}
+	return true
+}
+
+// All returns the implications that count at now.
+func (i *Isolator) All(now time.Time) []Implication {
+	var all []Implication
+	for f := range i.deaths {
+		for _, upstream := range i.live(now, f) {
+			all = append(all, Implication{Fingerprint: f, Upstream: upstream})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/pkg/judge/judge.go
@@ -0,0 +1,154 @@
+package judge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Verdict says whether a request may have run at an upstream.
+type Verdict string
+
+// The verdicts, in the words that callers read.
+const (
+	// NotRun holds when no byte of the request left for an upstream, or when
+	// the upstream itself said by protocol that it did not run it.
+	NotRun Verdict = "not_run"
+	// MayHaveRun holds whenever neither of the others can be shown.
+	MayHaveRun Verdict = "may_have_run"
+	// Ran holds when the upstream's answer or status says so.
+	Ran Verdict = "ran"
+)
+
+var (
+	namespace   = errorx.NewNamespace("upstream")
+	failure     = namespace.NewType("failure")
+	verdictProp = errorx.RegisterPrintableProperty("verdict")
+)
+
+// Mark returns an error that carries v.
+func Mark(v Verdict, format string, args ...any) error {
+	return failure.New(format, args...).WithProperty(verdictProp, v)
+}
+
+// Wrap returns cause with v attached. The newest verdict wins.
+func Wrap(v Verdict, cause error, format string, args ...any) error {
+	return failure.Wrap(cause, format, args...).WithProperty(verdictProp, v)
+}
+
+// Of returns the verdict of err, MayHaveRun where it carries none.
+func Of(err error) Verdict {
+	var marked *errorx.Error
+	if !errors.As(err, &marked) {
+		return MayHaveRun
+	}
+	found, ok := marked.Property(verdictProp)
+	if !ok {
+		return MayHaveRun
+	}
+	v, ok := found.(Verdict)
+	if !ok {
+		return MayHaveRun
+	}
+	return v
+}
+
+// Code names the reason of a refusal.
+type Code string
+
+// The codes of refusals.
+const (
+	CodeBadRequest      Code = "bad_request"
+	CodeTooLarge        Code = "too_large"
+	CodeUnauthorised    Code = "unauthorised"
+	CodeUnknownRoute    Code = "unknown_route"
+	CodeOverloaded      Code = "overloaded"
+	CodeDeadline        Code = "deadline"
+	CodeNoUpstream      Code = "no_upstream"
+	CodeUpstreamFailed  Code = "upstream_failed"
+	CodeStore           Code = "store_unreachable"
+	CodeInProgress      Code = "duplicate_in_progress"
+	CodeDuplicate       Code = "duplicate_unknown_outcome"
+	CodeKeyReuse        Code = "idempotency_key_reuse"
+	CodeConvicted       Code = "request_crashes_upstreams"
+	CodeLeaving         Code = "leaving"
+	CodeNotFound        Code = "not_found"
+	CodeNotConfigured   Code = "not_configured"
+	CodeConflict        Code = "conflict"
+	CodeRetriesSpent    Code = "retry_budget_spent"
+	CodeUpstreamAnswer  Code = "upstream_answer_invalid"
+	CodeNotRunAttempted Code = "not_run"
+)
+
+// Refusal is the body of every answer that is not the upstream's own.
+type Refusal struct {
+	Code         Code    `json:"code"`
+	Message      string  `json:"message"`
+	Verdict      Verdict `json:"verdict"`
+	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
+	RequestID    string  `json:"request_id,omitempty"`
+	Status       int     `json:"-"`
+}
+
+// Error returns the refusal in one line.
+func (r *Refusal) Error() string {
+	return string(r.Code) + " (" + string(r.Verdict) + "): " + r.Message
+}
+
+// After returns r with the time after which a retry may help.
+func (r *Refusal) After(wait time.Duration) *Refusal {
+	r.RetryAfterMS = max(1, wait.Milliseconds())
+	return r
+}
+
+// For returns a copy of r that names its request.
+func (r *Refusal) For(requestID string) *Refusal {
+	named := *r
+	named.RequestID = requestID
+	return &named
+}
+
+// Refuse returns a refusal with the HTTP status that fits its code.
+func Refuse(code Code, v Verdict, message string) *Refusal {
+	return &Refusal{Code: code, Message: message, Verdict: v, Status: statusOf(code)}
+}
+
+// FromError turns err into the refusal that its caller gets.
+func FromError(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Refuse(CodeDeadline, Of(err), "the deadline passed")
+	}
+	return Refuse(CodeUpstreamFailed, Of(err), err.Error())
+}
+
+func statusOf(code Code) int {
+	switch code {
+	case CodeBadRequest:
+		return http.StatusBadRequest
+	case CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeUnauthorised:
+		return http.StatusUnauthorized
+	case CodeUnknownRoute, CodeNotFound:
+		return http.StatusNotFound
+	case CodeOverloaded:
+		return http.StatusTooManyRequests
+	case CodeDeadline:
+		return http.StatusGatewayTimeout
+	case CodeInProgress, CodeDuplicate, CodeConflict:
+		return http.StatusConflict
+	case CodeKeyReuse, CodeConvicted:
+		return http.StatusUnprocessableEntity
+	case CodeUpstreamFailed, CodeUpstreamAnswer:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/pkg/mover/mover.go
@@ -0,0 +1,265 @@
+package mover
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenahitch/galenahitch/pkg/charter"
+)
+
+// The states of a move, as in charts/move.yaml.
+const (
+	Moving    charter.State = "moving"
+	Baking    charter.State = "baking"
+	Done      charter.State = "done"
+	TakenBack charter.State = "taken_back"
+)
+
+// Move is one version move of a deployment. Times are Unix milliseconds of
+// the writer's clock; only differences between times of one writer count.
+type Move struct {
+	ID         string        `json:"id"`
+	Epoch      uint64        `json:"epoch"`
+	Deployment string        `json:"deployment"`
+	From       string        `json:"from"`
+	To         string        `json:"to"`
+	State      charter.State `json:"state"`
+	Step       int           `json:"step"`
+	Revision   uint64        `json:"revision"`
+	StartedMS  int64         `json:"started_ms"`
+	StepMS     int64         `json:"step_ms"`
+	DeadlineMS int64         `json:"deadline_ms"`
+	FullMS     int64         `json:"full_ms,omitempty"`
+	EndedMS    int64         `json:"ended_ms,omitempty"`
+	StartedBy  string        `json:"started_by"`
+	Reason     string        `json:"reason,omitempty"`
+}
+
+// Open reports whether the move still goes on.
+func (m Move) Open() bool { return m.State == Moving || m.State == Baking }
+
+// Present returns the version that traffic outside the move goes to.
+func (m Move) Present() string {
+	if m.State == Done {
+		return m.To
+	}
+	return m.From
+}
+
+// Policy is how a deployment moves.
+type Policy struct {
+	// Ladder lists the shares of the steps, rising, the last of them 1.
+	Ladder []float64
+	// Needed is the number of outcomes that a step must have seen, per step.
+	Needed []int
+	// Bake is how long the old version stays after the last step.
+	Bake time.Duration
+	// CallersCap is the number of requests that may be in flight on the new
+	// version at one entry during the first step.
+	CallersCap int
+	// LeastStep is the shortest time on one step.
+	LeastStep time.Duration
+}
+
+// DefaultPolicy is the ladder that answers without wishes get.
+func DefaultPolicy() Policy {
+	return Policy{
+		Ladder:     []float64{0.01, 0.05, 0.2, 0.5, 1},
+		Needed:     []int{30, 60, 120, 240, 0},
+		Bake:       10 * time.Minute,
+		CallersCap: 4,
+		LeastStep:  2 * time.Second,
+	}
+}
+
+// Share returns the share of requests that the new version gets now.
+func Share(m Move, p Policy) float64 {
+	switch m.State {
+	case Moving:
+		return p.Ladder[min(m.Step, len(p.Ladder)-1)]
+	case Baking, Done:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// drawBuckets is the resolution of shares.
+const drawBuckets = 1 << 20
+
+// Draw reports whether a request falls in a move's share. Retries of one
+// request draw the same.
+func Draw(requestID string, m Move, share float64) bool {
+	return float64(xxhash.Sum64String(m.ID+"/"+requestID)%drawBuckets) < share*drawBuckets
+}
+
+// MayStart reports whether one more request may start on the new version at
+// an entry where inFlight are running there.
+func MayStart(m Move, p Policy, inFlight int) bool {
+	if !m.Open() {
+		return m.State == Done
+	}
+	if m.State == Baking || p.CallersCap <= 0 {
+		return true
+	}
+	share := Share(m, p)
+	return share >= 1 || float64(inFlight) < float64(p.CallersCap)*share/p.Ladder[0]
+}
+
+// Merge returns the one of two states of a deployment's moves that counts: a
+// later epoch before an earlier one, an ended state before an open one, taken
+// back before done, then the higher revision. It is commutative, associative
+// and idempotent.
+func Merge(a, b Move) Move {
+	if a.Epoch != b.Epoch {
+		return pick(a, b, a.Epoch > b.Epoch)
+	}
+	if rankA, rankB := rank(a.State), rank(b.State); rankA != rankB {
+		return pick(a, b, rankA > rankB)
+	}
+	if a.Revision != b.Revision {
+		return pick(a, b, a.Revision > b.Revision)
+	}
+	return pick(a, b, a.Reason >= b.Reason)
+}
+
+func pick(a, b Move, first bool) Move {
+	if first {
+		return a
+	}
+	return b
+}
+
+func rank(s charter.State) int {
+	switch s {
+	case TakenBack:
+		return 3
+	case Done:
+		return 2
+	case Baking:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// TakeBack ends a move. A move that is done or taken back is left as it is.
+func TakeBack(now time.Time, m Move, reason string) Move {
+	next, err := charter.Move().Next(m.State, "take_back")
+	if err != nil {
+		return m
+	}
+	m.State = next
+	m.Reason = reason
+	m.EndedMS = now.UnixMilli()
+	m.Revision++
+	return m
+}
+
+// Evidence is what the deciding node knows when it looks at a move.
+type Evidence struct {
+	// Outcomes is the number of new-version outcomes seen since the step began.
+	Outcomes int
+	// Tripped is the reason to take the move back, or empty.
+	Tripped string
+	// Warm reports whether the new version has upstreams that take work.
+	Warm bool
+}
+
+// Event says what Advance did, for the audit trail. It is empty when nothing
+// changed.
+type Event string
+
+// Advance returns the move as it should be now.
+func Advance(now time.Time, m Move, e Evidence, p Policy) (Move, Event) {
+	if !m.Open() {
+		return m, ""
+	}
+	if e.Tripped != "" {
+		return TakeBack(now, m, e.Tripped), "taken_back"
+	}
+	if m.State == Baking {
+		if now.UnixMilli()-m.FullMS < p.Bake.Milliseconds() {
+			return m, ""
+		}
+		return settle(now, m)
+	}
+	if !e.Warm || !stepOver(now, m, e, p) {
+		return m, ""
+	}
+	return climb(now, m, p)
+}
+
+func settle(now time.Time, m Move) (Move, Event) {
+	next, err := charter.Move().Next(m.State, "settle")
+	if err != nil {
+		return m, ""
+	}
+	m.State = next
+	m.EndedMS = now.UnixMilli()
+	m.Revision++
+	return m, "done"
+}
+
+func climb(now time.Time, m Move, p Policy) (Move, Event) {
+	event := charter.Event("step_up")
+	if m.Step+1 >= len(p.Ladder)-1 {
+		event = "full"
+	}
+	next, err := charter.Move().Next(m.State, event)
+	if err != nil {
+		return m, ""
+	}
+	m.State = next
+	m.Step++
+	m.StepMS = now.UnixMilli()
+	m.Revision++
+	if event == "full" {
+		m.FullMS = now.UnixMilli()
+		return m, "full"
+	}
+	return m, Event(fmt.Sprintf("step_%d", m.Step))
+}
+
+// stepOver reports whether the move may leave its step: it has seen what the
+// step needs, or its share of the time to the deadline is used up and it has
+// seen something at least.
+func stepOver(now time.Time, m Move, e Evidence, p Policy) bool {
+	spent := time.Duration(now.UnixMilli()-m.StepMS) * time.Millisecond
+	if spent < p.LeastStep {
+		return false
+	}
+	needed := p.Needed[min(m.Step, len(p.Needed)-1)]
+	if e.Outcomes >= needed {
+		return true
+	}
+	return spent >= patience(m, p) && e.Outcomes >= max(1, needed/floorOfNeeded)
+}
+
+// floorOfNeeded divides the outcomes that a step needs to give the least with
+// which it may be left when time presses.
+const floorOfNeeded = 3
+
+// patience is the time that a step may take so that all can be done in time.
+func patience(m Move, p Policy) time.Duration {
+	steps := len(p.Ladder) - 1 - m.Step
+	left := time.Duration(m.DeadlineMS-m.StepMS) * time.Millisecond
+	return max(p.LeastStep, left/time.Duration(max(1, steps+1)))
+}
+
+// Late returns by how much the move is expected to miss its deadline, given
+// the outcomes a second that its deployment serves. Zero means in time.
+func Late(now time.Time, m Move, p Policy, perSecond float64) time.Duration {
+	if m.State != Moving || perSecond <= 0 {
+		return 0
+	}
+	expected := time.Duration(0)
+	for step := m.Step; step < len(p.Ladder)-1; step++ {
+		seconds := float64(p.Needed[step]/floorOfNeeded) / (perSecond * p.Ladder[step])
+		expected += max(p.LeastStep, time.Duration(seconds*float64(time.Second)))
+	}
+	left := time.Duration(m.DeadlineMS-now.UnixMilli()) * time.Millisecond
+	return max(0, expected-left)
+}
--- /dev/null
+++ b/pkg/planner/config.go
@@ -0,0 +1,223 @@
+package planner
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/galenahitch/galenahitch/pkg/limiter"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+)
+
+// Kind is the kind of a deployment's upstreams.
+type Kind string
+
+// The kinds of upstreams.
+const (
+	KindModel   Kind = "model"
+	KindService Kind = "service"
+)
+
+// The shares of organisations by size.
+const (
+	smallWeight = 1
+	largeWeight = 4
+)
+
+// Config is one generation of the configuration.
+type Config struct {
+	Generation uint64 `json:"generation"`
+	// Token is unique to the submission, so that its writer can recognise it.
+	Token         string         `json:"token"`
+	SubmittedBy   string         `json:"submitted_by"`
+	SubmittedMS   int64          `json:"submitted_ms"`
+	Firm          string         `json:"firm"`
+	Region        string         `json:"region"`
+	Domains       []string       `json:"failure_domains"`
+	Organisations []Organisation `json:"organisations"`
+	Deployments   []Deployment   `json:"deployments"`
+	Routes        []Route        `json:"routes"`
+	Fleet         Fleet          `json:"fleet"`
+	// Answers is the text that the configuration was generated from.
+	Answers string `json:"answers"`
+}
+
+// Organisation is one organisation whose callers are served.
+type Organisation struct {
+	Name        string `json:"name"`
+	Weight      int    `json:"weight"`
+	TokenSHA256 string `json:"token_sha256"`
+}
+
+// Deployment is one kind of upstream.
+type Deployment struct {
+	Name        string     `json:"name"`
+	Kind        Kind       `json:"kind"`
+	Version     string     `json:"version"`
+	ChecksFence bool       `json:"checks_fence"`
+	Move        MovePolicy `json:"move"`
+}
+
+// MovePolicy is how a deployment's versions move.
+type MovePolicy struct {
+	Ladder         []float64 `json:"ladder"`
+	Needed         []int     `json:"needed"`
+	CallersCap     int       `json:"callers_cap"`
+	BakeMS         int64     `json:"bake_ms"`
+	FinishWithinMS int64     `json:"finish_within_ms"`
+	LeastStepMS    int64     `json:"least_step_ms"`
+}
+
+// Policy returns the policy as the mover takes it.
+func (p MovePolicy) Policy() mover.Policy {
+	return mover.Policy{
+		Ladder:     p.Ladder,
+		Needed:     p.Needed,
+		Bake:       time.Duration(p.BakeMS) * time.Millisecond,
+		CallersCap: p.CallersCap,
+		LeastStep:  time.Duration(p.LeastStepMS) * time.Millisecond,
+	}
+}
+
+// Route is one kind of request.
+type Route struct {
+	Name           string          `json:"name"`
+	Deployment     string          `json:"deployment"`
+	Idempotent     bool            `json:"idempotent"`
+	Urgency        limiter.Urgency `json:"urgency"`
+	AnswerWithinMS int64           `json:"answer_within_ms"`
+	FinishWithinMS int64           `json:"finish_within_ms"`
+}
+
+// AnswerWithin is the target for the first part of an answer.
+func (r Route) AnswerWithin() time.Duration {
+	return time.Duration(r.AnswerWithinMS) * time.Millisecond
+}
+
+// FinishWithin is the longest time for a whole answer.
+func (r Route) FinishWithin() time.Duration {
+	return time.Duration(r.FinishWithinMS) * time.Millisecond
+}
+
+// Fleet bounds what the fleet is made of.
+type Fleet struct {
+	ReclaimableShare float64 `json:"reclaimable_share"`
+	PricePerHour     float64 `json:"price_per_hour"`
+}
+
+// Plan generates a configuration from checked answers. Generation, Token and
+// the submitter are left to whoever submits it.
+func Plan(a Answers) Config {
+	cfg := Config{
+		Firm:    a.Firm,
+		Region:  a.Region,
+		Domains: a.FailureDomains,
+		Fleet:   Fleet{ReclaimableShare: a.Targets.ReclaimableShare, PricePerHour: a.Targets.PricePerHour},
+	}
+	for _, o := range a.Organisations {
+		cfg.Organisations = append(cfg.Organisations, Organisation{Name: o.Name, Weight: weightOf(o.Size), TokenSHA256: o.TokenSHA256})
+	}
+	for _, d := range a.Deployments {
+		cfg.Deployments = append(cfg.Deployments, Deployment{
+			Name: d.Name, Kind: Kind(d.Kind), Version: d.Version, ChecksFence: d.ChecksFence, Move: planMove(a.Moves),
+		})
+	}
+	for _, r := range a.Requests {
+		cfg.Routes = append(cfg.Routes, Route{
+			Name:           r.Name,
+			Deployment:     r.Deployment,
+			Idempotent:     r.Repeatable != nil && *r.Repeatable,
+			Urgency:        urgencyOf(r.Urgency),
+			AnswerWithinMS: time.Duration(r.AnswerWithin).Milliseconds(),
+			FinishWithinMS: time.Duration(r.FinishWithin).Milliseconds(),
+		})
+	}
+	return cfg
+}
+
+func weightOf(size string) int {
+	if size == "large" {
+		return largeWeight
+	}
+	return smallWeight
+}
+
+func urgencyOf(answer string) limiter.Urgency {
+	switch answer {
+	case "high":
+		return limiter.High
+	case "can_wait":
+		return limiter.CanWait
+	default:
+		return limiter.Normal
+	}
+}
+
+// planMove widens or narrows the default ladder by caution.
+func planMove(m MoveAnswer) MovePolicy {
+	base := mover.DefaultPolicy()
+	p := MovePolicy{
+		Ladder:         base.Ladder,
+		Needed:         base.Needed,
+		CallersCap:     base.CallersCap,
+		BakeMS:         time.Duration(m.WatchAfter).Milliseconds(),
+		FinishWithinMS: time.Duration(m.FinishWithin).Milliseconds(),
+		LeastStepMS:    base.LeastStep.Milliseconds(),
+	}
+	switch m.Caution {
+	case "high":
+		p.Ladder = []float64{0.005, 0.02, 0.08, 0.25, 0.6, 1}
+		p.Needed = []int{30, 60, 120, 240, 480, 0}
+		p.CallersCap = base.CallersCap / 2
+	case "low":
+		p.Ladder = []float64{0.02, 0.1, 0.4, 1}
+		p.Needed = []int{30, 60, 120, 0}
+	}
+	return p
+}
+
+// Organisation finds an organisation by the digest of its token.
+func (c *Config) Organisation(tokenSHA256 string) (Organisation, bool) {
+	for _, o := range c.Organisations {
+		if o.TokenSHA256 == tokenSHA256 {
+			return o, true
+		}
+	}
+	return Organisation{}, false
+}
+
+// Route finds a route by name.
+func (c *Config) Route(name string) (Route, bool) {
+	for _, r := range c.Routes {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Deployment finds a deployment by name.
+func (c *Config) Deployment(name string) (Deployment, bool) {
+	for _, d := range c.Deployments {
+		if d.Name == name {
+			return d, true
+		}
+	}
+	return Deployment{}, false
+}
+
+// Key returns the table key of a generation.
+func Key(generation uint64) string { return fmt.Sprintf("%s%020d", KeyPrefix, generation) }
+
+// KeyPrefix begins the keys of all generations.
+const KeyPrefix = "config/"
+
+// Decode reads a configuration as Encode wrote it.
+func Decode(value []byte) (Config, error) {
+	var cfg Config
+	err := json.Unmarshal(value, &cfg)
+	return cfg, err
+}
+
+// Encode writes a configuration.
+func Encode(cfg Config) ([]byte, error) { return json.Marshal(cfg) }
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,401 @@
+package router
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenahitch/galenahitch/pkg/charter"
+)
+
+const (
+	// prefixBound is how far above the mean score the upstream of a prefix
+	// may be loaded before its requests go elsewhere.
+	prefixBound = 1.25
+	// prefixSlack is added to the bound, in shares of an upstream's slots, so
+	// that affinity holds at low load.
+	prefixSlack = 0.25
+	// remotePenalty is added to the score of an upstream in another failure
+	// domain, in shares of its slots.
+	remotePenalty = 0.30
+	// pricePenalty weighs an upstream's price against the dearest one, in
+	// shares of its slots.
+	pricePenalty = 0.05
+	// reportLifetime is how long a load report counts.
+	reportLifetime = 5 * time.Second
+	// defaultSlots stands for upstreams that do not say how much they carry.
+	defaultSlots = 8
+	// maxSubset bounds the upstreams of a deployment that one entry uses.
+	maxSubset = 96
+)
+
+// Upstream is one upstream as the VM list tells of it.
+type Upstream struct {
+	ID            string
+	Address       string
+	Deployment    string
+	Version       string
+	FailureDomain string
+	Slots         int
+	PricePerHour  float64
+}
+
+// Ask says what an attempt needs.
+type Ask struct {
+	Deployment string
+	Version    string
+	// Prefix is the hash of the prompt's shared beginning; 0 means none.
+	Prefix uint64
+	// Exclude lists upstreams that this request has failed on.
+	Exclude []string
+	// Alone asks for an upstream chosen by Prefix whatever its load.
+	Alone bool
+}
+
+// Config sets a router up. The zero value is useful.
+type Config struct {
+	// EntryID makes the subsets of entries differ.
+	EntryID string
+	// FailureDomain is the entry's own.
+	FailureDomain string
+	// Seed fixes the random choices.
+	Seed uint64
+	// MaxSubset bounds the upstreams used of one deployment; 0 means 96.
+	MaxSubset int
+}
+
+// Status is what the router knows of one upstream.
+type Status struct {
+	Upstream
+	State    charter.State
+	InFlight int
+	Running  int
+	Until    time.Time
+}
+
+type record struct {
+	Upstream
+	state       charter.State
+	inFlight    int
+	ownAtReport int
+	running     int
+	reported    time.Time
+	suspectTill time.Time
+	goneAt      time.Time
+	listed      bool
+}
+
+// Router holds what an entry knows of its upstreams.
+type Router struct {
+	cfg     Config
+	random  *rand.Rand
+	records map[string]*record
+	groups  map[string][]*record
+}
+
+// New returns a router.
+func New(cfg Config) *Router {
+	r := &Router{cfg: cfg}
+	r.init()
+	return r
+}
+
+func (r *Router) init() {
+	if r.records != nil {
+		return
+	}
+	r.records = map[string]*record{}
+	r.groups = map[string][]*record{}
+	r.random = rand.New(rand.NewPCG(r.cfg.Seed, xxhash.Sum64String(r.cfg.EntryID)))
+	if r.cfg.MaxSubset == 0 {
+		r.cfg.MaxSubset = maxSubset
+	}
+}
+
+// Replace takes a new VM list. Upstreams that are no longer listed are gone
+// once nothing is in flight on them.
+func (r *Router) Replace(now time.Time, list []Upstream) {
+	r.init()
+	for _, rec := range r.records {
+		rec.listed = false
+	}
+	for _, u := range list {
+		rec, ok := r.records[u.ID]
+		if !ok {
+			rec = &record{state: charter.Upstream().Initial()}
+			r.records[u.ID] = rec
+		}
+		rec.Upstream = u
+		rec.listed = true
+	}
+	for id, rec := range r.records {
+		if !rec.listed && rec.inFlight == 0 && !rec.holdsNotice(now) {
+			delete(r.records, id)
+		}
+	}
+	r.regroup()
+}
+
+// holdsNotice keeps the memory of a notice while a lagging list could still
+// bring the VM back.
+func (rec *record) holdsNotice(now time.Time) bool {
+	return rec.state == "leaving" && now.Before(rec.goneAt.Add(noticeMemory))
+}
+
+// noticeMemory is how long a notice is remembered after the VM is gone.
+const noticeMemory = 10 * time.Minute
+
+func (r *Router) regroup() {
+	r.groups = map[string][]*record{}
+	for _, rec := range r.records {
+		if rec.listed {
+			r.groups[rec.Deployment] = append(r.groups[rec.Deployment], rec)
+		}
+	}
+	for name, group := range r.groups {
+		slices.SortFunc(group, func(a, b *record) int { return strings.Compare(a.ID, b.ID) })
+		r.groups[name] = r.subset(group)
+	}
+}
+
+// subset keeps the upstreams that this entry uses, those of its own failure
+// domain before others, each part chosen by rendezvous hashing.
+func (r *Router) subset(group []*record) []*record {
+	if len(group) <= r.cfg.MaxSubset {
+		return group
+	}
+	rank := func(rec *record) uint64 { return xxhash.Sum64String(r.cfg.EntryID + "/" + rec.ID) }
+	slices.SortFunc(group, func(a, b *record) int {
+		aLocal, bLocal := a.FailureDomain == r.cfg.FailureDomain, b.FailureDomain == r.cfg.FailureDomain
+		if aLocal != bLocal {
+			if aLocal {
+				return -1
+			}
+			return 1
+		}
+		if rank(a) < rank(b) {
+			return -1
+		}
+		return 1
+	})
+	locals := 0
+	for locals < len(group) && group[locals].FailureDomain == r.cfg.FailureDomain {
+		locals++
+	}
+	// A quarter of the subset stays for other failure domains, so that the
+	// loss of the entry's own leaves it somewhere to go.
+	local := min(locals, r.cfg.MaxSubset*3/4)
+	remote := min(len(group)-locals, r.cfg.MaxSubset-local)
+	return append(slices.Clone(group[:local]), group[locals:locals+remote]...)
+}
+
+func (r *Router) step(id string, event charter.Event) *record {
+	rec, ok := r.records[id]
+	if !ok {
+		return nil
+	}
+	next, err := charter.Upstream().Next(rec.state, event)
+	if err != nil {
+		return nil
+	}
+	rec.state = next
+	return rec
+}
+
+// Leave records a notice: the upstream gets no new work from now on. An id
+// that is not known yet is remembered. It reports whether this was news.
+func (r *Router) Leave(now time.Time, id string, left time.Duration) bool {
+	r.init()
+	if _, ok := r.records[id]; !ok {
+		r.records[id] = &record{Upstream: Upstream{ID: id}, state: charter.Upstream().Initial()}
+	}
+	news := r.records[id].state != "leaving"
+	if rec := r.step(id, "notice"); rec != nil && news {
+		rec.goneAt = now.Add(left)
+	}
+	return news
+}
+
+// Suspect keeps new work from an upstream until a time.
+func (r *Router) Suspect(id string, until time.Time) {
+	if rec := r.step(id, "suspect"); rec != nil {
+		rec.suspectTill = until
+	}
+}
+
+// Report takes an upstream's own load report.
+func (r *Router) Report(now time.Time, id string, running, slots int) {
+	rec, ok := r.records[id]
+	if !ok {
+		return
+	}
+	rec.running = running
+	rec.ownAtReport = rec.inFlight
+	rec.reported = now
+	if slots > 0 {
+		rec.Slots = slots
+	}
+}
+
+// Begin counts an attempt that goes to an upstream.
+func (r *Router) Begin(id string) {
+	if rec, ok := r.records[id]; ok {
+		rec.inFlight++
+	}
+}
+
+// End counts an attempt that ended.
+func (r *Router) End(id string) {
+	if rec, ok := r.records[id]; ok && rec.inFlight > 0 {
+		rec.inFlight--
+	}
+}
+
+// Pick chooses an upstream. It returns false if none may take the attempt.
+func (r *Router) Pick(now time.Time, ask Ask) (Upstream, bool) {
+	r.init()
+	open := r.open(now, ask)
+	if len(open) == 0 {
+		return Upstream{}, false
+	}
+	if ask.Prefix != 0 {
+		return r.byPrefix(now, ask, open).Upstream, true
+	}
+	return r.ofTwo(now, open).Upstream, true
+}
+
+func (r *Router) open(now time.Time, ask Ask) []*record {
+	group := r.groups[ask.Deployment]
+	open := make([]*record, 0, len(group))
+	for _, rec := range group {
+		if ask.Version != "" && rec.Version != ask.Version {
+			continue
+		}
+		if r.available(now, rec) && !slices.Contains(ask.Exclude, rec.ID) {
+			open = append(open, rec)
+		}
+	}
+	return open
+}
+
+func (r *Router) available(now time.Time, rec *record) bool {
+	if rec.state == "suspect" && !now.Before(rec.suspectTill) {
+		r.step(rec.ID, "recover")
+	}
+	return rec.state == "live"
+}
+
+func (r *Router) ofTwo(now time.Time, open []*record) *record {
+	first := open[r.random.IntN(len(open))]
+	second := open[r.random.IntN(len(open))]
+	if r.score(now, second) < r.score(now, first) {
+		return second
+	}
+	return first
+}
+
+// byPrefix walks the prefix's rendezvous order to the first upstream below
+// the load bound.
+func (r *Router) byPrefix(now time.Time, ask Ask, open []*record) *record {
+	total := 0.0
+	for _, rec := range open {
+		total += r.score(now, rec)
+	}
+	bound := prefixBound*total/float64(len(open)) + prefixSlack
+	var best, any *record
+	var bestRank, anyRank uint64
+	for _, rec := range open {
+		rank := mix(ask.Prefix ^ xxhash.Sum64String(rec.ID))
+		if any == nil || rank > anyRank {
+			any, anyRank = rec, rank
+		}
+		if r.score(now, rec) <= bound && (best == nil || rank > bestRank) {
+			best, bestRank = rec, rank
+		}
+	}
+	if best == nil || ask.Alone {
+		return any
+	}
+	return best
+}
+
+// mix spreads a combined hash over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// score is the share of an upstream's slots in use, with penalties for other
+// failure domains and for price.
+func (r *Router) score(now time.Time, rec *record) float64 {
+	slots := rec.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	busy := float64(rec.inFlight)
+	if now.Sub(rec.reported) < reportLifetime {
+		busy += math.Max(0, float64(rec.running-rec.ownAtReport))
+	}
+	score := busy / float64(slots)
+	if r.cfg.FailureDomain != "" && rec.FailureDomain != r.cfg.FailureDomain {
+		score += remotePenalty
+	}
+	return score + pricePenalty*rec.PricePerHour
+}
+
+// Capacity returns the slots of a deployment's upstreams that take new work.
+func (r *Router) Capacity(now time.Time, deployment string) int {
+	total := 0
+	for _, rec := range r.groups[deployment] {
+		if !r.available(now, rec) {
+			continue
+		}
+		if rec.Slots > 0 {
+			total += rec.Slots
+		} else {
+			total += defaultSlots
+		}
+	}
+	return total
+}
+
+// Live returns the number of a deployment's upstreams of a version that take
+// new work.
+func (r *Router) Live(now time.Time, deployment, version string) int {
+	return len(r.open(now, Ask{Deployment: deployment, Version: version}))
+}
+
+// Listed returns the ids of the upstreams in use, leaving ones included.
+func (r *Router) Listed() []Upstream {
+	var list []Upstream
+	for _, group := range r.groups {
+		for _, rec := range group {
+			list = append(list, rec.Upstream)
+		}
+	}
+	return list
+}
+
+// Leaving reports whether an upstream has a notice.
+func (r *Router) Leaving(id string) bool {
+	rec, ok := r.records[id]
+	return ok && rec.state == "leaving"
+}
+
+// Statuses returns what is known of each upstream, by id.
+func (r *Router) Statuses() []Status {
+	list := make([]Status, 0, len(r.records))
+	for _, rec := range r.records {
+		if rec.listed {
+			list = append(list, Status{Upstream: rec.Upstream, State: rec.state, InFlight: rec.inFlight, Running: rec.running, Until: rec.suspectTill})
+		}
+	}
+	slices.SortFunc(list, func(a, b Status) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
