internal/scenario: prove the promises with scripted failures

Scenarios run separate processes and failed first on real faults; the cause and change of each, as the scripts showed them: - at_most_once: a key stayed 'in progress' for good after every upstream had refused its call by protocol. The claim was given up without recording that nothing ran. claimCall now settles the last claim as not_run. - silent_connection: a call whose answer never came held its caller to the deadline and then said may_have_run. The upstream was asked with a context that had ended. Calls are now watched: the upstream is asked on a new connection once a second, and two hopeless findings in a row end the call. - whole_answers: one engine that sent garbage used up the retry budget, since nothing kept new attempts from it. Three failures in a row now rest it. - crashing_request: neighbours were convicted (1 of 24 seen), since they shared two deaths with the culprit and looked alone before its own implication was known. Suspects no longer share an upstream, a request is convicted for being alone only a second after its last implication, and the bound is four upstreams. A second fault: 12 neighbours shared a budget of 10 retries; a death that a probe confirms is no longer charged. - version_holder_paused: 'done' was missing from the audit trail right after it was in force, since records are written later. A move now carries its history in its own row; configurations did so already. - version_operators_race: a move taken back in an outage blocked the next one until the row was written. What an entry knows better than the row counts.

Ruled out: longer waits in the scripts; none of the faults was one of timing in the tests.

--- a/internal/commander/move.go
+++ b/internal/commander/move.go
@@ -82,7 +82,7 @@
 			takenBack = m.State == mover.TakenBack
 			return !m.Open(), nil
 		}
-		return false, fail(ExitConflict, "no move of %s is known", c.Deployment)
+		return false, nil
 	})
 	if err == nil && takenBack {
 		return fail(ExitTakenBack, "the move was taken back")
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -136,6 +136,11 @@
 		e.SetFaults(f)
 		return f, nil
 	}))
+	mux.HandleFunc("GET /control/requests", handle(func(*http.Request, struct{}) (int, error) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.requests, nil
+	}))
 	mux.HandleFunc("GET /kv/{id}/{attempt}", e.exportKV)
 	mux.HandleFunc("PUT /kv/{id}", e.importKV)
 	e.journal.mount(mux)
--- a/internal/emulator/link.go
+++ b/internal/emulator/link.go
@@ -112,5 +112,8 @@
 		l.SetCuts(cuts)
 		return cuts, nil
 	}))
+	mux.HandleFunc("POST /control/relay", handle(func(_ *http.Request, spec string) (string, error) {
+		return spec, l.Relay(spec)
+	}))
 	return mux
 }
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -51,6 +51,11 @@
 		s.faults = f
 		return f, nil
 	}))
+	mux.HandleFunc("GET /control/requests", handle(func(*http.Request, struct{}) (int, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.requests, nil
+	}))
 	s.journal.mount(mux)
 	return mux
 }
--- /dev/null
+++ b/internal/scenario/caller_test.go
@@ -0,0 +1,289 @@
+package scenario_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/galenahitch/galenahitch/internal/emulator"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+// call is one caller's request and what the caller has of its answer.
+type call struct {
+	name      string
+	entries   []string
+	route     string
+	service   bool
+	org       string
+	key       string
+	body      string
+	tokens    int
+	stream    bool
+	deadline  string
+	reconnect bool
+	retries   int
+
+	mu       sync.Mutex
+	id       string
+	text     strings.Builder
+	got      int
+	last     int
+	status   int
+	refusal  *judge.Refusal
+	reply    string
+	failed   error
+	whole    bool
+	moves    int
+	messages []byte
+	ended    chan struct{}
+	cancel   context.CancelFunc
+}
+
+func newCall(name string, args []string) *call {
+	c := &call{name: name, org: "mercado-sol", tokens: 16, stream: true, last: -1, ended: make(chan struct{}), body: name}
+	for _, arg := range args {
+		key, value, _ := strings.Cut(arg, "=")
+		switch key {
+		case "entry":
+			c.entries = strings.Split(value, ",")
+		case "route":
+			c.route = value
+		case "service":
+			c.route, c.service = value, true
+		case "org":
+			c.org = value
+		case "key":
+			c.key = value
+		case "body":
+			c.body = value
+		case "tokens":
+			c.tokens, _ = strconv.Atoi(value)
+		case "whole":
+			c.stream = false
+		case "deadline":
+			c.deadline = value
+		case "reconnect":
+			c.reconnect = true
+		case "retries":
+			c.retries, _ = strconv.Atoi(value)
+		}
+	}
+	return c
+}
+
+// run makes the call at the first entry, and reads on at the next ones when
+// the connection ends early.
+func (c *call) run(f *fleet) {
+	defer close(c.ended)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	c.mu.Lock()
+	c.cancel = cancel
+	c.mu.Unlock()
+	defer cancel()
+	// Each call has a connection of its own, as a caller of the balancer would.
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}
+	client := &http.Client{Transport: transport}
+	for try := 0; ; try++ {
+		entry := c.entries[min(try, len(c.entries)-1)]
+		err := c.attempt(ctx, f, client, entry, try)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		c.mu.Lock()
+		c.failed = err
+		again := c.reconnect && try < 200
+		c.mu.Unlock()
+		if !again {
+			return
+		}
+		timer := time.NewTimer(50 * time.Millisecond)
+		<-timer.C
+	}
+}
+
+func (c *call) attempt(ctx context.Context, f *fleet, client *http.Client, entry string, try int) error {
+	p, err := f.process(entry)
+	if err != nil {
+		return err
+	}
+	req, err := c.request(ctx, "http://"+p.ip+":8080", try)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	c.mu.Lock()
+	if id := resp.Header.Get("X-Request-Id"); id != "" {
+		c.id = id
+	}
+	c.status = resp.StatusCode
+	c.mu.Unlock()
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return c.readStream(resp.Body)
+	}
+	return c.readWhole(resp)
+}
+
+func (c *call) request(ctx context.Context, base string, try int) (*http.Request, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var req *http.Request
+	var err error
+	switch {
+	case c.service:
+		req, err = http.NewRequestWithContext(ctx, http.MethodPost, base+"/services/"+c.route+"/x", strings.NewReader(c.body))
+	case try > 0 && c.id != "" && c.key == "":
+		req, err = http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/requests/"+c.id, nil)
+	default:
+		c.messages, _ = json.Marshal([]map[string]string{{"role": "user", "content": c.body}})
+		body := fmt.Sprintf(`{"model":%q,"messages":%s,"stream":%t,"max_tokens":%d}`, c.route, c.messages, c.stream, c.tokens)
+		req, err = http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", strings.NewReader(body))
+	}
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer demo-"+c.org)
+	if c.key != "" {
+		req.Header.Set("Idempotency-Key", c.key)
+	}
+	if c.deadline != "" {
+		req.Header.Set("X-Deadline-Ms", c.deadline)
+	}
+	if c.last >= 0 {
+		req.Header.Set("Last-Event-ID", strconv.Itoa(c.last))
+	}
+	if c.stream {
+		req.Header.Set("Accept", "text/event-stream")
+	}
+	return req, nil
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta   struct{ Content string } `json:"delta"`
+		Message struct{ Content string } `json:"message"`
+	} `json:"choices"`
+}
+
+func (c *call) readStream(body io.Reader) error {
+	for event, err := range sse.Read(body, nil) {
+		if err != nil {
+			return err
+		}
+		c.mu.Lock()
+		end, err := c.take(event)
+		c.mu.Unlock()
+		if end || err != nil {
+			return err
+		}
+	}
+	return io.ErrUnexpectedEOF
+}
+
+func (c *call) take(event sse.Event) (bool, error) {
+	switch {
+	case event.Type == "moved":
+		c.moves++
+		return false, fmt.Errorf("moved")
+	case event.Type == "error":
+		c.refusal = &judge.Refusal{}
+		return true, json.Unmarshal([]byte(event.Data), c.refusal)
+	case event.Data == "[DONE]":
+		c.whole = true
+		return true, nil
+	}
+	var part chunk
+	if err := json.Unmarshal([]byte(event.Data), &part); err != nil {
+		return true, err
+	}
+	if part.Choices[0].Delta.Content == "" {
+		return false, nil
+	}
+	last, err := strconv.Atoi(event.LastEventID)
+	if err != nil {
+		return true, err
+	}
+	if last != c.last+1 {
+		c.failed = fmt.Errorf("event %d after %d", last, c.last)
+		return true, nil
+	}
+	c.last = last
+	c.got++
+	c.text.WriteString(part.Choices[0].Delta.Content)
+	return false, nil
+}
+
+func (c *call) readWhole(resp *http.Response) error {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if resp.StatusCode != http.StatusOK {
+		var refusal judge.Refusal
+		if err := json.Unmarshal(body, &refusal); err != nil {
+			return fmt.Errorf("status %d with %q", resp.StatusCode, body)
+		}
+		c.refusal = &refusal
+		if c.reconnect && (refusal.Code == judge.CodeLeaving || refusal.Code == judge.CodeNotFound || refusal.Code == judge.CodeInProgress || refusal.Code == judge.CodeNotConfigured) {
+			return &refusal
+		}
+		if c.retries > 0 && refusal.RetryAfterMS > 0 {
+			c.retries--
+			timer := time.NewTimer(time.Duration(refusal.RetryAfterMS) * time.Millisecond)
+			<-timer.C
+			c.reconnect = true
+			return &refusal
+		}
+		return nil
+	}
+	c.refusal = nil
+	c.reply = string(body)
+	c.whole = true
+	var answer chunk
+	if !c.service && json.Unmarshal(body, &answer) == nil && len(answer.Choices) > 0 {
+		c.text.WriteString(answer.Choices[0].Message.Content)
+		c.got = bytes.Count([]byte(answer.Choices[0].Message.Content), []byte(" "))
+	}
+	return nil
+}
+
+// done returns nil if the whole own answer arrived, each token once.
+func (c *call) done() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.whole {
+		return fmt.Errorf("%s: no whole answer: status=%d tokens=%d refusal=%v error=%v", c.name, c.status, c.got, c.refusal, c.failed)
+	}
+	if c.service {
+		if !strings.Contains(c.reply, c.body) {
+			return fmt.Errorf("%s: not its own answer: %s", c.name, c.reply)
+		}
+		return nil
+	}
+	if want := emulator.Answer(c.messages, c.tokens); c.text.String() != want {
+		return fmt.Errorf("%s: the answer differs from the known text:\n%s\n%s", c.name, c.text.String(), want)
+	}
+	return nil
+}
+
+func (c *call) received() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.got
+}
--- /dev/null
+++ b/internal/scenario/fleet_test.go
@@ -0,0 +1,270 @@
+package scenario_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/galenahitch/galenahitch/internal/emulator"
+	"github.com/galenahitch/galenahitch/internal/keeper"
+)
+
+const (
+	patience     = 60 * time.Second
+	lookInterval = 10 * time.Millisecond
+	operator     = "demo-operator"
+	// The digest of operator.
+	operatorDigest = "ana:9437e87fae95c03d3778f2575bb18ce30e647e51d86a8c37963364e1fc4f374e"
+)
+
+var scripts atomic.Int64
+
+// process is one process of the fleet.
+type process struct {
+	name   string
+	ip     string
+	vm     keeper.VM
+	cmd    *exec.Cmd
+	log    *os.File
+	exited chan struct{}
+}
+
+func (p *process) alive() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// fleet is everything that one script has started.
+type fleet struct {
+	dir       string
+	env       []string
+	prefix    string
+	next      int
+	processes map[string]*process
+	order     []string
+	client    *http.Client
+	mu        sync.Mutex
+	calls     map[string]*call
+	cuts      []emulator.Cut
+	faults    emulator.PlatformFaults
+	journals  map[string]int
+	traffic   map[string]*traffic
+}
+
+func setup(env *testscript.Env) error {
+	n := scripts.Add(1)
+	f := &fleet{
+		dir:       env.WorkDir,
+		env:       env.Vars,
+		prefix:    fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, n),
+		processes: map[string]*process{},
+		client:    &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+		calls:     map[string]*call{},
+		journals:  map[string]int{},
+		traffic:   map[string]*traffic{},
+	}
+	env.Values["fleet"] = f
+	env.Defer(f.close)
+	for _, firm := range []string{"quiroga", "morsko"} {
+		source, err := os.ReadFile("../../examples/" + firm + ".yaml")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(env.WorkDir+"/"+firm+".yaml", source, 0o644); err != nil {
+			return err
+		}
+	}
+	if err := f.start("platform", "standin", "platform", "--listen", f.address(1, 7000)); err != nil {
+		return err
+	}
+	return f.start("link", "standin", "link", "--listen", f.address(2, 7001))
+}
+
+func (f *fleet) address(host, port int) string { return fmt.Sprintf("%s%d:%d", f.prefix, host, port) }
+
+func (f *fleet) close() {
+	for _, t := range f.traffic {
+		if !t.stopped() {
+			close(t.stop)
+		}
+	}
+	for _, c := range f.named("*") {
+		c.mu.Lock()
+		if c.cancel != nil {
+			c.cancel()
+		}
+		c.mu.Unlock()
+	}
+	for _, name := range f.order {
+		p := f.processes[name]
+		if p.alive() {
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			_ = p.cmd.Process.Kill()
+		}
+		<-p.exited
+		p.log.Close()
+	}
+}
+
+// start starts a process and waits until it answers HTTP on its address, which
+// follows --listen.
+func (f *fleet) start(name, program string, args ...string) error {
+	log, err := os.Create(fmt.Sprintf("%s/%s.log", f.dir, name))
+	if err != nil {
+		return err
+	}
+	path, err := exec.LookPath(program)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(path, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append([]string{}, f.env...)
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p := &process{name: name, cmd: cmd, log: log, exited: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.exited)
+	}()
+	f.processes[name] = p
+	f.order = append(f.order, name)
+	listen := ""
+	for i, arg := range args {
+		if arg == "--listen" {
+			listen = args[i+1]
+		}
+	}
+	p.ip, _, _ = strings.Cut(listen, ":")
+	err = f.until(func() (bool, string) {
+		if !p.alive() {
+			return true, ""
+		}
+		resp, err := f.client.Get("http://" + listen + "/healthz")
+		if err != nil {
+			return false, err.Error()
+		}
+		resp.Body.Close()
+		return true, ""
+	})
+	if !p.alive() {
+		text, _ := os.ReadFile(log.Name())
+		return errors.New("exited: " + string(text))
+	}
+	return err
+}
+
+// until looks until done, and fails with the last reason after the patience.
+func (f *fleet) until(done func() (bool, string)) error {
+	end := time.Now().Add(patience)
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		ok, why := done()
+		if ok {
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.New("never came true: " + why)
+		}
+		<-ticker.C
+	}
+}
+
+func (f *fleet) process(name string) (*process, error) {
+	p, ok := f.processes[name]
+	if !ok {
+		return nil, fmt.Errorf("no process %s", name)
+	}
+	return p, nil
+}
+
+// post sends JSON and decodes the JSON answer.
+func post[Resp, Req any](f *fleet, url string, in Req) (Resp, error) {
+	var out Resp
+	body, err := json.Marshal(in)
+	if err != nil {
+		return out, err
+	}
+	resp, err := f.client.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return out, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return out, fmt.Errorf("%s: %s", resp.Status, answer)
+	}
+	return out, json.Unmarshal(answer, &out)
+}
+
+func get[Resp any](f *fleet, url, token string) (Resp, error) {
+	var out Resp
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return out, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return out, errors.New(resp.Status)
+	}
+	return out, json.NewDecoder(resp.Body).Decode(&out)
+}
+
+func (f *fleet) control(path string) string {
+	return "http://" + f.address(1, 7000) + "/control/" + path
+}
+
+// register puts a VM on the platform's list.
+func (f *fleet) register(p *process, vm keeper.VM) error {
+	p.vm = vm
+	_, err := post[keeper.VM](f, f.control("vms"), vm)
+	return err
+}
+
+// journal reads what an upstream really ran. What a dead upstream ran is not
+// known any more.
+func (f *fleet) journal(name string) ([]emulator.Run, error) {
+	p, err := f.process(name)
+	if err != nil {
+		return nil, err
+	}
+	return get[[]emulator.Run](f, "http://"+p.ip+":9000/control/journal", "")
+}
+
+// upstreams lists the upstream processes that are alive.
+func (f *fleet) upstreams() []*process {
+	var list []*process
+	for _, name := range f.order {
+		p := f.processes[name]
+		if (p.vm.Role == keeper.RoleEngine || p.vm.Role == keeper.RoleService) && p.alive() {
+			list = append(list, p)
+		}
+	}
+	return list
+}
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -379,10 +379,33 @@
 			trail = append(trail, configRecord(cfg))
 		}
 	}
+	for _, prefix := range []string{movePrefix, pastPrefix} {
+		moves, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: prefix, Reverse: true, Limit: maxHistory})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range moves {
+			var m mover.Move
+			if json.Unmarshal(row.Value, &m) == nil {
+				trail = append(trail, moveRecords(m)...)
+			}
+		}
+	}
 	slices.SortStableFunc(trail, func(a, b recorder.Record) int { return int(a.AtMS - b.AtMS) })
 	return trail, nil
 }
 
+// moveRecords is a move's history as lines of the audit trail.
+func moveRecords(m mover.Move) []recorder.Record {
+	records := make([]recorder.Record, 0, len(m.History))
+	for _, change := range m.History {
+		records = append(records, recorder.Record{
+			AtMS: change.AtMS, Actor: change.Actor, Event: "move_" + string(change.Event), Subject: m.ID, Detail: change.Detail,
+		})
+	}
+	return records
+}
+
 func (s *Server) adminStatus(c *gin.Context) {
 	ready, why := s.state.ready()
 	status := Status{Self: s.cfg.Self, Ready: ready, Reason: why, OpenRuns: len(s.runs.open())}
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -19,6 +19,8 @@
 	maxDispatches = 3
 	// claimTime bounds the writing of a claim.
 	claimTime = 3 * time.Second
+	// askTime bounds one question, which may be asked after the deadline.
+	askTime = 500 * time.Millisecond
 	// askPause is the wait between questions about a call that still runs.
 	askPause = 200 * time.Millisecond
 	// maxOutcomeBody bounds the answer that is kept for duplicates.
@@ -35,11 +37,19 @@
 // claimCall runs a call under its idempotency key at most once.
 func (s *Server) claimCall(ctx context.Context, call *callState) (dispatcher.Reply, *judge.Refusal) {
 	expect := uint64(0)
+	var last *held
+	defer func() {
+		// What was claimed here and is known not to have run frees its key.
+		if last != nil {
+			s.settle(*last, judge.NotRun, dispatcher.Reply{})
+		}
+	}()
 	for range maxDispatches {
 		h, version, refusal := s.claim(ctx, call, expect)
 		if refusal != nil {
 			return dispatcher.Reply{}, refusal
 		}
+		last = nil
 		if h.existing != nil {
 			if claimer.Decide(*h.existing, call.digest) == claimer.Retake {
 				expect = h.version
@@ -51,6 +61,7 @@
 		if !again {
 			return reply, refusal
 		}
+		last = &h.held
 		expect = h.version
 	}
 	return dispatcher.Reply{}, judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream took the call").After(s.jitter(time.Second))
@@ -99,7 +110,7 @@
 	target := dispatcher.Target{ID: h.claim.UpstreamID, Address: h.claim.UpstreamAddress}
 	reply, err := s.tryCall(ctx, call, target, version)
 	if err == nil {
-		s.succeedCall(call)
+		s.succeedCall(call, target)
 		s.settle(h, judge.Ran, reply)
 		return reply, nil, false
 	}
@@ -123,7 +134,9 @@
 // be on its way.
 func (s *Server) ask(ctx context.Context, target dispatcher.Target, requestID string, attempt int) *judge.Refusal {
 	for {
-		progress, err := s.cfg.Upstreams.Progress(ctx, target, requestID, attempt)
+		asked, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTime)
+		progress, err := s.cfg.Upstreams.Progress(asked, target, requestID, attempt)
+		cancel()
 		switch {
 		case err == nil && progress.Done:
 			return judge.Refuse(judge.CodeDuplicate, judge.Ran, "it ran, but its answer was lost")
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/google/uuid"
@@ -16,7 +17,9 @@
 )
 
 const (
-	movePrefix   = "move/"
+	movePrefix = "move/"
+	// pastPrefix begins the keys of moves that a later one has replaced.
+	pastPrefix   = "past_move/"
 	leaseKey     = "lease/moves"
 	dutyInterval = 250 * time.Millisecond
 )
@@ -124,7 +127,12 @@
 		return
 	}
 	s.noteMove(next)
-	s.audit("system", "move_"+string(event), next.ID, next.Reason)
+	s.logMove(string(event), next)
+}
+
+func (s *Server) logMove(event string, m mover.Move) {
+	s.cfg.Log.Info().Str("event", "move_"+event).Str("move", m.ID).Str("deployment", m.Deployment).
+		Str("to", m.To).Int("step", m.Step).Str("reason", m.Reason).Send()
 }
 
 // evidenceFor gathers what the mover needs to know.
@@ -165,7 +173,7 @@
 // it at once, the platform when it can be reached.
 func (s *Server) takenBack(m mover.Move) {
 	s.metrics.count("moves_taken_back")
-	s.audit("system", "move_taken_back", m.ID, m.Reason)
+	s.logMove("taken_back", m)
 	s.urgent()
 	go s.syncMoves(s.base)
 }
@@ -189,7 +197,7 @@
 	if err != nil {
 		return mover.Move{}, err
 	}
-	present, epoch, err := lastMove(row, d)
+	present, epoch, err := lastMove(row, d, s.move(deployment))
 	if err != nil {
 		return mover.Move{}, err
 	}
@@ -199,11 +207,12 @@
 	if within <= 0 {
 		within = time.Duration(d.Move.FinishWithinMS) * time.Millisecond
 	}
-	now := s.now()
-	m := mover.Move{
-		ID: uuid.NewString(), Epoch: epoch + 1, Deployment: deployment, From: present, To: to, State: mover.Moving,
-		StartedMS: now.UnixMilli(), StepMS: now.UnixMilli(), DeadlineMS: now.Add(within).UnixMilli(), StartedBy: operator,
+	if err := s.archiveMove(ctx, row); err != nil {
+		return mover.Move{}, err
 	}
+	m := mover.Start(s.now(), mover.Move{
+		ID: uuid.NewString(), Epoch: epoch + 1, Deployment: deployment, From: present, To: to,
+	}, operator, within)
 	value, _ := json.Marshal(m)
 	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: movePrefix + deployment, Value: value, Expect: row.Version})
 	if err != nil {
@@ -213,12 +222,30 @@
 		return mover.Move{}, moveRefused{"another operator changed the move at the same time; look at its status"}
 	}
 	s.noteMove(m)
-	s.audit(operator, "move_started", m.ID, deployment+" from "+m.From+" to "+to)
+	s.logMove("started", m)
 	return m, nil
 }
 
-// lastMove returns the present version and the epoch of the last move.
-func lastMove(row keeper.Row, d planner.Deployment) (string, uint64, error) {
+// archiveMove keeps a move that is about to be replaced for the audit trail.
+// It writes the same row however often it is called.
+func (s *Server) archiveMove(ctx context.Context, row keeper.Row) error {
+	var last mover.Move
+	if row.Version == 0 || json.Unmarshal(row.Value, &last) != nil {
+		return nil
+	}
+	known := s.move(last.Deployment)
+	if known.ID == last.ID {
+		last = mover.Merge(last, known)
+	}
+	value, _ := json.Marshal(last)
+	_, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: fmt.Sprintf("%s%s/%020d", pastPrefix, last.Deployment, last.Epoch), Value: value})
+	return err
+}
+
+// lastMove returns the present version and the epoch of the last move. What
+// this entry knows better than the row counts: the move may have ended while
+// the platform was down.
+func lastMove(row keeper.Row, d planner.Deployment, known mover.Move) (string, uint64, error) {
 	if row.Version == 0 {
 		return d.Version, 0, nil
 	}
@@ -226,6 +253,9 @@
 	if err := json.Unmarshal(row.Value, &last); err != nil {
 		return "", 0, err
 	}
+	if known.ID == last.ID {
+		last = mover.Merge(last, known)
+	}
 	if last.Open() {
 		return "", 0, moveRefused{"a move to " + last.To + " goes on; take it back first"}
 	}
@@ -239,9 +269,9 @@
 	if !m.Open() {
 		return m, moveRefused{"no move of " + deployment + " is open"}
 	}
-	back := mover.TakeBack(s.now(), m, "by operator "+operator)
+	back := mover.TakeBack(s.now(), m, operator, "by operator "+operator)
 	s.noteMove(back)
-	s.audit(operator, "move_taken_back", back.ID, back.Reason)
+	s.logMove("taken_back", back)
 	s.syncMoves(ctx)
 	return back, nil
 }
--- a/internal/server/moves.go
+++ b/internal/server/moves.go
@@ -7,7 +7,7 @@
 	"github.com/galenahitch/galenahitch/internal/messenger"
 	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/planner"
-	"github.com/galenahitch/galenahitch/pkg/recorder"
+	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
 // moveState is what the entry knows of a deployment's newest move.
@@ -34,20 +34,20 @@
 
 // mergeMove takes a state of a move from the platform, a peer or this entry's
 // own decision, and reports whether it changed what is known.
-func (s *state) mergeMove(now time.Time, m mover.Move) bool {
+func (s *state) mergeMove(m mover.Move) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mergeMoveLocked(now, m)
+	return s.mergeMoveLocked(m)
 }
 
-func (s *state) mergeMoveLocked(now time.Time, m mover.Move) bool {
+func (s *state) mergeMoveLocked(m mover.Move) bool {
 	known, ok := s.moves[m.Deployment]
 	if !ok {
 		s.moves[m.Deployment] = newMoveState(m)
 		return true
 	}
 	merged := mover.Merge(known.move, m)
-	if merged == known.move {
+	if merged.Same(known.move) {
 		return false
 	}
 	if merged.ID != known.move.ID {
@@ -58,19 +58,13 @@
 	if merged.Step != known.move.Step {
 		known.stepOutcomes = known.outcomes
 	}
-	ended := known.move.Open() && !merged.Open()
 	known.move = merged
-	if ended {
-		s.recorder.Add(now, recorder.Record{
-			Actor: "system", Event: "move_" + string(merged.State) + "_seen", Subject: merged.ID,
-			Detail: merged.Reason, Generation: s.generationLocked(),
-		})
-	}
 	return true
 }
 
-// version chooses the version that a request goes to. The lock must be held.
-func (s *state) version(requestID string, d planner.Deployment) string {
+// version chooses the version that a request goes to. A request that has
+// failed on the new version goes on at the present one. The lock must be held.
+func (s *state) version(requestID string, d planner.Deployment, failedOn string) string {
 	m, ok := s.moves[d.Name]
 	if !ok {
 		return d.Version
@@ -78,6 +72,9 @@
 	if !m.move.Open() {
 		return m.move.Present()
 	}
+	if failedOn == m.move.To {
+		return m.move.From
+	}
 	policy := d.Move.Policy()
 	share := mover.Share(m.move, policy)
 	if mover.Draw(requestID, m.move, share) && mover.MayStart(m.move, policy, m.inFlight) {
@@ -86,6 +83,18 @@
 	return m.move.From
 }
 
+// pick chooses an upstream of the version, or of the present one while the new
+// version has none. The lock must be held.
+func (s *state) pick(ask router.Ask, choose func(router.Ask) (router.Upstream, bool)) (router.Upstream, bool) {
+	u, ok := choose(ask)
+	m, moving := s.moves[ask.Deployment]
+	if ok || !moving || !m.move.Open() || ask.Version != m.move.To {
+		return u, ok
+	}
+	ask.Version = m.move.From
+	return choose(ask)
+}
+
 // outcome is what became of one attempt, for the comparison of versions.
 type outcome struct {
 	deployment string
@@ -155,8 +164,8 @@
 	if reason == "" || !m.move.Open() {
 		return mover.Move{}, false
 	}
-	back := mover.TakeBack(now, m.move, fmt.Sprintf("%s on route %s", reason, evidence.Route))
-	s.mergeMoveLocked(now, back)
+	back := mover.TakeBack(now, m.move, "system", fmt.Sprintf("%s on route %s", reason, evidence.Route))
+	s.mergeMoveLocked(back)
 	return back, true
 }
 
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -156,7 +156,7 @@
 
 // noteMove merges a move and passes on what is new.
 func (s *Server) noteMove(m mover.Move) {
-	if s.state.mergeMove(s.now(), m) {
+	if s.state.mergeMove(m) {
 		s.urgent()
 	}
 }
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -40,6 +40,10 @@
 		if o := r.takeOrder(); o != nil && o.stop {
 			return
 		}
+		if s.standing(r.fingerprint) == isolator.Convicted {
+			s.giveUp(ctx, r, judge.Refuse(judge.CodeConvicted, judge.MayHaveRun, "this request crashes the upstreams that run it"))
+			return
+		}
 		target, version, ok := s.chooseNext(r, next)
 		if !ok {
 			if !s.waitForUpstream(ctx, r) {
@@ -55,7 +59,7 @@
 		if err == nil {
 			r.step("finish")
 			r.buffer.End(replayer.End{Kind: replayer.Done})
-			s.succeed(r)
+			s.succeed(r, target)
 			return
 		}
 		if o := r.takeOrder(); o != nil {
@@ -67,6 +71,7 @@
 			r.avoid(target.ID)
 			continue
 		}
+		r.failedOn = version
 		if !s.after(ctx, r, target, err) {
 			return
 		}
@@ -86,28 +91,30 @@
 	now := s.now()
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	ask, version, ok := s.state.ask(now, r)
-	if !ok {
-		return dispatcher.Target{}, "", false
-	}
-	u, ok := s.state.router.Pick(now, ask)
+	ask, ok := s.state.ask(r)
 	if !ok {
 		return dispatcher.Target{}, "", false
 	}
-	return dispatcher.Target{ID: u.ID, Address: u.Address}, version, true
+	u, ok := s.state.pick(ask, func(ask router.Ask) (router.Upstream, bool) {
+		switch s.state.isolator.Standing(now, r.fingerprint) {
+		case isolator.Clear:
+			return s.state.router.Pick(now, ask)
+		case isolator.Suspect:
+			return s.state.pickAlone(now, r, ask)
+		default:
+			return router.Upstream{}, false
+		}
+	})
+	return dispatcher.Target{ID: u.ID, Address: u.Address}, u.Version, ok
 }
 
-func (s *state) ask(now time.Time, r *request) (router.Ask, string, bool) {
+func (s *state) ask(r *request) (router.Ask, bool) {
 	d, ok := s.cfg.Deployment(r.route.Deployment)
 	if !ok {
-		return router.Ask{}, "", false
-	}
-	version := s.version(r.id, d)
-	ask := router.Ask{Deployment: d.Name, Version: version, Prefix: prefixOf(r), Exclude: r.avoided()}
-	if s.isolator.Standing(now, r.fingerprint) == isolator.Suspect {
-		ask.Prefix, ask.Alone = uint64(r.fingerprint)|1, true
+		return router.Ask{}, false
 	}
-	return ask, version, true
+	version := s.version(r.id, d, r.failedOn)
+	return router.Ask{Deployment: d.Name, Version: version, Prefix: prefixOf(r), Exclude: r.avoided()}, true
 }
 
 // waitForUpstream holds an accepted run until an upstream may take it, and
@@ -149,6 +156,7 @@
 func (s *Server) attempt(parent context.Context, r *request, target dispatcher.Target, version string, kv bool) error {
 	ctx, number := r.begin(parent, target)
 	defer r.finish()
+	defer s.endSolo(r)
 	r.boot = s.enter(r.route.Deployment, target, version)
 	defer s.leave(r.route.Deployment, target, version)
 	sent := r.buffer.Text()
@@ -178,6 +186,9 @@
 		guard.progress(part.Offset + 1)
 		r.step("part")
 		r.buffer.Append(part.Text)
+		if part.Offset-from >= soloParts {
+			s.endSolo(r)
+		}
 		if part.Done || part.Offset+1 >= r.maxTokens {
 			s.observe(r, version, nil, first)
 			return nil
@@ -239,9 +250,10 @@
 	return s.state.router.Leaving(target.ID)
 }
 
-func (s *Server) succeed(r *request) {
+func (s *Server) succeed(r *request, target dispatcher.Target) {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
+	s.state.router.Succeed(target.ID)
 	s.state.budget(budgetKey{organisation: r.org.Name, route: r.route.Name}).Succeed()
 	s.metrics.count("runs_done")
 }
@@ -251,18 +263,12 @@
 func (s *Server) after(ctx context.Context, r *request, target dispatcher.Target, cause error) bool {
 	now := s.now()
 	announced := s.excused(target)
-	if !announced {
-		s.investigate(ctx, r, target, cause)
-	}
+	died := !announced && s.investigate(ctx, r, target, cause)
 	r.avoid(target.ID)
-	s.metrics.count("attempts_failed")
+	s.failed(target, announced)
 	s.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", r.id).Str("upstream", target.ID).
 		Bool("announced", announced).Int("parts", r.buffer.Len()).Err(cause).Send()
-	if s.standing(r.fingerprint) == isolator.Convicted {
-		s.giveUp(ctx, r, judge.Refuse(judge.CodeConvicted, judge.MayHaveRun, "this request crashes the upstreams that run it"))
-		return false
-	}
-	decision := s.decide(now, r, cause, announced)
+	decision := s.decide(now, r, cause, announced, died)
 	if !decision.Retry {
 		refusal := judge.Refuse(decision.Code, judge.Of(cause), cause.Error()).After(decision.RetryAfter)
 		s.giveUp(ctx, r, refusal)
@@ -272,12 +278,25 @@
 	return s.backoff(ctx, r, decision.Backoff)
 }
 
-func (s *Server) decide(now time.Time, r *request, cause error, announced bool) retrier.Decision {
+// failed counts an attempt that failed against its upstream, unless a reclaim
+// explains it.
+func (s *Server) failed(target dispatcher.Target, announced bool) {
+	s.metrics.count("attempts_failed")
+	if announced {
+		return
+	}
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.router.Fail(now, target.ID)
+}
+
+func (s *Server) decide(now time.Time, r *request, cause error, announced, died bool) retrier.Decision {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	return retrier.Decide(now, s.state.budget(budgetKey{organisation: r.org.Name, route: r.route.Name}), retrier.Failure{
 		Verdict: judge.Of(cause), Idempotent: r.route.Idempotent, Attempts: r.attemptCount(),
-		Deadline: r.deadline, Announced: announced,
+		Deadline: r.deadline, Announced: announced, Died: died,
 	}, s.state.random)
 }
 
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -29,16 +29,19 @@
 	cancel      context.CancelFunc
 	relayed     chan struct{}
 
-	// admitted marks a run that holds a place in its deployment's limiter;
-	// boot is that of the upstream's process. Both belong to the relay.
+	// admitted marks a run that holds a place in its deployment's limiter,
+	// boot is that of the upstream's process, failedOn the version of the last
+	// failed attempt. They belong to the relay.
 	admitted bool
 	boot     string
+	failedOn string
 
 	mu       sync.Mutex
 	state    charter.State
 	attempts int
 	exclude  []string
 	target   dispatcher.Target
+	lastOn   string
 	order    *order
 	interval context.CancelFunc
 	ended    time.Time
@@ -109,6 +112,7 @@
 	}
 	r.attempts++
 	r.target = target
+	r.lastOn = target.ID
 	return ctx, r.attempts
 }
 
@@ -130,6 +134,13 @@
 	return r.target
 }
 
+// last returns the id of the upstream of the newest attempt, ended or not.
+func (r *request) last() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastOn
+}
+
 // avoid keeps later attempts from an upstream.
 func (r *request) avoid(id string) {
 	r.mu.Lock()
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -26,6 +26,7 @@
 	end         time.Time
 	exclude     []string
 	attempts    int
+	failedOn    string
 }
 
 func (s *Server) serveService(c *gin.Context) {
@@ -109,7 +110,7 @@
 		}
 		reply, err := s.tryCall(ctx, call, target, version)
 		if err == nil {
-			s.succeedCall(call)
+			s.succeedCall(call, target)
 			return reply, nil
 		}
 		decision := s.afterCall(ctx, call, target, err)
@@ -141,13 +142,9 @@
 	if !ok {
 		return dispatcher.Target{}, "", false
 	}
-	version := s.state.version(call.id, d)
-	ask := router.Ask{Deployment: d.Name, Version: version, Exclude: call.exclude}
-	u, ok := s.state.router.Pick(now, ask)
-	if !ok {
-		return dispatcher.Target{}, "", false
-	}
-	return dispatcher.Target{ID: u.ID, Address: u.Address}, version, true
+	ask := router.Ask{Deployment: d.Name, Version: s.state.version(call.id, d, call.failedOn), Exclude: call.exclude}
+	u, ok := s.state.pick(ask, func(ask router.Ask) (router.Upstream, bool) { return s.state.router.Pick(now, ask) })
+	return dispatcher.Target{ID: u.ID, Address: u.Address}, u.Version, ok
 }
 
 // tryCall makes one attempt and tells the comparison of versions of it.
@@ -156,8 +153,11 @@
 	call.call.Number = call.attempts
 	s.enter(call.route.Deployment, target, version)
 	began := s.now()
-	reply, err := s.cfg.Upstreams.Call(ctx, target, call.call)
+	reply, err := s.watchedCall(ctx, call, target)
 	s.leave(call.route.Deployment, target, version)
+	if err != nil {
+		call.failedOn = version
+	}
 	if err != nil && s.excused(target) {
 		return reply, err
 	}
@@ -171,6 +171,46 @@
 	return reply, err
 }
 
+// callStall is the time between questions about a call that has no answer yet.
+const callStall = time.Second
+
+// watchedCall makes a call and asks the upstream about it, on new connections,
+// while there is no answer. Two findings in a row that no answer will come end
+// it: one alone may be an answer on its way.
+func (s *Server) watchedCall(ctx context.Context, call *callState, target dispatcher.Target) (dispatcher.Reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		reply dispatcher.Reply
+		err   error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		reply, err := s.cfg.Upstreams.Call(ctx, target, call.call)
+		answered <- result{reply, err}
+	}()
+	ticker := time.NewTicker(callStall)
+	defer ticker.Stop()
+	hopeless := 0
+	for {
+		select {
+		case r := <-answered:
+			return r.reply, r.err
+		case <-ticker.C:
+		}
+		progress, err := s.cfg.Upstreams.Progress(ctx, target, call.id, call.attempts)
+		if err == nil && progress.Known && !progress.Done {
+			hopeless = 0
+			continue
+		}
+		hopeless++
+		if hopeless > 1 {
+			s.metrics.count("silent_connections")
+			return dispatcher.Reply{}, judge.Mark(judge.MayHaveRun, "%s does not answer the call", target.ID)
+		}
+	}
+}
+
 func (s *Server) afterCall(ctx context.Context, call *callState, target dispatcher.Target, cause error) retrier.Decision {
 	announced := s.excused(target)
 	if !announced && judge.Of(cause) == judge.NotRun {
@@ -180,7 +220,7 @@
 		s.probeCall(ctx, call, target)
 	}
 	call.exclude = append(call.exclude, target.ID)
-	s.metrics.count("attempts_failed")
+	s.failed(target, announced)
 	s.cfg.Log.Info().Str("event", "call_failed").Str("request_id", call.id).Str("upstream", target.ID).
 		Str("verdict", string(judge.Of(cause))).Err(cause).Send()
 	now := s.now()
@@ -213,8 +253,9 @@
 }
 
 // succeedCall fills the retry budget.
-func (s *Server) succeedCall(call *callState) {
+func (s *Server) succeedCall(call *callState, target dispatcher.Target) {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
+	s.state.router.Succeed(target.ID)
 	s.state.budget(budgetKey{organisation: call.org.Name, route: call.route.Name}).Succeed()
 }
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -36,6 +36,8 @@
 	boots    map[string]string
 	moves    map[string]*moveState
 	late     map[string]*mover.LateMark
+	// solo holds the suspects that must not share their upstream yet.
+	solo     map[string]*request
 	random   *rand.Rand
 	leaving  bool
 	stopping bool
@@ -63,6 +65,7 @@
 		boots:    map[string]string{},
 		moves:    map[string]*moveState{},
 		late:     map[string]*mover.LateMark{},
+		solo:     map[string]*request{},
 		random:   rand.New(rand.NewPCG(seed, seed)),
 	}
 }
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -103,25 +103,27 @@
 }
 
 // investigate probes an upstream whose attempt failed. If it died without
-// notice, the requests in flight on it are implicated.
-func (s *Server) investigate(ctx context.Context, r *request, target dispatcher.Target, cause error) {
+// notice, the requests in flight on it are implicated. It reports whether the
+// upstream died.
+func (s *Server) investigate(ctx context.Context, r *request, target dispatcher.Target, cause error) bool {
 	if judge.Of(cause) == judge.NotRun {
 		s.suspect(target.ID)
-		return
+		return false
 	}
 	load, err := s.cfg.Upstreams.Load(context.WithoutCancel(ctx), target)
 	if err == nil && (r.boot == "" || load.Boot == r.boot) {
-		return
+		return false
 	}
 	if err != nil {
 		s.suspect(target.ID)
 		if judge.Of(err) != judge.NotRun {
 			// It does not answer, but its address is there: it may be frozen
 			// or cut off rather than dead.
-			return
+			return false
 		}
 	}
 	s.implicate(r, target.ID)
+	return true
 }
 
 // implicate records the death of an upstream for the requests that were in
@@ -129,7 +131,7 @@
 func (s *Server) implicate(r *request, upstream string) {
 	fingerprints := []isolator.Fingerprint{r.fingerprint}
 	for _, other := range s.runs.open() {
-		if other != r && other.on().ID == upstream {
+		if other != r && other.last() == upstream {
 			fingerprints = append(fingerprints, other.fingerprint)
 		}
 	}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -13,7 +13,10 @@
 	alonePoint = 2
 	// certainPoint is the number of deaths after which a request is convicted
 	// in any case. It bounds what one request can cost.
-	certainPoint = 3
+	certainPoint = 4
+	// settleTime is how long the implications of other entries may take to
+	// arrive; no request is convicted for being alone before it has passed.
+	settleTime = time.Second
 	// memory is how long an implication counts.
 	memory = time.Hour
 	// maxFingerprints bounds the state.
@@ -37,7 +40,10 @@
 // The standings.
 const (
 	Clear Standing = iota
+	// Suspect: it runs with no other suspect on its upstream.
 	Suspect
+	// Pending: it waits until it is known who else was there.
+	Pending
 	Convicted
 )
 
@@ -88,13 +94,8 @@
 func (i *Isolator) forget(now time.Time) {
 	var oldest Fingerprint
 	oldestAt := now
-	for f, upstreams := range i.deaths {
-		newest := time.Time{}
-		for _, at := range upstreams {
-			if at.After(newest) {
-				newest = at
-			}
-		}
+	for f := range i.deaths {
+		newest := i.newest(f)
 		if now.Sub(newest) > memory {
 			delete(i.deaths, f)
 			continue
@@ -116,13 +117,28 @@
 		return Clear
 	case len(upstreams) >= certainPoint:
 		return Convicted
-	case len(upstreams) >= alonePoint && i.alone(now, f, upstreams):
+	case len(upstreams) < alonePoint:
+		return Suspect
+	case now.Sub(i.newest(f)) < settleTime:
+		return Pending
+	case i.alone(now, f, upstreams):
 		return Convicted
 	default:
 		return Suspect
 	}
 }
 
+// newest returns the time of the last implication of a request.
+func (i *Isolator) newest(f Fingerprint) time.Time {
+	newest := time.Time{}
+	for _, at := range i.deaths[f] {
+		if at.After(newest) {
+			newest = at
+		}
+	}
+	return newest
+}
+
 func (i *Isolator) live(now time.Time, f Fingerprint) []string {
 	var upstreams []string
 	for upstream, at := range i.deaths[f] {
--- a/pkg/mover/mover.go
+++ b/pkg/mover/mover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,41 @@
 	EndedMS    int64         `json:"ended_ms,omitempty"`
 	StartedBy  string        `json:"started_by"`
 	Reason     string        `json:"reason,omitempty"`
+	// History lists what happened to the move. It is written with the move,
+	// so that no change of it can be missing from the audit trail.
+	History []Change `json:"history,omitempty"`
+}
+
+// Change is one line of a move's history.
+type Change struct {
+	AtMS   int64  `json:"at_ms"`
+	Actor  string `json:"actor"`
+	Event  Event  `json:"event"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// system is the actor of changes that no operator made.
+const system = "system"
+
+// Start returns a new move of a deployment.
+func Start(now time.Time, m Move, operator string, within time.Duration) Move {
+	m.State = Moving
+	m.StartedMS = now.UnixMilli()
+	m.StepMS = m.StartedMS
+	m.DeadlineMS = now.Add(within).UnixMilli()
+	m.StartedBy = operator
+	return m.note(now, operator, "started", fmt.Sprintf("%s from %s to %s within %s", m.Deployment, m.From, m.To, within))
+}
+
+func (m Move) note(now time.Time, actor string, event Event, detail string) Move {
+	m.Revision++
+	m.History = append(slices.Clone(m.History), Change{AtMS: now.UnixMilli(), Actor: actor, Event: event, Detail: detail})
+	return m
+}
+
+// Same reports whether two values are the same state of the same move.
+func (m Move) Same(other Move) bool {
+	return m.ID == other.ID && m.State == other.State && m.Revision == other.Revision && m.Step == other.Step && m.Reason == other.Reason
 }
 
 // Open reports whether the move still goes on.
@@ -146,7 +182,7 @@
 }
 
 // TakeBack ends a move. A move that is done or taken back is left as it is.
-func TakeBack(now time.Time, m Move, reason string) Move {
+func TakeBack(now time.Time, m Move, actor, reason string) Move {
 	next, err := charter.Move().Next(m.State, "take_back")
 	if err != nil {
 		return m
@@ -154,8 +190,7 @@
 	m.State = next
 	m.Reason = reason
 	m.EndedMS = now.UnixMilli()
-	m.Revision++
-	return m
+	return m.note(now, actor, "taken_back", reason)
 }
 
 // Evidence is what the deciding node knows when it looks at a move.
@@ -178,7 +213,7 @@
 		return m, ""
 	}
 	if e.Tripped != "" {
-		return TakeBack(now, m, e.Tripped), "taken_back"
+		return TakeBack(now, m, system, e.Tripped), "taken_back"
 	}
 	if m.State == Baking {
 		if now.UnixMilli()-m.FullMS < p.Bake.Milliseconds() {
@@ -199,8 +234,7 @@
 	}
 	m.State = next
 	m.EndedMS = now.UnixMilli()
-	m.Revision++
-	return m, "done"
+	return m.note(now, system, "done", ""), "done"
 }
 
 func climb(now time.Time, m Move, p Policy) (Move, Event) {
@@ -215,12 +249,12 @@
 	m.State = next
 	m.Step++
 	m.StepMS = now.UnixMilli()
-	m.Revision++
+	did := Event(fmt.Sprintf("step_%d", m.Step))
 	if event == "full" {
 		m.FullMS = now.UnixMilli()
-		return m, "full"
+		did = "full"
 	}
-	return m, Event(fmt.Sprintf("step_%d", m.Step))
+	return m.note(now, system, did, ""), did
 }
 
 // stepOver reports whether the move may leave its step: it has seen what the
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -60,6 +60,10 @@
 	Deadline time.Time
 	// Announced marks an attempt that ended by a reclaim: it is not charged.
 	Announced bool
+	// Died marks an attempt whose upstream is known to have died under it. It
+	// is not charged either, since it says nothing about load, but it counts
+	// as an attempt.
+	Died bool
 }
 
 // Decision says what follows a failure.
@@ -87,7 +91,7 @@
 	if !f.Deadline.IsZero() && now.Add(backoff).After(f.Deadline) {
 		return giveUp(judge.CodeDeadline, random)
 	}
-	if !b.Spend() {
+	if !f.Died && !b.Spend() {
 		return giveUp(judge.CodeRetriesSpent, random)
 	}
 	return Decision{Retry: true, Backoff: backoff}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -52,8 +52,6 @@
 	Prefix uint64
 	// Exclude lists upstreams that this request has failed on.
 	Exclude []string
-	// Alone asks for an upstream chosen by Prefix whatever its load.
-	Alone bool
 }
 
 // Config sets a router up. The zero value is useful.
@@ -85,6 +83,7 @@
 	running     int
 	reported    time.Time
 	suspectTill time.Time
+	failures    int
 	goneAt      time.Time
 	listed      bool
 }
@@ -227,6 +226,34 @@
 	}
 }
 
+const (
+	// failuresInRow is the number of failed attempts, without a success in
+	// between, after which an upstream gets no new work for a while.
+	failuresInRow = 3
+	// leastRest and mostRest bound that while, which doubles each time.
+	leastRest = time.Second
+	mostRest  = 30 * time.Second
+)
+
+// Fail records that an attempt on an upstream failed.
+func (r *Router) Fail(now time.Time, id string) {
+	rec, ok := r.records[id]
+	if !ok {
+		return
+	}
+	rec.failures++
+	if over := rec.failures - failuresInRow; over >= 0 {
+		r.Suspect(id, now.Add(min(mostRest, leastRest<<min(over, 10))))
+	}
+}
+
+// Succeed records that an attempt on an upstream went well.
+func (r *Router) Succeed(id string) {
+	if rec, ok := r.records[id]; ok {
+		rec.failures = 0
+	}
+}
+
 // Report takes an upstream's own load report.
 func (r *Router) Report(now time.Time, id string, running, slots int) {
 	rec, ok := r.records[id]
@@ -271,14 +298,21 @@
 func (r *Router) open(now time.Time, ask Ask) []*record {
 	group := r.groups[ask.Deployment]
 	open := make([]*record, 0, len(group))
+	var resting []*record
 	for _, rec := range group {
-		if ask.Version != "" && rec.Version != ask.Version {
+		if ask.Version != "" && rec.Version != ask.Version || slices.Contains(ask.Exclude, rec.ID) {
 			continue
 		}
-		if r.available(now, rec) && !slices.Contains(ask.Exclude, rec.ID) {
+		if r.available(now, rec) {
 			open = append(open, rec)
+		} else if rec.state == "suspect" {
+			resting = append(resting, rec)
 		}
 	}
+	if len(open) == 0 {
+		// When all are suspects, the suspicion says nothing about one of them.
+		return resting
+	}
 	return open
 }
 
@@ -317,7 +351,7 @@
 			best, bestRank = rec, rank
 		}
 	}
-	if best == nil || ask.Alone {
+	if best == nil {
 		return any
 	}
 	return best
@@ -352,10 +386,7 @@
 // Capacity returns the slots of a deployment's upstreams that take new work.
 func (r *Router) Capacity(now time.Time, deployment string) int {
 	total := 0
-	for _, rec := range r.groups[deployment] {
-		if !r.available(now, rec) {
-			continue
-		}
+	for _, rec := range r.open(now, Ask{Deployment: deployment}) {
 		if rec.Slots > 0 {
 			total += rec.Slots
 		} else {
@@ -365,6 +396,17 @@
 	return total
 }
 
+// Open lists the upstreams that may take an attempt, by id.
+func (r *Router) Open(now time.Time, ask Ask) []Upstream {
+	open := r.open(now, ask)
+	list := make([]Upstream, 0, len(open))
+	for _, rec := range open {
+		list = append(list, rec.Upstream)
+	}
+	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
 // Live returns the number of a deployment's upstreams of a version that take
 // new work.
 func (r *Router) Live(now time.Time, deployment, version string) int {
