pkg/limiter: give each organisation its share of the queue

Cause: the property test of shares found that an organisation of weight 4 got 234 times, not 4 times, what one of weight 1 got. All organisations shared one bound on the queue, and the first to fill it kept the other out. Ruled out: the virtual times, which were right once both were queued. Change: the bound is each organisation's share of it by weight, whatever others have queued.

--- a/internal/commander/demo.go
+++ b/internal/commander/demo.go
@@ -1,9 +1,236 @@
 package commander
 
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/internal/emulator"
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/internal/server"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/tracker"
+)
+
+const (
+	demoToken    = "demo-operator"
+	demoCaller   = "demo-mercado-sol"
+	demoPatience = 60 * time.Second
+	demoSlots    = 64
+)
+
+// demoAnswers are those of a small firm whose moves are fast enough to watch.
+const demoAnswers = `firm: demonstration
+trade: size advice for web shoppers
+region: local
+failure_domains: [zone-a, zone-b]
+organisations:
+  - {name: mercado-sol, size: large, token_sha256: %s}
+deployments:
+  - {name: size-advice, kind: model, version: v1}
+  - {name: fit-profile, kind: service, version: v1}
+requests:
+  - {name: chat-answer, deployment: size-advice, may_be_repeated: true, urgency: high, answer_within: 580ms, finish_within: 60s}
+  - {name: profile-save, deployment: fit-profile, may_be_repeated: false, urgency: normal, answer_within: 2s, finish_within: 10s}
+moves: {finish_within: 12s, watch_after: 1s, caution: low}
+`
+
 type demoCommand struct {
 	command
-	Hold bool `long:"hold" description:"keep serving after the demonstration"`
+	Hold bool `long:"hold" description:"keep serving after the demonstration until interrupted"`
+}
+
+// demo is one entry with stand-ins around it, in this process.
+type demo struct {
+	command
+	platform  *emulator.Platform
+	engines   map[string]*emulator.Engine
+	service   *emulator.Service
+	entry     *server.Server
+	callers   string
+	admin     adminCommand
+	listeners []net.Listener
+}
+
+// Execute shows the main job and fails unless each step held.
+func (c *demoCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d := &demo{command: c.command, engines: map[string]*emulator.Engine{}}
+	defer d.close()
+	if err := d.build(); err != nil {
+		return fail(ExitFailed, "the stand-ins did not start: %v", err)
+	}
+	ended := make(chan error, 1)
+	serving, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { ended <- d.entry.Run(serving) }()
+	for _, step := range []struct {
+		name string
+		run  func(context.Context) (string, error)
+	}{
+		{"answers to the questionnaire in force", d.configure},
+		{"an answer streamed", d.stream},
+		{"a reclaim survived", d.reclaim},
+		{"a duplicate refused a second run", d.duplicate},
+		{"a bad version taken back", d.badVersion},
+	} {
+		seen, err := step.run(ctx)
+		if err != nil {
+			c.print("FAILED  %s: %v", step.name, err)
+			return fail(ExitFailed, "the demonstration failed")
+		}
+		c.print("held    %s: %s", step.name, seen)
+	}
+	if c.Hold {
+		c.print("serving callers at %s (token %s) and operators at %s (token %s); interrupt to stop", d.callers, demoCaller, d.admin.Admin, demoToken)
+		<-ctx.Done()
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		return fail(ExitFailed, "the entry did not stop well: %v", err)
+	}
+	c.print("stopped with nothing cut")
+	return nil
+}
+
+// serve starts a stand-in on a free port and returns its address.
+func (d *demo) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	d.listeners = append(d.listeners, listener)
+	go func() { _ = http.Serve(listener, handler) }()
+	return listener.Addr().String(), nil
+}
+
+func (d *demo) close() {
+	for _, listener := range d.listeners {
+		_ = listener.Close()
+	}
 }
 
-// Execute shows the system on stand-ins.
-func (c *demoCommand) Execute([]string) error { return nil }
+// free returns an address that nothing listens on.
+func free() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func (d *demo) build() error {
+	d.platform = emulator.NewPlatform(d.io.Now)
+	platformAddress, err := d.serve(d.platform.Handler())
+	if err != nil {
+		return err
+	}
+	for _, e := range []struct{ id, domain, version string }{
+		{"engine-1", "zone-a", "v1"}, {"engine-2", "zone-b", "v1"}, {"engine-3", "zone-b", "v2"},
+	} {
+		d.engines[e.id] = emulator.NewEngine(emulator.EngineConfig{Version: e.version, Slots: demoSlots, FirstToken: 2 * time.Millisecond, EachToken: 2 * time.Millisecond})
+		if err := d.add(d.engines[e.id].Handler(), keeper.VM{ID: e.id, Role: keeper.RoleEngine, FailureDomain: e.domain, Deployment: "size-advice", Version: e.version}); err != nil {
+			return err
+		}
+	}
+	d.service = emulator.NewService(emulator.ServiceConfig{Version: "v1", Slots: demoSlots, Delay: 5 * time.Millisecond})
+	if err := d.add(d.service.Handler(), keeper.VM{ID: "service-1", Role: keeper.RoleService, FailureDomain: "zone-a", Deployment: "fit-profile", Version: "v1"}); err != nil {
+		return err
+	}
+	return d.buildEntry(platformAddress)
+}
+
+func (d *demo) add(handler http.Handler, vm keeper.VM) error {
+	address, err := d.serve(handler)
+	if err != nil {
+		return err
+	}
+	vm.Address, vm.Slots, vm.Reclaimable = address, demoSlots, true
+	d.platform.AddVM(vm)
+	return nil
+}
+
+func (d *demo) buildEntry(platformAddress string) error {
+	var addresses [3]string
+	for i := range addresses {
+		var err error
+		if addresses[i], err = free(); err != nil {
+			return err
+		}
+	}
+	peers, err := messenger.NewClient(messenger.ClientConfig{})
+	if err != nil {
+		return err
+	}
+	platform := keeper.NewHTTP(keeper.HTTPConfig{BaseURL: "http://" + platformAddress})
+	d.callers = "http://" + addresses[0]
+	d.admin = adminCommand{command: d.command, Admin: "http://" + addresses[1], Token: demoToken, Output: "text"}
+	self := tracker.Member{ID: "entry-1", Address: addresses[2], FailureDomain: "zone-a"}
+	d.platform.AddVM(keeper.VM{ID: self.ID, Role: keeper.RoleEntry, Address: addresses[0], PeerAddress: self.Address, FailureDomain: self.FailureDomain})
+	d.entry = server.New(server.Config{
+		Self: self, Listen: addresses[0], AdminListen: addresses[1], PeerListen: addresses[2],
+		Operators: []server.Operator{{Name: "demo", TokenSHA256: digest(demoToken)}},
+		Table:     platform, Cloud: platform, Upstreams: dispatcher.NewHTTP(dispatcher.Config{}), Peers: peers,
+		Log: zerolog.Nop(), Now: d.io.Now,
+	})
+	return nil
+}
+
+func digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func (d *demo) configure(context.Context) (string, error) {
+	answers := fmt.Sprintf(demoAnswers, digest(demoCaller))
+	if _, problems := planner.Check([]byte(answers)); len(problems) > 0 {
+		return "", problems[0]
+	}
+	var accepted server.Accepted
+	err := d.until(demoPatience, func() (bool, error) {
+		got, err := ask[server.Accepted](&d.admin, http.MethodPost, "/answers/submit", server.Submission{Answers: answers})
+		accepted = got
+		return err == nil, nil
+	})
+	if err != nil {
+		return "", err
+	}
+	err = d.until(demoPatience, func() (bool, error) {
+		list, err := ask[[]server.UpstreamStatus](&d.admin, http.MethodGet, "/upstreams", struct{}{})
+		return len(list) == len(d.engines)+1, err
+	})
+	return fmt.Sprintf("generation %d", accepted.Generation), err
+}
+
+// post sends a caller's request and returns the whole answer.
+func (d *demo) post(ctx context.Context, path, key, body string) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.callers+path, stringReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+demoCaller)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	return resp.StatusCode, string(text), err
+}
--- /dev/null
+++ b/internal/commander/demosteps.go
@@ -0,0 +1,161 @@
+package commander
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/galenahitch/galenahitch/internal/emulator"
+	"github.com/galenahitch/galenahitch/internal/server"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+)
+
+func stringReader(text string) io.Reader { return strings.NewReader(text) }
+
+// chat is a request for an answer whose text is known.
+type chat struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+func newChat(question string, tokens int) chat {
+	messages, _ := json.Marshal([]struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}{{"user", question}})
+	return chat{Model: "chat-answer", Messages: messages, Stream: true, MaxTokens: tokens}
+}
+
+type streamed struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// askChat streams an answer, calls each after every part, and compares the
+// whole with the known text.
+func (d *demo) askChat(ctx context.Context, c chat, each func(part int)) error {
+	body, _ := json.Marshal(c)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.callers+"/v1/chat/completions", strings.NewReader(string(body)))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+demoCaller)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	var text strings.Builder
+	parts := 0
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: {")
+		if !ok {
+			continue
+		}
+		var part streamed
+		if err := json.Unmarshal([]byte("{"+data), &part); err != nil || len(part.Choices) == 0 {
+			return fmt.Errorf("unexpected event %q", data)
+		}
+		text.WriteString(part.Choices[0].Delta.Content)
+		parts++
+		each(parts)
+	}
+	if text.String() != emulator.Answer(c.Messages, c.MaxTokens) {
+		return fmt.Errorf("the answer differs from the known text after %d parts", parts)
+	}
+	return lines.Err()
+}
+
+func (d *demo) stream(ctx context.Context) (string, error) {
+	const tokens = 50
+	err := d.askChat(ctx, newChat("which size fits a 24.5 cm foot?", tokens), func(int) {})
+	return fmt.Sprintf("%d tokens, each once and in order", tokens), err
+}
+
+// reclaim takes the upstream away under an open stream.
+func (d *demo) reclaim(ctx context.Context) (string, error) {
+	const tokens = 2000
+	from := ""
+	err := d.askChat(ctx, newChat("and in wide shoes?", tokens), func(part int) {
+		if part != 20 {
+			return
+		}
+		for id, engine := range d.engines {
+			for _, run := range engine.Runs() {
+				if !run.Done && run.Tokens > 0 {
+					from = id
+				}
+			}
+		}
+		d.platform.Reclaim(emulator.Reclaim{VMIDs: []string{from}, LeftMS: 2000})
+	})
+	if err != nil {
+		return "", err
+	}
+	recomputed := 0
+	for id, engine := range d.engines {
+		for _, run := range engine.Runs() {
+			if run.From > 0 && id != from {
+				recomputed += run.Recomputed
+			}
+		}
+	}
+	return fmt.Sprintf("%s left under the stream; all %d tokens arrived once, %d recomputed", from, tokens, recomputed), nil
+}
+
+func (d *demo) duplicate(ctx context.Context) (string, error) {
+	for range 3 {
+		if _, _, err := d.post(ctx, "/services/profile-save", "order-17", "foot=24.5"); err != nil {
+			return "", err
+		}
+	}
+	status, text, err := d.post(ctx, "/services/profile-save", "order-17", "foot=26")
+	if err != nil {
+		return "", err
+	}
+	if status != http.StatusUnprocessableEntity {
+		return "", fmt.Errorf("another body under the same key got status %d: %s", status, text)
+	}
+	if runs := len(d.service.Runs()); runs != 1 {
+		return "", fmt.Errorf("it ran %d times", runs)
+	}
+	return "sent three times, ran once; the key was refused for another body", nil
+}
+
+// badVersion moves to a version that fails.
+func (d *demo) badVersion(ctx context.Context) (string, error) {
+	d.engines["engine-3"].SetFaults(emulator.EngineFaults{Fail: true})
+	if _, err := ask[mover.Move](&d.admin, http.MethodPost, "/moves", server.MoveOrder{Deployment: "size-advice", To: "v2"}); err != nil {
+		return "", err
+	}
+	answered := 0
+	end := d.io.Now().Add(demoPatience)
+	for d.io.Now().Before(end) {
+		if err := d.askChat(ctx, newChat(fmt.Sprintf("question %d", answered), 2), func(int) {}); err != nil {
+			return "", err
+		}
+		answered++
+		list, err := ask[[]server.MoveStatus](&d.admin, http.MethodGet, "/moves", struct{}{})
+		if err != nil {
+			return "", err
+		}
+		if len(list) == 1 && list[0].State == mover.TakenBack {
+			return fmt.Sprintf("%s; it got %d of %d requests and each caller a whole answer", list[0].Reason, list[0].Outcomes, answered), nil
+		}
+	}
+	return "", errors.New("the move was not taken back within " + demoPatience.String())
+}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -41,11 +41,6 @@
 
 func (m *measures) firstToken(d time.Duration) { m.first.Update(d.Microseconds()) }
 
-// value returns a counter's value.
-func (m *measures) value(name string) int64 {
-	return metrics.GetOrRegisterCounter(name, m.registry).Count()
-}
-
 // text renders all metrics, one name and value a line.
 func (m *measures) text() string {
 	var lines []string
--- a/internal/server/moves.go
+++ b/internal/server/moves.go
@@ -209,13 +209,7 @@
 	return list
 }
 
-// allMoves lists the newest move of each deployment.
-func (s *state) allMoves() []mover.Move {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.allMovesLocked()
-}
-
+// allMovesLocked lists the newest move of each deployment.
 func (s *state) allMovesLocked() []mover.Move {
 	list := make([]mover.Move, 0, len(s.moves))
 	for _, m := range s.moves {
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -106,16 +106,12 @@
 	ready, _ := s.state.ready()
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	members := make([]tracker.Member, 0, maxLearned)
-	for _, m := range s.state.tracker.Near(now, s.cfg.Self.ID, maxLearned) {
-		members = append(members, m)
-	}
 	return &messenger.Exchange{
 		From:         s.cfg.Self,
 		Generation:   s.state.generationLocked(),
 		Ready:        ready,
 		Leaving:      s.state.leaving || s.state.stopping,
-		Members:      members,
+		Members:      s.state.tracker.Near(now, s.cfg.Self.ID, maxLearned),
 		Notices:      s.state.openNotices(now),
 		Moves:        s.state.allMovesLocked(),
 		Implications: s.state.isolator.All(now),
--- /dev/null
+++ b/pkg/isolator/isolator_test.go
@@ -0,0 +1,99 @@
+package isolator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+const culprit = isolator.Fingerprint(1)
+
+// The culprit runs on one upstream after another, among neighbours that
+// change; it is convicted within four deaths, and a neighbour that shared
+// fewer of them is not.
+func TestConvictsTheCulpritAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var i isolator.Isolator
+		now := start
+		shared := map[isolator.Fingerprint]int{}
+		deaths := 0
+		for i.Standing(now, culprit) != isolator.Convicted {
+			now = now.Add(2 * time.Second)
+			if i.Standing(now, culprit) == isolator.Convicted {
+				break
+			}
+			inFlight := []isolator.Fingerprint{culprit}
+			for f := isolator.Fingerprint(2); f < 12; f++ {
+				if rapid.IntRange(0, 3).Draw(t, "shares") == 0 {
+					inFlight = append(inFlight, f)
+					shared[f]++
+				}
+			}
+			i.Implicate(now, fmt.Sprintf("u%d", deaths), inFlight)
+			deaths++
+		}
+		require.LessOrEqual(t, deaths, 4)
+		for f, n := range shared {
+			if n < deaths {
+				require.NotEqual(t, isolator.Convicted, i.Standing(now.Add(2*time.Second), f))
+			}
+		}
+	})
+}
+
+// Entries that hear the same implications in any order agree.
+func TestMergeInAnyOrder(t *testing.T) {
+	var all []isolator.Implication
+	for u := range 3 {
+		for f := isolator.Fingerprint(1); f < 6; f++ {
+			if int(f)%(u+2) == 1 {
+				all = append(all, isolator.Implication{Fingerprint: f, Upstream: fmt.Sprint(u)})
+			}
+		}
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	var want []isolator.Standing
+	for range 50 {
+		random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		var i isolator.Isolator
+		for _, implication := range all {
+			i.Merge(start, implication)
+		}
+		require.False(t, i.Merge(start, all[0]))
+		var got []isolator.Standing
+		for f := isolator.Fingerprint(1); f < 6; f++ {
+			got = append(got, i.Standing(start.Add(2*time.Second), f))
+		}
+		if want == nil {
+			want = got
+		}
+		require.Equal(t, want, got)
+	}
+}
+
+func TestPendingUntilOthersHaveTold(t *testing.T) {
+	var i isolator.Isolator
+	i.Implicate(start, "u0", []isolator.Fingerprint{culprit})
+	require.Equal(t, isolator.Suspect, i.Standing(start, culprit))
+	i.Implicate(start, "u1", []isolator.Fingerprint{culprit})
+	require.Equal(t, isolator.Pending, i.Standing(start, culprit))
+	require.Equal(t, isolator.Convicted, i.Standing(start.Add(time.Second), culprit))
+	require.Equal(t, isolator.Clear, i.Standing(start.Add(2*time.Hour), culprit), "it is forgotten after an hour")
+}
+
+func TestStateIsBounded(t *testing.T) {
+	var i isolator.Isolator
+	for f := range isolator.Fingerprint(5000) {
+		i.Merge(start.Add(time.Duration(f)*time.Millisecond), isolator.Implication{Fingerprint: f, Upstream: "u"})
+	}
+	require.LessOrEqual(t, len(i.All(start.Add(5*time.Second))), 4096)
+	require.Equal(t, isolator.Suspect, i.Standing(start.Add(5*time.Second), 4999))
+}
--- /dev/null
+++ b/pkg/leaser/leaser_test.go
@@ -0,0 +1,87 @@
+package leaser_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenahitch/galenahitch/pkg/leaser"
+)
+
+type node struct {
+	l *leaser.Leaser
+	// offset is how far this node's clock is from the model's.
+	offset time.Duration
+	// pending is a write that was sent and has not been answered.
+	pending *write
+	paused  bool
+}
+
+type write struct {
+	expect uint64
+	lease  leaser.Lease
+	sentAt time.Time
+}
+
+// Nodes read, write, pause and lose answers in any order, on clocks that do
+// not agree; never do two hold the lease at the same moment, and the fence
+// rises with each change of holder.
+func TestOneHolderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var row leaser.Lease
+		var version uint64
+		now := time.UnixMilli(1_700_000_000_000)
+		nodes := make([]*node, 3)
+		for i := range nodes {
+			name := string(rune('a' + i))
+			nodes[i] = &node{
+				l:      leaser.New(leaser.Config{Holder: name, Lifetime: 3 * time.Second, Margin: time.Second}),
+				offset: time.Duration(rapid.IntRange(-3600, 3600).Draw(t, "offset")) * time.Second,
+			}
+		}
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			clock := now.Add(n.offset)
+			switch rapid.IntRange(0, 5).Draw(t, "act") {
+			case 0:
+				n.paused = !n.paused
+			case 1, 2:
+				if !n.paused {
+					n.l.Observe(clock, version, row)
+				}
+			case 3, 4:
+				if want, due := n.l.Want(clock); due && !n.paused && n.pending == nil {
+					n.pending = &write{expect: n.l.Version(), lease: want, sentAt: clock}
+				}
+			case 5:
+				if n.pending == nil {
+					break
+				}
+				w := n.pending
+				n.pending = nil
+				if w.expect != version {
+					break
+				}
+				require.GreaterOrEqual(t, w.lease.Fence, row.Fence)
+				if w.lease.Holder != row.Holder {
+					require.Greater(t, w.lease.Fence, row.Fence)
+				}
+				version++
+				row = w.lease
+				if rapid.Bool().Draw(t, "answered") && !n.paused {
+					n.l.Won(w.sentAt, version, w.lease)
+				}
+			}
+			holders := 0
+			for _, other := range nodes {
+				if other.l.Holds(now.Add(other.offset)) {
+					holders++
+				}
+			}
+			require.LessOrEqual(t, holders, 1)
+		}
+	})
+}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -10,7 +10,8 @@
 	initialService = 500 * time.Millisecond
 	// serviceGain is the weight of the newest service time in the mean.
 	serviceGain = 0.05
-	// maxQueuePerSlot bounds the queue in multiples of the capacity.
+	// maxQueuePerSlot bounds the queues in multiples of the capacity; each
+	// organisation has its weight's share of that.
 	maxQueuePerSlot = 8
 	// minRetryAfter is the least time that a refused caller is told to wait.
 	minRetryAfter = 100 * time.Millisecond
@@ -100,7 +101,7 @@
 	}
 	wait := l.wait(f, ask.Urgency)
 	slack := ask.Deadline.Sub(now)
-	if l.capacity <= 0 || wait > slack || l.queued >= l.capacity*maxQueuePerSlot {
+	if l.capacity <= 0 || wait > slack || len(f.queue) >= l.room(f) {
 		return Decision{Outcome: Refused, RetryAfter: max(minRetryAfter, wait-slack/2)}
 	}
 	l.last++
@@ -151,14 +152,25 @@
 			ahead++
 		}
 	}
+	slots := float64(max(1, l.capacity)) * l.share(f)
+	return time.Duration(float64(ahead) * float64(l.service) / slots)
+}
+
+// share is what f gets of the capacity beside the others that wait now.
+func (l *Limiter) share(f *flow) float64 {
 	active := f.weight
 	for _, other := range l.flows {
 		if other != f && len(other.queue) > 0 {
 			active += other.weight
 		}
 	}
-	share := float64(max(1, l.capacity)) * f.weight / active
-	return time.Duration(float64(ahead) * float64(l.service) / share)
+	return f.weight / active
+}
+
+// room is how many requests of f may wait. It does not depend on how many of
+// others wait, so that nobody can fill the queue before another comes.
+func (l *Limiter) room(f *flow) int {
+	return max(1, int(float64(l.capacity*maxQueuePerSlot)*l.share(f)))
 }
 
 // Release ends an admitted request of an organisation that took service, and
--- /dev/null
+++ b/pkg/router/router_test.go
@@ -0,0 +1,126 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func fleet(n int) []router.Upstream {
+	list := make([]router.Upstream, 0, n)
+	for i := range n {
+		list = append(list, router.Upstream{
+			ID: fmt.Sprintf("u%d", i), Deployment: "d", Version: "v1", FailureDomain: fmt.Sprintf("z%d", i%4), Slots: 8,
+		})
+	}
+	return list
+}
+
+// Whatever lists say later, in whatever order notices, lists and suspicions
+// come, an upstream with a notice gets nothing new.
+func TestLeavingIsForGood(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := router.New(router.Config{EntryID: "e", Seed: 1})
+		now := start
+		left := map[string]bool{}
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			id := fmt.Sprintf("u%d", rapid.IntRange(0, 5).Draw(t, "id"))
+			switch rapid.IntRange(0, 5).Draw(t, "act") {
+			case 0:
+				r.Replace(now, fleet(rapid.IntRange(0, 6).Draw(t, "listed")))
+			case 1:
+				left[id] = true
+				r.Leave(now, id, time.Minute)
+			case 2:
+				r.Suspect(id, now.Add(time.Second))
+			case 3:
+				r.Fail(now, id)
+			default:
+				ask := router.Ask{Deployment: "d", Prefix: uint64(rapid.IntRange(0, 3).Draw(t, "prefix"))}
+				if u, ok := r.Pick(now, ask); ok {
+					require.False(t, left[u.ID], "picked %s", u.ID)
+				}
+			}
+		}
+	})
+}
+
+func TestSpreadsByFreshCountsAndLateReports(t *testing.T) {
+	r := router.New(router.Config{EntryID: "e", Seed: 1})
+	r.Replace(start, fleet(4))
+	for id, running := range map[string]int{"u0": 8, "u1": 8, "u2": 8} {
+		r.Report(start, id, running, 8)
+	}
+	picked := map[string]int{}
+	for range 60 {
+		u, ok := r.Pick(start, router.Ask{Deployment: "d"})
+		require.True(t, ok)
+		picked[u.ID]++
+	}
+	require.Greater(t, picked["u3"], 20, "the idle upstream wins each draw that it is in")
+	// The report grows old; only the own counts are left.
+	for range 8 {
+		r.Begin("u3")
+	}
+	picked = map[string]int{}
+	for range 60 {
+		u, _ := r.Pick(start.Add(time.Minute), router.Ask{Deployment: "d"})
+		picked[u.ID]++
+	}
+	require.Less(t, picked["u3"], 10)
+}
+
+func TestPrefixStaysWhereItIsUntilTheLoadBound(t *testing.T) {
+	r := router.New(router.Config{EntryID: "e", Seed: 1})
+	r.Replace(start, fleet(8))
+	ask := router.Ask{Deployment: "d", Prefix: 42}
+	home, ok := r.Pick(start, ask)
+	require.True(t, ok)
+	away := 0
+	for range 24 {
+		u, _ := r.Pick(start, ask)
+		if u.ID != home.ID {
+			away++
+		}
+		r.Begin(u.ID)
+	}
+	require.Positive(t, away, "one prefix does not overrun its upstream")
+	require.Less(t, away, 24)
+}
+
+func TestSubsetsAreBoundedAndReachOtherDomains(t *testing.T) {
+	r := router.New(router.Config{EntryID: "e", FailureDomain: "z0", MaxSubset: 16})
+	r.Replace(start, fleet(400))
+	own := 0
+	for _, u := range r.Listed() {
+		if u.FailureDomain == "z0" {
+			own++
+		}
+	}
+	require.Len(t, r.Listed(), 16)
+	require.Equal(t, 12, own)
+}
+
+func TestSuspectsRestUnlessAllAre(t *testing.T) {
+	r := router.New(router.Config{EntryID: "e", Seed: 1})
+	r.Replace(start, fleet(2))
+	for range 3 {
+		r.Fail(start, "u0")
+	}
+	for range 20 {
+		u, _ := r.Pick(start, router.Ask{Deployment: "d"})
+		require.Equal(t, "u1", u.ID)
+	}
+	r.Suspect("u1", start.Add(time.Second))
+	_, ok := r.Pick(start, router.Ask{Deployment: "d"})
+	require.True(t, ok, "when all are suspects, one of them is better than none")
+	require.Equal(t, 16, r.Capacity(start.Add(time.Minute), "d"))
+}
