pkg/mover: hold a move in doubt, and compare all routes together

Each route was compared by itself, with a margin of 2 failures in 100; the ladder went on while the evidence grew; and late first tokens were compared with a mark that nothing moved any more once the present version had no traffic. Ruled out: gossip's delay (one exchange of 0.5 s in the model) and the level of the test, which is the bound on false alarms. Change: a comparison over all routes beside each route's own, a margin of 1 in 100, no climbing while a comparison is in doubt, and only the route's target counts as late while the new version bakes.

--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -75,20 +75,24 @@
 	return c.serve(link.Handler())
 }
 
-// Main runs a stand-in and returns the exit code.
-func Main(args []string) int {
+// Command is a further command of the program.
+type Command struct {
+	Name  string
+	Short string
+	Data  any
+}
+
+// Main runs a stand-in, or one of the further commands, and returns the exit
+// code.
+func Main(args []string, more ...Command) int {
 	parser := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
-	for _, c := range []struct {
-		name  string
-		short string
-		data  any
-	}{
+	for _, c := range append([]Command{
 		{"platform", "the table, the VM list and the cloud's notices", &platformCommand{}},
 		{"engine", "a model engine", &engineCommand{}},
 		{"service", "a plain service", &serviceCommand{}},
 		{"link", "connections between entries that can be cut", &linkCommand{}},
-	} {
-		if _, err := parser.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+	}, more...) {
+		if _, err := parser.AddCommand(c.Name, c.Short, c.Short, c.Data); err != nil {
 			panic(err)
 		}
 	}
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -148,7 +148,7 @@
 		return mover.Policy{}, mover.Evidence{}, false
 	}
 	warm := s.state.router.Live(now, m.Deployment, m.To) > 0
-	return d.Move.Policy(), mover.Evidence{Outcomes: known.outcomes - known.stepOutcomes, Warm: warm}, true
+	return d.Move.Policy(), mover.Evidence{Outcomes: known.outcomes - known.stepOutcomes, Doubt: known.watches.Doubt(), Warm: warm}, true
 }
 
 // writeMove writes a move over the row at a version.
--- a/internal/server/moves.go
+++ b/internal/server/moves.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/messenger"
@@ -14,9 +13,8 @@
 type moveState struct {
 	move     mover.Move
 	inFlight int
-	// watches, own and heard are by route; heard also by entry.
-	watches map[string]*mover.Watch
-	heard   map[evidenceKey]messenger.Evidence
+	watches  mover.Watches
+	heard    map[evidenceKey]messenger.Evidence
 	// outcomes counts the new version's outcomes of all entries heard of, and
 	// stepOutcomes those that had been seen when the step began.
 	outcomes     int
@@ -29,7 +27,7 @@
 }
 
 func newMoveState(m mover.Move) *moveState {
-	return &moveState{move: m, watches: map[string]*mover.Watch{}, heard: map[evidenceKey]messenger.Evidence{}}
+	return &moveState{move: m, heard: map[evidenceKey]messenger.Evidence{}}
 }
 
 // mergeMove takes a state of a move from the platform, a peer or this entry's
@@ -102,7 +100,8 @@
 	version    string
 	failed     bool
 	firstToken time.Duration
-	floor      time.Duration
+	// within is the route's target for the first token.
+	within time.Duration
 }
 
 // observe counts an outcome and takes the move back if the evidence says so.
@@ -115,9 +114,10 @@
 		late = &mover.LateMark{}
 		s.late[o.route] = late
 	}
-	slow := !o.failed && o.firstToken > late.Mark(o.floor)
-	counts := mover.Counts{Outcomes: 1, Failed: boolToInt(o.failed), Slow: boolToInt(slow)}
 	m, ok := s.moves[o.deployment]
+	baking := ok && m.move.State == mover.Baking
+	slow := !o.failed && o.firstToken > late.Mark(mover.LateFloor(o.within, baking))
+	counts := mover.Counts{Outcomes: 1, Failed: boolToInt(o.failed), Slow: boolToInt(slow)}
 	if !ok || !m.move.Open() {
 		if !o.failed {
 			late.Observe(o.firstToken)
@@ -154,17 +154,12 @@
 	}
 	m.heard[key] = evidence
 	m.outcomes += next.Outcomes
-	watch, ok := m.watches[evidence.Route]
-	if !ok {
-		watch = &mover.Watch{}
-		m.watches[evidence.Route] = watch
-	}
-	watch.Feed(present, next)
-	reason := watch.Tripped()
+	m.watches.Feed(evidence.Route, present, next)
+	reason := m.watches.Tripped()
 	if reason == "" || !m.move.Open() {
 		return mover.Move{}, false
 	}
-	back := mover.TakeBack(now, m.move, "system", fmt.Sprintf("%s on route %s", reason, evidence.Route))
+	back := mover.TakeBack(now, m.move, "system", reason)
 	s.mergeMoveLocked(back)
 	return back, true
 }
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -230,7 +230,7 @@
 	}
 	back, tripped := s.state.observe(now, outcome{
 		deployment: r.route.Deployment, route: r.route.Name, version: version,
-		failed: err != nil, firstToken: first, floor: r.route.AnswerWithin() / 4,
+		failed: err != nil, firstToken: first, within: r.route.AnswerWithin(),
 	})
 	if tripped {
 		s.takenBack(back)
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -163,7 +163,7 @@
 	}
 	back, tripped := s.state.observe(s.now(), outcome{
 		deployment: call.route.Deployment, route: call.route.Name, version: version,
-		failed: err != nil, firstToken: s.now().Sub(began), floor: call.route.AnswerWithin() / 4,
+		failed: err != nil, firstToken: s.now().Sub(began), within: call.route.AnswerWithin(),
 	})
 	if tripped {
 		s.takenBack(back)
--- a/pkg/mover/doc.go
+++ b/pkg/mover/doc.go
@@ -10,7 +10,8 @@
 //
 //	share := mover.Share(move, policy)
 //	if mover.Draw(requestID, move, share) { /* new version */ }
-//	watch.Feed(delta); if watch.Tripped() { move = mover.TakeBack(now, move, reason) }
+//	watches.Feed(route, present, next)
+//	if reason := watches.Tripped(); reason != "" { move = mover.TakeBack(now, move, "system", reason) }
 //	next, event := mover.Advance(now, move, evidence, policy)
 //
 // All state is in the caller's hands; nothing here reads a clock.
--- a/pkg/mover/mover.go
+++ b/pkg/mover/mover.go
@@ -199,6 +199,8 @@
 	Outcomes int
 	// Tripped is the reason to take the move back, or empty.
 	Tripped string
+	// Doubt keeps the move on its step.
+	Doubt bool
 	// Warm reports whether the new version has upstreams that take work.
 	Warm bool
 }
@@ -221,7 +223,7 @@
 		}
 		return settle(now, m)
 	}
-	if !e.Warm || !stepOver(now, m, e, p) {
+	if !e.Warm || e.Doubt || !stepOver(now, m, e, p) {
 		return m, ""
 	}
 	return climb(now, m, p)
--- a/pkg/mover/watch.go
+++ b/pkg/mover/watch.go
@@ -10,9 +10,12 @@
 	// tripLevel is the evidence at which a version is called bad: the bound on
 	// false alarms for each outcome seen is its inverse.
 	tripLevel = 1e5
+	// doubtLevel is the evidence at which a version is not trusted with a
+	// larger share until the evidence has gone down again.
+	doubtLevel = 5.0
 	// failureMargin is how much more of its requests the new version may fail
 	// than the present one.
-	failureMargin = 0.02
+	failureMargin = 0.01
 	// slowMargin is the same for late first tokens.
 	slowMargin = 0.08
 	// marginFactor multiplies the present version's rate before the margin.
@@ -26,6 +29,9 @@
 	baselineMemory = 2000.0
 	// slowFactor times the present version's 90th percentile is late.
 	slowFactor = 1.3
+	// floorShare is the share of a route's target below which a first token is
+	// never late.
+	floorShare = 0.25
 	// quantile is the tracked quantile of first-token times.
 	quantile = 0.90
 )
@@ -118,9 +124,60 @@
 	}
 }
 
+// Doubt reports whether the evidence against the new version is too strong for
+// a larger share.
+func (w *Watch) Doubt() bool {
+	return w.failures.level() >= doubtLevel || w.slowness.level() >= doubtLevel
+}
+
 // Tripped returns why the new version is bad, or an empty string.
 func (w *Watch) Tripped() string { return w.trip }
 
+// Watches compare two versions on each route and on all routes together: a
+// fault of one route shows soonest on its own, a slight fault of all of them in
+// their sum. The zero value is useful.
+type Watches struct {
+	all     Watch
+	byRoute map[string]*Watch
+}
+
+// Feed takes outcomes on a route.
+func (w *Watches) Feed(route string, present, next Counts) {
+	if w.byRoute == nil {
+		w.byRoute = map[string]*Watch{}
+	}
+	own, ok := w.byRoute[route]
+	if !ok {
+		own = &Watch{}
+		w.byRoute[route] = own
+	}
+	own.Feed(present, next)
+	w.all.Feed(present, next)
+}
+
+// Tripped returns why the new version is bad, or an empty string.
+func (w *Watches) Tripped() string {
+	for route, own := range w.byRoute {
+		if reason := own.Tripped(); reason != "" {
+			return reason + " on route " + route
+		}
+	}
+	if reason := w.all.Tripped(); reason != "" {
+		return reason + " over all routes"
+	}
+	return ""
+}
+
+// Doubt reports whether any comparison is in doubt of the new version.
+func (w *Watches) Doubt() bool {
+	for _, own := range w.byRoute {
+		if own.Doubt() {
+			return true
+		}
+	}
+	return w.all.Doubt()
+}
+
 // LateMark tracks the first-token time above which an answer counts as late:
 // a factor times the present version's 90th percentile, found by stochastic
 // approximation. The zero value is useful.
@@ -150,3 +207,13 @@
 func (l *LateMark) Mark(floor time.Duration) time.Duration {
 	return max(floor, time.Duration(l.estimate*slowFactor))
 }
+
+// LateFloor returns the least time at which a first token is late on a route
+// with the given target. While the new version bakes, the present one has no
+// traffic to compare with, so only the target itself counts.
+func LateFloor(target time.Duration, baking bool) time.Duration {
+	if baking {
+		return target
+	}
+	return time.Duration(float64(target) * floorShare)
+}
