pkg/router: mix own counts with reports, and keep prefixes off full upstreams

Two random choices saw too little; reports that lag a second were added to counts of another time; and prefixes went on to upstreams without a free slot, where the wait cost more than the cache saved. Change: the lowest of all scores; own counts taken for every entry's, with a weight of 0.3 against the corrected report; a prefix stays only where two slots look free.

--- a/internal/experimenter/routing.go
+++ b/internal/experimenter/routing.go
@@ -79,6 +79,7 @@
 	}
 	for e := range c.entries {
 		c.entries[e] = router.New(router.Config{EntryID: fmt.Sprint(e), Seed: seed})
+		c.entries[e].Share(routingEntries)
 		c.entries[e].Replace(epoch, list)
 	}
 	return c
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -194,6 +194,7 @@
 		return
 	}
 	sharing := s.tracker.Sharing(now)
+	s.router.Share(sharing)
 	for _, d := range s.cfg.Deployments {
 		p := s.pool(d.Name)
 		slots := s.router.Capacity(now, d.Name)
--- a/pkg/router/doc.go
+++ b/pkg/router/doc.go
@@ -2,10 +2,10 @@
 //
 // The idea: an entry's own in-flight counts are fresh, the load that upstreams
 // report is late, and cache events are later still. So the score of an
-// upstream is what others had running there at its last report plus what this
-// entry has there now; requests that share a prompt prefix go to the same
-// upstream, by rendezvous hashing, as long as that one is not loaded above
-// its bound; all others go to the better of two random choices.
+// upstream mixes the own counts, taken to be every entry's, with the last
+// report, corrected by what has changed here since. Requests that share a
+// prompt prefix go to the same upstream, by rendezvous hashing, while it looks
+// to have slots to spare; all others go to the lowest score.
 //
 //	var r router.Router
 //	r.Replace(now, upstreams)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -18,7 +17,13 @@
 	prefixBound = 1.25
 	// prefixSlack is added to the bound, in shares of an upstream's slots, so
 	// that affinity holds at low load.
-	prefixSlack = 0.25
+	prefixSlack = 0.1
+	// prefixSpare is the number of slots that must look free on an upstream
+	// for a prefix to keep going there.
+	prefixSpare = 2
+	// ownWeight is the weight of the own counts, taken to be every entry's,
+	// against the load that the upstream reported.
+	ownWeight = 0.3
 	// remotePenalty is added to the score of an upstream in another failure
 	// domain, in shares of its slots.
 	remotePenalty = 0.30
@@ -94,6 +99,7 @@
 	random  *rand.Rand
 	records map[string]*record
 	groups  map[string][]*record
+	entries int
 }
 
 // New returns a router.
@@ -292,7 +298,7 @@
 	if ask.Prefix != 0 {
 		return r.byPrefix(now, ask, open).Upstream, true
 	}
-	return r.ofTwo(now, open).Upstream, true
+	return r.least(now, open).Upstream, true
 }
 
 func (r *Router) open(now time.Time, ask Ask) []*record {
@@ -323,36 +329,39 @@
 	return rec.state == "live"
 }
 
-func (r *Router) ofTwo(now time.Time, open []*record) *record {
-	first := open[r.random.IntN(len(open))]
-	second := open[r.random.IntN(len(open))]
-	if r.score(now, second) < r.score(now, first) {
-		return second
+// least returns the upstream with the lowest score; a random start breaks ties.
+func (r *Router) least(now time.Time, open []*record) *record {
+	start := r.random.IntN(len(open))
+	best := open[start]
+	bestScore := r.score(now, best)
+	for i := 1; i < len(open); i++ {
+		rec := open[(start+i)%len(open)]
+		if score := r.score(now, rec); score < bestScore {
+			best, bestScore = rec, score
+		}
 	}
-	return first
+	return best
 }
 
 // byPrefix walks the prefix's rendezvous order to the first upstream below
-// the load bound.
+// the load bound. Where none is, the cache is not worth the wait.
 func (r *Router) byPrefix(now time.Time, ask Ask, open []*record) *record {
 	total := 0.0
 	for _, rec := range open {
 		total += r.score(now, rec)
 	}
-	bound := prefixBound*total/float64(len(open)) + prefixSlack
-	var best, any *record
-	var bestRank, anyRank uint64
+	mean := total / float64(len(open))
+	var best *record
+	var bestRank uint64
 	for _, rec := range open {
+		bound := min(prefixBound*mean+prefixSlack, max(0, 1-prefixSpare/float64(rec.slots())))
 		rank := mix(ask.Prefix ^ xxhash.Sum64String(rec.ID))
-		if any == nil || rank > anyRank {
-			any, anyRank = rec, rank
-		}
 		if r.score(now, rec) <= bound && (best == nil || rank > bestRank) {
 			best, bestRank = rec, rank
 		}
 	}
 	if best == nil {
-		return any
+		return r.least(now, open)
 	}
 	return best
 }
@@ -366,32 +375,40 @@
 }
 
 // score is the share of an upstream's slots in use, with penalties for other
-// failure domains and for price.
+// failure domains and for price. What has changed here since the last report
+// is taken to have changed at the other entries too: they saw the same report.
 func (r *Router) score(now time.Time, rec *record) float64 {
-	slots := rec.Slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
 	busy := float64(rec.inFlight)
 	if now.Sub(rec.reported) < reportLifetime {
-		busy += math.Max(0, float64(rec.running-rec.ownAtReport))
+		sharing := float64(r.sharing())
+		told := float64(rec.running) + float64(rec.inFlight-rec.ownAtReport)*sharing
+		busy = max(busy, ownWeight*float64(rec.inFlight)*sharing+(1-ownWeight)*told)
 	}
-	score := busy / float64(slots)
+	score := busy / float64(rec.slots())
 	if r.cfg.FailureDomain != "" && rec.FailureDomain != r.cfg.FailureDomain {
 		score += remotePenalty
 	}
 	return score + pricePenalty*rec.PricePerHour
 }
 
+func (r *Router) sharing() int { return max(1, r.entries) }
+
+// Share tells the router how many entries use the same upstreams.
+func (r *Router) Share(entries int) { r.entries = entries }
+
+// slots returns how many requests an upstream runs at once.
+func (rec *record) slots() int {
+	if rec.Slots > 0 {
+		return rec.Slots
+	}
+	return defaultSlots
+}
+
 // Capacity returns the slots of a deployment's upstreams that take new work.
 func (r *Router) Capacity(now time.Time, deployment string) int {
 	total := 0
 	for _, rec := range r.open(now, Ask{Deployment: deployment}) {
-		if rec.Slots > 0 {
-			total += rec.Slots
-		} else {
-			total += defaultSlots
-		}
+		total += rec.slots()
 	}
 	return total
 }
