--- /dev/null
+++ b/internal/experimenter/admission.go
@@ -0,0 +1,199 @@
+package experimenter
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/galenahitch/galenahitch/pkg/limiter"
+)
+
+const (
+	admissionSlots   = 160
+	admissionService = 2500 * time.Millisecond
+	admissionSigma   = 0.5
+	admissionTime    = 3 * time.Minute
+	admissionWarm    = 20 * time.Second
+)
+
+type admissionOrg struct {
+	name   string
+	weight int
+	demand float64
+}
+
+// The large organisations ask for most; a small one asks for less than its
+// weight's share at any load that is modelled.
+var admissionOrgs = []admissionOrg{
+	{"large-1", 4, 0.45}, {"large-2", 4, 0.35}, {"small-1", 1, 0.1}, {"small-2", 1, 0.07}, {"small-3", 1, 0.03},
+}
+
+type admissionClass struct {
+	name    string
+	share   float64
+	urgency limiter.Urgency
+	within  time.Duration
+}
+
+var admissionClasses = []admissionClass{
+	{"chat", 0.6, limiter.High, 580 * time.Millisecond}, {"tag", 0.3, limiter.Normal, time.Second}, {"review", 0.1, limiter.CanWait, time.Minute},
+}
+
+type admissionResult struct {
+	good    int
+	asked   int
+	late    int
+	refused int
+	byOrg   [5]int
+	askedBy [5]int
+	byClass [3]int
+	waits   []time.Duration
+}
+
+// admissionModel is a pool of slots with or without the limiter.
+type admissionModel struct {
+	timeline
+	limited bool
+	limiter limiter.Limiter
+	waiting map[limiter.Ticket]func(now time.Time, admitted bool)
+	queue   []func(now time.Time)
+	running int
+	result  admissionResult
+}
+
+func simulateAdmission(seed uint64, load float64, limited bool) admissionResult {
+	m := &admissionModel{limited: limited, waiting: map[limiter.Ticket]func(time.Time, bool){}}
+	m.limiter.SetCapacity(admissionSlots)
+	random := newRandom(seed, 0)
+	gap := time.Duration(float64(admissionService) * 1.133 / (load * admissionSlots))
+	var arrive func(now time.Time)
+	arrive = func(now time.Time) {
+		org, class := 0, 0
+		for u := random.Float64(); u > admissionOrgs[org].demand && org < len(admissionOrgs)-1; org++ {
+			u -= admissionOrgs[org].demand
+		}
+		for u := random.Float64(); u > admissionClasses[class].share && class < len(admissionClasses)-1; class++ {
+			u -= admissionClasses[class].share
+		}
+		m.ask(now, org, class, lognormal(random, admissionService, admissionSigma))
+		m.at(now.Add(exponential(random, gap)), arrive)
+	}
+	m.at(epoch, arrive)
+	m.runUntil(epoch.Add(admissionTime))
+	return m.result
+}
+
+func (m *admissionModel) ask(now time.Time, org, class int, service time.Duration) {
+	counted := now.After(epoch.Add(admissionWarm))
+	if counted {
+		m.result.asked++
+		m.result.askedBy[org]++
+	}
+	run := func(started time.Time) {
+		wait := started.Sub(now)
+		switch {
+		case !counted:
+		case wait <= admissionClasses[class].within:
+			m.result.good++
+			m.result.byOrg[org]++
+			m.result.byClass[class]++
+			m.result.waits = append(m.result.waits, wait)
+		default:
+			m.result.late++
+		}
+		m.at(started.Add(service), func(ended time.Time) { m.end(ended, org, service) })
+	}
+	if !m.limited {
+		if m.running < admissionSlots {
+			m.running++
+			run(now)
+		} else {
+			m.queue = append(m.queue, run)
+		}
+		return
+	}
+	d := m.limiter.Offer(now, limiter.Ask{
+		Organisation: admissionOrgs[org].name, Weight: admissionOrgs[org].weight,
+		Urgency: admissionClasses[class].urgency, Deadline: now.Add(admissionClasses[class].within),
+	})
+	switch {
+	case d.Outcome == limiter.Admitted:
+		run(now)
+	case d.Outcome == limiter.Refused && counted:
+		m.result.refused++
+	case d.Outcome == limiter.Queued:
+		m.waiting[d.Ticket] = func(at time.Time, admitted bool) {
+			if admitted {
+				run(at)
+			} else if counted {
+				m.result.refused++
+			}
+		}
+	}
+}
+
+func (m *admissionModel) end(now time.Time, org int, service time.Duration) {
+	if !m.limited {
+		m.running--
+		if len(m.queue) > 0 {
+			next := m.queue[0]
+			m.queue = m.queue[1:]
+			m.running++
+			next(now)
+		}
+		return
+	}
+	granted, expired := m.limiter.Release(now, admissionOrgs[org].name, service)
+	for _, ticket := range granted {
+		m.settle(now, ticket, true)
+	}
+	for _, ticket := range expired {
+		m.settle(now, ticket, false)
+	}
+}
+
+func (m *admissionModel) settle(now time.Time, ticket limiter.Ticket, admitted bool) {
+	told := m.waiting[ticket]
+	delete(m.waiting, ticket)
+	told(now, admitted)
+}
+
+// runAdmission measures what is answered in time below and above capacity.
+func runAdmission(cfg Config) error {
+	rows := [][]string{cells("load|admission|good/s|late/s|refused/s|wait p95|chat good/s|review good/s|least of its share|its organisation")}
+	var bars []bar
+	seconds := (admissionTime - admissionWarm).Seconds()
+	for _, load := range []float64{0.8, 1, 1.5, 3} {
+		for _, limited := range []bool{false, true} {
+			r := simulateAdmission(cfg.Seed, load, limited)
+			name := "none"
+			if limited {
+				name = "limiter"
+			}
+			least, who := leastShare(r)
+			bars = append(bars, bar{label: fmt.Sprintf("%.1f %s", load, name), value: float64(r.good) / seconds})
+			rows = append(rows, cells("%.1f|%s|%.1f|%.1f|%.1f|%s|%.1f|%.1f|%.2f|%s", load, name, float64(r.good)/seconds,
+				float64(r.late)/seconds, float64(r.refused)/seconds, quantile(r.waits, 0.95).Round(time.Millisecond),
+				float64(r.byClass[0])/seconds, float64(r.byClass[2])/seconds, least, who))
+		}
+	}
+	table(cfg.Out, fmt.Sprintf("admission, %d slots, five organisations, seed %d", admissionSlots, cfg.Seed), rows...)
+	return plotBars(cfg, "admission", "answered in time, by load", "requests a second", bars)
+}
+
+// leastShare returns, over the organisations, the least of what was answered
+// in time against what the weight entitles to, or against the demand where
+// that is less.
+func leastShare(r admissionResult) (float64, string) {
+	weights := 0
+	for _, o := range admissionOrgs {
+		weights += o.weight
+	}
+	least, who := 2.0, ""
+	for i, o := range admissionOrgs {
+		entitled := min(float64(r.good)*float64(o.weight)/float64(weights), float64(r.askedBy[i]))
+		if share := float64(r.byOrg[i]) / max(1, entitled); share < least {
+			least, who = share, o.name
+		}
+	}
+	return least, who
+}
--- /dev/null
+++ b/internal/experimenter/fleet.go
@@ -0,0 +1,237 @@
+package experimenter
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/galenahitch/galenahitch/pkg/buyer"
+)
+
+const (
+	fleetStep     = time.Minute
+	fleetTime     = 7 * 24 * time.Hour
+	fleetDomains  = 4
+	fleetStart    = 2 * time.Minute
+	waveEvery     = 9 * time.Hour
+	waveTroubled  = 25 * time.Minute
+	refusedInWave = 0.9
+	onDemandPrice = 1.0
+)
+
+var reclaimablePrices = [fleetDomains]float64{0.28, 0.3, 0.33, 0.4}
+
+type fleetClass struct {
+	domain      int
+	reclaimable bool
+}
+
+// fleetModel is a week of demand, reclaim waves and refused starts.
+type fleetModel struct {
+	random   *rand.Rand
+	live     map[fleetClass]int
+	starting map[fleetClass][]time.Time
+	troubled [fleetDomains]time.Time
+	cost     float64
+	hours    float64
+	short    int
+	steps    int
+	missing  float64
+	reclaims int
+	refused  int
+}
+
+func (m *fleetModel) demand(at time.Duration) int {
+	hour := math.Mod(at.Hours(), 24)
+	return int(12 + 8*math.Max(0, math.Sin((hour-7)/14*math.Pi)) + 1.5*m.random.NormFloat64())
+}
+
+func (m *fleetModel) offers() []buyer.Offer {
+	var list []buyer.Offer
+	for d := range fleetDomains {
+		list = append(list,
+			buyer.Offer{FailureDomain: fmt.Sprint(d), Reclaimable: true, PricePerHour: reclaimablePrices[d]},
+			buyer.Offer{FailureDomain: fmt.Sprint(d), PricePerHour: onDemandPrice})
+	}
+	return list
+}
+
+func (m *fleetModel) holdings() []buyer.Holding {
+	var list []buyer.Holding
+	for d := range fleetDomains {
+		for _, reclaimable := range []bool{true, false} {
+			c := fleetClass{d, reclaimable}
+			list = append(list, buyer.Holding{FailureDomain: fmt.Sprint(d), Reclaimable: reclaimable, VMs: m.live[c] + len(m.starting[c])})
+		}
+	}
+	return list
+}
+
+// arrive turns started VMs into live ones.
+func (m *fleetModel) arrive(now time.Time) {
+	for c, list := range m.starting {
+		var rest []time.Time
+		for _, at := range list {
+			if at.After(now) {
+				rest = append(rest, at)
+			} else {
+				m.live[c]++
+			}
+		}
+		m.starting[c] = rest
+	}
+}
+
+// wave reclaims most of one domain's reclaimable VMs now and then.
+func (m *fleetModel) wave(now time.Time, told func(domain int)) {
+	if m.random.Float64() > fleetStep.Hours()/waveEvery.Hours() {
+		return
+	}
+	d := m.random.IntN(fleetDomains)
+	c := fleetClass{d, true}
+	lost := int(math.Ceil(0.9 * float64(m.live[c])))
+	m.reclaims += lost
+	m.live[c] -= lost
+	m.troubled[d] = now.Add(waveTroubled)
+	told(d)
+}
+
+// start orders VMs; it reports how many starts were refused.
+func (m *fleetModel) start(now time.Time, c fleetClass, n int) int {
+	refused := 0
+	for range n {
+		odds := 0.01
+		if c.reclaimable && now.Before(m.troubled[c.domain]) {
+			odds = refusedInWave
+		}
+		if m.random.Float64() < odds {
+			refused++
+			continue
+		}
+		m.starting[c] = append(m.starting[c], now.Add(fleetStart))
+	}
+	m.refused += refused
+	return refused
+}
+
+func (m *fleetModel) stop(c fleetClass, n int) { m.live[c] = max(0, m.live[c]-n) }
+
+func (m *fleetModel) account(demand int) {
+	total := 0
+	for c, n := range m.live {
+		total += n
+		price := onDemandPrice
+		if c.reclaimable {
+			price = reclaimablePrices[c.domain]
+		}
+		m.cost += price * float64(n+len(m.starting[c])) * fleetStep.Hours()
+	}
+	m.steps++
+	if total < demand {
+		m.short++
+		m.missing += float64(demand-total) / float64(demand)
+	}
+}
+
+// fleetWay decides on orders each minute.
+type fleetWay func(m *fleetModel, now time.Time, demand int)
+
+// bought follows the buyer.
+func bought(policy buyer.Policy) (fleetWay, func(now time.Time, domain int)) {
+	var b buyer.Buyer
+	decide := func(m *fleetModel, now time.Time, demand int) {
+		for _, o := range b.Decide(now, demand, m.holdings(), m.offers(), policy) {
+			var d int
+			_, _ = fmt.Sscan(o.FailureDomain, &d)
+			c := fleetClass{d, o.Reclaimable}
+			if o.Change < 0 {
+				m.stop(c, -o.Change)
+				continue
+			}
+			if m.start(now, c, o.Change) > 0 {
+				b.Refused(now, o.FailureDomain, o.Reclaimable)
+			} else {
+				b.Started(o.FailureDomain, o.Reclaimable)
+			}
+		}
+	}
+	return decide, func(now time.Time, domain int) { b.Reclaimed(now, fmt.Sprint(domain)) }
+}
+
+// fixedMix holds a fixed share of reclaimable VMs, spread evenly, with slack.
+func fixedMix(share, slack float64) (fleetWay, func(time.Time, int)) {
+	return func(m *fleetModel, now time.Time, demand int) {
+		total := float64(demand) * (1 + slack)
+		for d := range fleetDomains {
+			for _, reclaimable := range []bool{true, false} {
+				part := 1 - share
+				if reclaimable {
+					part = share
+				}
+				c := fleetClass{d, reclaimable}
+				want := int(math.Ceil(total * part / fleetDomains))
+				have := m.live[c] + len(m.starting[c])
+				if want > have {
+					m.start(now, c, want-have)
+				} else {
+					m.stop(c, have-want)
+				}
+			}
+		}
+	}, func(time.Time, int) {}
+}
+
+func simulateFleet(seed uint64, way fleetWay, told func(time.Time, int)) *fleetModel {
+	m := &fleetModel{random: newRandom(seed, 0), live: map[fleetClass]int{}, starting: map[fleetClass][]time.Time{}}
+	for at := time.Duration(0); at < fleetTime; at += fleetStep {
+		now := epoch.Add(at)
+		m.arrive(now)
+		demand := m.demand(at)
+		m.wave(now, func(d int) { told(now, d) })
+		if at > 10*time.Minute {
+			m.account(demand)
+		}
+		way(m, now, demand)
+	}
+	return m
+}
+
+// runFleet compares what a week costs and how often it falls short.
+func runFleet(cfg Config) error {
+	rows := [][]string{cells("way|cost|of all on-demand|minutes short|mean missing then|reclaimed|starts refused")}
+	base := 0.0
+	var bars []bar
+	for _, way := range []struct {
+		name string
+		make func() (fleetWay, func(time.Time, int))
+	}{
+		{"all on-demand, 20% slack", func() (fleetWay, func(time.Time, int)) { return fixedMix(0, 0.2) }},
+		{"all on-demand, 45% slack", func() (fleetWay, func(time.Time, int)) { return fixedMix(0, 0.45) }},
+		{"fixed mix, half, 20% slack", func() (fleetWay, func(time.Time, int)) { return fixedMix(0.5, 0.2) }},
+		{"fixed mix, half, 40% slack", func() (fleetWay, func(time.Time, int)) { return fixedMix(0.5, 0.4) }},
+		{"buyer, quiroga's bound 0.7", func() (fleetWay, func(time.Time, int)) {
+			return bought(buyer.Policy{ReclaimableShare: 0.7, Slack: 0.2})
+		}},
+		{"buyer, quiroga's, 10% slack", func() (fleetWay, func(time.Time, int)) {
+			return bought(buyer.Policy{ReclaimableShare: 0.7, Slack: 0.1})
+		}},
+		{"buyer, morsko's bound 0.5", func() (fleetWay, func(time.Time, int)) {
+			return bought(buyer.Policy{ReclaimableShare: 0.5, Slack: 0.2})
+		}},
+		{"buyer, no bound", func() (fleetWay, func(time.Time, int)) {
+			return bought(buyer.Policy{ReclaimableShare: 1, Slack: 0.2})
+		}},
+	} {
+		decide, told := way.make()
+		m := simulateFleet(cfg.Seed, decide, told)
+		if base == 0 {
+			base = m.cost
+		}
+		bars = append(bars, bar{label: way.name, value: m.cost})
+		rows = append(rows, cells("%s|%.0f|%.0f%%|%.2f%%|%.0f%%|%d|%d", way.name, m.cost, 100*m.cost/base,
+			100*float64(m.short)/float64(m.steps), 100*m.missing/float64(max(1, m.short)), m.reclaims, m.refused))
+	}
+	table(cfg.Out, fmt.Sprintf("fleet, a week, %d domains, a wave every %s, seed %d", fleetDomains, waveEvery, cfg.Seed), rows...)
+	return plotBars(cfg, "fleet", "cost of a week", "price units", bars)
+}
--- /dev/null
+++ b/pkg/buyer/buyer.go
@@ -0,0 +1,247 @@
+package buyer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// leastBackoff and mostBackoff bound the time for which a class in a
+	// domain is left out after a refused start.
+	leastBackoff = time.Minute
+	mostBackoff  = 16 * time.Minute
+	// reclaimMemory is how long a domain's reclaim counts against its class.
+	reclaimMemory = 10 * time.Minute
+	// keepSurplus is how long more than is needed is kept.
+	keepSurplus = 10 * time.Minute
+	// freeSurplus is the share above the target that is never given back.
+	freeSurplus = 0.05
+)
+
+// Offer is what a class of VMs costs in a failure domain.
+type Offer struct {
+	FailureDomain string
+	Reclaimable   bool
+	PricePerHour  float64
+}
+
+// Holding is what is held of an offer, VMs that are starting included.
+type Holding struct {
+	FailureDomain string
+	Reclaimable   bool
+	VMs           int
+}
+
+// Policy bounds the mix.
+type Policy struct {
+	// ReclaimableShare is the largest share of reclaimable VMs.
+	ReclaimableShare float64
+	// Slack is the share above the demand that is held in any case.
+	Slack float64
+}
+
+// Order changes what is held of an offer. Change is negative to give back.
+type Order struct {
+	FailureDomain string
+	Reclaimable   bool
+	Change        int
+}
+
+type class struct {
+	domain      string
+	reclaimable bool
+}
+
+type standing struct {
+	backoff time.Duration
+	until   time.Time
+}
+
+// Buyer remembers refusals, reclaims and surpluses. The zero value is useful.
+type Buyer struct {
+	standings map[class]standing
+	surplus   map[class]time.Time
+}
+
+// Refused records that a start was refused.
+func (b *Buyer) Refused(now time.Time, domain string, reclaimable bool) {
+	b.init()
+	key := class{domain, reclaimable}
+	s := b.standings[key]
+	if now.Before(s.until) {
+		return
+	}
+	s.backoff = min(mostBackoff, max(leastBackoff, 2*s.backoff))
+	s.until = now.Add(s.backoff)
+	b.standings[key] = s
+}
+
+// Started records that a start went well.
+func (b *Buyer) Started(domain string, reclaimable bool) {
+	b.init()
+	delete(b.standings, class{domain, reclaimable})
+}
+
+// Reclaimed records that VMs of a domain were reclaimed.
+func (b *Buyer) Reclaimed(now time.Time, domain string) {
+	b.init()
+	key := class{domain, true}
+	s := b.standings[key]
+	if until := now.Add(reclaimMemory); until.After(s.until) {
+		s.until = until
+	}
+	b.standings[key] = s
+}
+
+func (b *Buyer) init() {
+	if b.standings == nil {
+		b.standings = map[class]standing{}
+		b.surplus = map[class]time.Time{}
+	}
+}
+
+func (b *Buyer) open(now time.Time, o Offer) bool {
+	return !now.Before(b.standings[class{o.FailureDomain, o.Reclaimable}].until)
+}
+
+// Decide returns the orders that bring the holdings to the cheapest mix that
+// carries demand VMs after the loss of a domain's reclaimable VMs.
+func (b *Buyer) Decide(now time.Time, demand int, holdings []Holding, offers []Offer, p Policy) []Order {
+	b.init()
+	var open []Offer
+	for _, o := range offers {
+		if b.open(now, o) {
+			open = append(open, o)
+		}
+	}
+	target := Mix(int(math.Ceil(float64(demand)*(1+p.Slack))), held(holdings), open, p)
+	var orders []Order
+	for _, o := range offers {
+		key := class{o.FailureDomain, o.Reclaimable}
+		change := target[key] - held(holdings)[key]
+		if change < 0 {
+			change = b.giveBack(now, key, change, target[key])
+		} else {
+			delete(b.surplus, key)
+		}
+		if change > 0 && !b.open(now, o) {
+			change = 0
+		}
+		if change != 0 {
+			orders = append(orders, Order{FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable, Change: change})
+		}
+	}
+	return orders
+}
+
+// giveBack returns the change for a surplus: none until it has lasted.
+func (b *Buyer) giveBack(now time.Time, key class, change, target int) int {
+	since, known := b.surplus[key]
+	if !known {
+		b.surplus[key] = now
+		return 0
+	}
+	free := int(freeSurplus * float64(target))
+	if now.Sub(since) < keepSurplus || -change <= free {
+		return 0
+	}
+	return change + free
+}
+
+func held(holdings []Holding) map[class]int {
+	count := map[class]int{}
+	for _, h := range holdings {
+		count[class{h.FailureDomain, h.Reclaimable}] += h.VMs
+	}
+	return count
+}
+
+// Mix returns the cheapest numbers of VMs that leave needed of them after the
+// loss of any one domain's reclaimable VMs. VMs that are held in classes that
+// are not on offer now count, but no more of them are wanted.
+func Mix(needed int, have map[class]int, offers []Offer, p Policy) map[class]int {
+	var reclaimable, lasting []Offer
+	for _, o := range offers {
+		if o.Reclaimable {
+			reclaimable = append(reclaimable, o)
+		} else {
+			lasting = append(lasting, o)
+		}
+	}
+	byPrice := func(a, b Offer) int { return cmp.Compare(a.PricePerHour, b.PricePerHour) }
+	slices.SortStableFunc(reclaimable, byPrice)
+	slices.SortStableFunc(lasting, byPrice)
+	kept, keptMost := notOffered(have, offers)
+	best, bestCost := map[class]int{}, math.Inf(1)
+	for domains := 0; domains <= len(reclaimable); domains++ {
+		for each := 0; each <= needed; each++ {
+			if domains == 0 && each > 0 || domains > 0 && each == 0 {
+				continue
+			}
+			total := domains*each + kept
+			surviving := total - max(keptMost, boolTimes(domains > 0, each))
+			rest := max(0, needed-surviving)
+			if float64(total) > p.ReclaimableShare*float64(total+rest) && total > kept {
+				continue
+			}
+			if rest > 0 && len(lasting) == 0 {
+				continue
+			}
+			mix, cost := price(reclaimable[:domains], each, lasting, rest)
+			if cost < bestCost {
+				best, bestCost = mix, cost
+			}
+		}
+	}
+	for key, n := range have {
+		if _, wanted := best[key]; !wanted && !offered(key, offers) {
+			best[key] = n
+		}
+	}
+	return best
+}
+
+func boolTimes(b bool, n int) int {
+	if b {
+		return n
+	}
+	return 0
+}
+
+func offered(key class, offers []Offer) bool {
+	return slices.ContainsFunc(offers, func(o Offer) bool { return o.FailureDomain == key.domain && o.Reclaimable == key.reclaimable })
+}
+
+// notOffered counts the reclaimable VMs held in domains that are left out, and
+// the most of them in one domain.
+func notOffered(have map[class]int, offers []Offer) (total, most int) {
+	for key, n := range have {
+		if key.reclaimable && !offered(key, offers) {
+			total += n
+			most = max(most, n)
+		}
+	}
+	return total, most
+}
+
+// price spreads the lasting VMs over their domains and adds up the costs.
+func price(reclaimable []Offer, each int, lasting []Offer, rest int) (map[class]int, float64) {
+	mix, cost := map[class]int{}, 0.0
+	for _, o := range reclaimable {
+		mix[class{o.FailureDomain, true}] = each
+		cost += float64(each) * o.PricePerHour
+	}
+	for i, o := range lasting {
+		n := rest / len(lasting)
+		if i < rest%len(lasting) {
+			n++
+		}
+		if n > 0 {
+			mix[class{o.FailureDomain, false}] = n
+			cost += float64(n) * o.PricePerHour
+		}
+	}
+	return mix, cost
+}
--- /dev/null
+++ b/pkg/buyer/buyer_test.go
@@ -0,0 +1,95 @@
+package buyer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenahitch/galenahitch/internal/seeder"
+	"github.com/galenahitch/galenahitch/pkg/buyer"
+)
+
+func TestMain(m *testing.M) { seeder.Main(m) }
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func offers(domains int) []buyer.Offer {
+	var list []buyer.Offer
+	for d := range domains {
+		list = append(list,
+			buyer.Offer{FailureDomain: fmt.Sprint(d), Reclaimable: true, PricePerHour: 0.3},
+			buyer.Offer{FailureDomain: fmt.Sprint(d), PricePerHour: 1})
+	}
+	return list
+}
+
+// After any decision is carried out, the loss of one domain's reclaimable VMs
+// leaves enough, and the share of reclaimable VMs is within its bound.
+func TestSurvivesTheLossOfADomain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b buyer.Buyer
+		domains := rapid.IntRange(1, 6).Draw(t, "domains")
+		demand := rapid.IntRange(0, 60).Draw(t, "demand")
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		for d := range domains {
+			if rapid.Bool().Draw(t, "refused") {
+				b.Refused(start, fmt.Sprint(d), true)
+			}
+		}
+		total, reclaimable := 0, 0
+		byDomain := map[string]int{}
+		for _, o := range b.Decide(start, demand, nil, offers(domains), buyer.Policy{ReclaimableShare: share}) {
+			require.Positive(t, o.Change)
+			total += o.Change
+			if o.Reclaimable {
+				reclaimable += o.Change
+				byDomain[o.FailureDomain] += o.Change
+			}
+		}
+		for _, lost := range byDomain {
+			require.GreaterOrEqual(t, total-lost, demand)
+		}
+		require.GreaterOrEqual(t, total, demand)
+		require.LessOrEqual(t, float64(reclaimable), share*float64(total)+1e-9)
+	})
+}
+
+func TestPrefersTheCheapMix(t *testing.T) {
+	cost := func(orders []buyer.Order) float64 {
+		sum := 0.0
+		for _, o := range orders {
+			if o.Reclaimable {
+				sum += 0.3 * float64(o.Change)
+			} else {
+				sum += float64(o.Change)
+			}
+		}
+		return sum
+	}
+	var b buyer.Buyer
+	orders := b.Decide(start, 30, nil, offers(4), buyer.Policy{ReclaimableShare: 1})
+	require.InDelta(t, 12, cost(orders), 0.01, "four times ten, of which three times ten must last")
+}
+
+func TestRefusalsBackOffAndSurplusIsKeptForAWhile(t *testing.T) {
+	var b buyer.Buyer
+	policy := buyer.Policy{ReclaimableShare: 1}
+	b.Refused(start, "0", true)
+	for _, o := range b.Decide(start, 12, nil, offers(4), policy) {
+		require.False(t, o.Reclaimable && o.FailureDomain == "0")
+	}
+	held := []buyer.Holding{{FailureDomain: "1", VMs: 50}}
+	for _, o := range b.Decide(start.Add(2*time.Minute), 12, held, offers(4), policy) {
+		require.Positive(t, o.Change)
+	}
+	gave := 0
+	for _, o := range b.Decide(start.Add(13*time.Minute), 12, held, offers(4), policy) {
+		if o.Change < 0 {
+			gave -= o.Change
+		}
+	}
+	require.Equal(t, 50, gave)
+}
