--- a/internal/experimenter/fleet.go
+++ b/internal/experimenter/fleet.go
@@ -34,7 +34,6 @@
 	starting map[fleetClass][]time.Time
 	troubled [fleetDomains]time.Time
 	cost     float64
-	hours    float64
 	short    int
 	steps    int
 	missing  float64
--- a/internal/experimenter/routing.go
+++ b/internal/experimenter/routing.go
@@ -93,8 +93,11 @@
 	u, _ := c.entries[entry].Pick(now, ask)
 	return c.index[u.ID]
 }
+
 func (c *routed) begin(entry, engine int) { c.entries[entry].Begin(fmt.Sprintf("engine-%02d", engine)) }
-func (c *routed) end(entry, engine int)   { c.entries[entry].End(fmt.Sprintf("engine-%02d", engine)) }
+
+func (c *routed) end(entry, engine int) { c.entries[entry].End(fmt.Sprintf("engine-%02d", engine)) }
+
 func (c *routed) report(now time.Time, engine, running int) {
 	for _, entry := range c.entries {
 		entry.Report(now, fmt.Sprintf("engine-%02d", engine), running, routingSlots)
