internal/server: blame no upstream for callers that hang up

Cause: found in a heap profile of open streams, where ended streams had implicated their upstream. An attempt that the caller or this entry ended counted as the upstream's failure: three in a row rested a healthy upstream, and counted against a version that was being moved to. Ruled out: the probe's answer, which was right. Change: an attempt whose own context was cancelled says nothing. The new test fails without it. Also: silence is judged by the stream's own pace, and a slow upstream is asked more and more rarely; 5,000 streams with 5 s between tokens had caused some 3,000 probes a second. The stand-ins gain an open-loop load generator, the entry its memory as a metric.

--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -91,6 +91,7 @@
 		{"engine", "a model engine", &engineCommand{}},
 		{"service", "a plain service", &serviceCommand{}},
 		{"link", "connections between entries that can be cut", &linkCommand{}},
+		{"load", "an open-loop load on an entry", &loadCommand{}},
 	}, more...) {
 		if _, err := parser.AddCommand(c.Name, c.Short, c.Short, c.Data); err != nil {
 			panic(err)
--- a/internal/emulator/journal.go
+++ b/internal/emulator/journal.go
@@ -10,12 +10,22 @@
 type journal struct {
 	guard sync.Mutex
 	runs  []Run
+	index map[attemptKey]int
+}
+
+type attemptKey struct {
+	id      string
+	attempt int
 }
 
 func (j *journal) add(run Run) int {
 	j.guard.Lock()
 	defer j.guard.Unlock()
+	if j.index == nil {
+		j.index = map[attemptKey]int{}
+	}
 	j.runs = append(j.runs, run)
+	j.index[attemptKey{run.RequestID, run.Attempt}] = len(j.runs) - 1
 	return len(j.runs) - 1
 }
 
@@ -36,12 +46,11 @@
 func (j *journal) find(id string, attempt int) (Run, bool) {
 	j.guard.Lock()
 	defer j.guard.Unlock()
-	for _, run := range j.runs {
-		if run.RequestID == id && run.Attempt == attempt {
-			return run, true
-		}
+	at, ok := j.index[attemptKey{id, attempt}]
+	if !ok {
+		return Run{}, false
 	}
-	return Run{}, false
+	return j.runs[at], true
 }
 
 func (j *journal) mount(mux *http.ServeMux) {
--- /dev/null
+++ b/internal/emulator/load.go
@@ -0,0 +1,222 @@
+package emulator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	longestMeasured = int64(time.Minute / time.Microsecond)
+	histogramDigits = 3
+	loadTimeout     = 5 * time.Minute
+)
+
+// loadCommand sends requests at a fixed rate, whatever becomes of earlier
+// ones, to an entry and, in the same run, straight to an engine.
+type loadCommand struct {
+	Entry    string        `long:"entry" required:"yes" description:"the entry's address for callers, http://ip:port"`
+	Direct   string        `long:"direct" description:"an engine's address to compare with, http://ip:port"`
+	Token    string        `long:"token" default:"demo-mercado-sol" description:"the callers' bearer token"`
+	Route    string        `long:"route" default:"chat-answer" description:"the model to ask"`
+	Rate     float64       `long:"rate" default:"50" description:"requests a second to each"`
+	Duration time.Duration `long:"duration" default:"10s" description:"how long requests start"`
+	Tokens   int           `long:"tokens" default:"50" description:"tokens of each answer"`
+	Open     int           `long:"open" description:"instead: open that many streams and report the entry's memory"`
+	Admin    string        `long:"admin" description:"the entry's address for operators, for --open"`
+}
+
+// side is one of the two ways that are compared.
+type side struct {
+	name   string
+	base   string
+	mu     sync.Mutex
+	first  *hdrhistogram.Histogram
+	each   *hdrhistogram.Histogram
+	done   atomic.Int64
+	failed atomic.Int64
+	tokens atomic.Int64
+}
+
+func newSide(name, base string) *side {
+	return &side{
+		name: name, base: base,
+		first: hdrhistogram.New(1, longestMeasured, histogramDigits),
+		each:  hdrhistogram.New(1, longestMeasured, histogramDigits),
+	}
+}
+
+// Execute sends the load and prints what was measured.
+func (c *loadCommand) Execute([]string) error {
+	client := &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 10000, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}}
+	if c.Open > 0 {
+		return c.openStreams(client)
+	}
+	sides := []*side{newSide("entry", c.Entry)}
+	if c.Direct != "" {
+		sides = append(sides, newSide("direct", c.Direct))
+	}
+	var wait sync.WaitGroup
+	began := time.Now()
+	gap := time.Duration(float64(time.Second) / c.Rate)
+	ticker := time.NewTicker(gap)
+	defer ticker.Stop()
+	for n := 0; time.Since(began) < c.Duration; n++ {
+		<-ticker.C
+		for _, s := range sides {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				c.stream(client, s, n)
+			}()
+		}
+	}
+	wait.Wait()
+	report(os.Stdout, sides, time.Since(began))
+	return nil
+}
+
+func (c *loadCommand) request(base string, n, tokens int) (*http.Request, error) {
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"question %d of the load"}],"stream":true,"max_tokens":%d}`, c.Route, n, tokens)
+	req, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	req.Header.Set("X-Request-Id", strconv.Itoa(n))
+	return req, nil
+}
+
+func (c *loadCommand) stream(client *http.Client, s *side, n int) {
+	req, err := c.request(s.base, n, c.Tokens)
+	if err != nil {
+		s.failed.Add(1)
+		return
+	}
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		s.failed.Add(1)
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		s.failed.Add(1)
+		return
+	}
+	s.read(resp.Body, began)
+}
+
+// read measures the times of an answer's parts.
+func (s *side) read(body io.Reader, began time.Time) {
+	last := began
+	parts := 0
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		if !bytes.HasPrefix(lines.Bytes(), []byte("data: {")) {
+			continue
+		}
+		now := time.Now()
+		parts++
+		s.mu.Lock()
+		if parts == 1 {
+			_ = s.first.RecordValue(max(1, now.Sub(began).Microseconds()))
+		} else {
+			_ = s.each.RecordValue(max(1, now.Sub(last).Microseconds()))
+		}
+		s.mu.Unlock()
+		last = now
+	}
+	s.tokens.Add(int64(parts))
+	if lines.Err() != nil || parts == 0 {
+		s.failed.Add(1)
+		return
+	}
+	s.done.Add(1)
+}
+
+func report(out io.Writer, sides []*side, took time.Duration) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "to\tdone\tfailed\trequests/s\ttokens/s\tfirst p50 us\tfirst p95 us\tfirst p99 us\tbetween p50 us\tbetween p95 us")
+	for _, s := range sides {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t%d\n", s.name, s.done.Load(), s.failed.Load(),
+			float64(s.done.Load())/took.Seconds(), float64(s.tokens.Load())/took.Seconds(),
+			s.first.ValueAtQuantile(50), s.first.ValueAtQuantile(95), s.first.ValueAtQuantile(99),
+			s.each.ValueAtQuantile(50), s.each.ValueAtQuantile(95))
+	}
+	_ = w.Flush()
+}
+
+// openStreams opens streams, holds them and reports the entry's memory before
+// and with them.
+func (c *loadCommand) openStreams(client *http.Client) error {
+	before, err := c.memory(client)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var opened sync.WaitGroup
+	var refused atomic.Int64
+	limit := make(chan struct{}, 64)
+	for n := range c.Open {
+		opened.Add(1)
+		limit <- struct{}{}
+		go func() {
+			req, err := c.request(c.Entry, n, 10000)
+			if err == nil {
+				var resp *http.Response
+				resp, err = client.Do(req.WithContext(ctx))
+				if err == nil && resp.StatusCode != http.StatusOK {
+					err = io.ErrUnexpectedEOF
+				}
+				if err == nil {
+					_, err = resp.Body.Read(make([]byte, 1))
+				}
+			}
+			if err != nil {
+				refused.Add(1)
+			}
+			<-limit
+			opened.Done()
+			<-ctx.Done()
+		}()
+	}
+	opened.Wait()
+	with, err := c.memory(client)
+	if err != nil {
+		return err
+	}
+	open := int64(c.Open) - refused.Load()
+	fmt.Printf("open=%d refused=%d memory_before=%d memory_with=%d bytes_a_stream=%d\n", open, refused.Load(), before, with, (with-before)/max(1, open))
+	return nil
+}
+
+// memory reads the entry's resident memory after a collection.
+func (c *loadCommand) memory(client *http.Client) (int64, error) {
+	resp, err := client.Get(c.Admin + "/metrics?collect=1")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), "memory_bytes "); ok {
+			return strconv.ParseInt(value, 10, 64)
+		}
+	}
+	return 0, io.ErrUnexpectedEOF
+}
--- a/internal/server/callers_test.go
+++ b/internal/server/callers_test.go
@@ -20,6 +20,7 @@
 	"github.com/galenahitch/galenahitch/internal/emulator"
 	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/planner"
 	"github.com/galenahitch/galenahitch/pkg/tracker"
 )
@@ -200,3 +201,31 @@
 	r.housekeep(context.Background())
 	require.Eventually(t, func() bool { return len(r.runs.open()) == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// Callers that hang up say nothing about their upstream: it stays live, and a
+// version that is being moved to is not blamed.
+func TestHangUpsBlameNoUpstream(t *testing.T) {
+	r := newRig(t, emulator.EngineConfig{Version: "v1", Slots: 100, EachToken: time.Millisecond})
+	r.state.mergeMove(mover.Start(time.Now(), mover.Move{ID: "m", Epoch: 1, Deployment: "m", From: "v0", To: "v1"}, "ana", time.Minute))
+	for i := range 10 {
+		req, err := http.NewRequest(http.MethodPost, r.callers.URL+"/v1/chat/completions",
+			strings.NewReader(fmt.Sprintf(`{"model":"ask","messages":[{"content":"%d"}],"max_tokens":30000,"stream":true}`, i)))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer caller")
+		r.state.moves["m"].move.Step = 4
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		_, err = resp.Body.Read(make([]byte, 1))
+		require.NoError(t, err)
+		for _, open := range r.runs.open() {
+			open.cancel()
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	for _, status := range r.state.router.Statuses() {
+		require.EqualValues(t, "live", status.State, status.ID)
+	}
+	require.Zero(t, r.state.moves["m"].outcomes)
+	require.EqualValues(t, mover.Moving, r.state.moves["m"].move.State)
+}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime"
+	"runtime/debug"
+	runtimemetrics "runtime/metrics"
 	"sort"
 	"strings"
 	"time"
@@ -10,6 +13,12 @@
 	"github.com/rcrowley/go-metrics"
 )
 
+// The runtime's names of what the process holds and of what it has given back.
+const (
+	memoryTotal    = "/memory/classes/total:bytes"
+	memoryReleased = "/memory/classes/heap/released:bytes"
+)
+
 // sampleSize and sampleAlpha are those of the first-token histogram.
 const (
 	sampleSize  = 1028
@@ -64,6 +73,11 @@
 
 // gauges fits the gauges to the present state.
 func (s *Server) gauges() {
+	samples := []runtimemetrics.Sample{{Name: memoryTotal}, {Name: memoryReleased}}
+	runtimemetrics.Read(samples)
+	s.metrics.gauge("memory_bytes", int64(samples[0].Value.Uint64()-samples[1].Value.Uint64()))
+	s.metrics.gauge("goroutines", int64(runtime.NumGoroutine()))
+	s.metrics.gauge("open_runs", int64(len(s.runs.open())))
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	s.metrics.gauge("generation", int64(s.state.generationLocked()))
@@ -76,7 +90,12 @@
 	}
 }
 
-func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+// serveMetrics prints the metrics. With ?collect=1 memory is collected first,
+// so that what is left is in use.
+func (s *Server) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("collect") != "" {
+		debug.FreeOSMemory()
+	}
 	s.gauges()
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	_, _ = w.Write([]byte(s.metrics.text()))
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
@@ -15,7 +16,7 @@
 
 const (
 	// firstStall is the longest wait for a first token before the upstream is
-	// asked about it; laterStall the same between tokens.
+	// asked about it; laterStall the least such wait between tokens.
 	firstStall = 2 * time.Second
 	laterStall = 1500 * time.Millisecond
 	// suspectTime keeps new work from an upstream that did not answer a probe.
@@ -168,7 +169,7 @@
 		RequestID: r.id, Number: number, Route: r.route.Name, Body: r.body, From: from, Sent: sent, KV: kv,
 	})
 	if err != nil {
-		s.observe(r, version, err, 0)
+		s.observe(parent, r, version, err, 0)
 		return guard.explain(err)
 	}
 	defer stream.Close()
@@ -176,21 +177,22 @@
 	for {
 		part, err := stream.Next()
 		if err != nil {
-			s.observe(r, version, err, first)
+			s.observe(parent, r, version, err, first)
 			return guard.explain(err)
 		}
+		now := s.now()
 		if first == 0 {
-			first = s.now().Sub(began)
+			first = now.Sub(began)
 			s.metrics.firstToken(first)
 		}
-		guard.progress(part.Offset + 1)
+		guard.progress(now, part.Offset+1)
 		r.step("part")
 		r.buffer.Append(part.Text)
 		if part.Offset-from >= soloParts {
 			s.endSolo(r)
 		}
 		if part.Done || part.Offset+1 >= r.maxTokens {
-			s.observe(r, version, nil, first)
+			s.observe(parent, r, version, nil, first)
 			return nil
 		}
 	}
@@ -220,8 +222,8 @@
 
 // observe tells the comparison of versions how an attempt went. Attempts that
 // this entry ended itself say nothing about the version.
-func (s *Server) observe(r *request, version string, err error, first time.Duration) {
-	if err != nil && r.interrupted() {
+func (s *Server) observe(ctx context.Context, r *request, version string, err error, first time.Duration) {
+	if err != nil && (r.interrupted() || abandoned(ctx)) {
 		return
 	}
 	now := s.now()
@@ -243,6 +245,10 @@
 	return r.order != nil
 }
 
+// abandoned reports whether a request was ended by its caller or by this entry,
+// which says nothing about the upstream that it was on.
+func abandoned(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
 // excused reports whether a failure on an upstream is explained by a reclaim.
 func (s *Server) excused(target dispatcher.Target) bool {
 	s.state.mu.Lock()
@@ -261,6 +267,10 @@
 // after decides what follows a failed attempt. It returns false if the run is
 // over.
 func (s *Server) after(ctx context.Context, r *request, target dispatcher.Target, cause error) bool {
+	if abandoned(ctx) {
+		s.giveUp(ctx, r, judge.Refuse(judge.CodeDeadline, judge.MayHaveRun, "the request was ended"))
+		return false
+	}
 	now := s.now()
 	announced := s.excused(target)
 	died := !announced && s.investigate(ctx, r, target, cause)
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -113,6 +113,9 @@
 			s.succeedCall(call, target)
 			return reply, nil
 		}
+		if abandoned(ctx) {
+			return dispatcher.Reply{}, judge.Refuse(judge.CodeDeadline, judge.Of(err), "the request was ended")
+		}
 		decision := s.afterCall(ctx, call, target, err)
 		if !decision.Retry {
 			return dispatcher.Reply{}, judge.Refuse(decision.Code, judge.Of(err), err.Error()).After(decision.RetryAfter)
@@ -158,7 +161,7 @@
 	if err != nil {
 		call.failedOn = version
 	}
-	if err != nil && s.excused(target) {
+	if err != nil && (s.excused(target) || abandoned(ctx)) {
 		return reply, err
 	}
 	back, tripped := s.state.observe(s.now(), outcome{
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -24,26 +24,44 @@
 	mu      sync.Mutex
 	from    int
 	offset  int
+	last    time.Time
+	gap     time.Duration
+	stall   time.Duration
 	stopped bool
 	reason  error
 }
 
+const (
+	// gapGain is the weight of the newest gap between parts in the mean.
+	gapGain = 0.2
+	// stallGaps is the number of mean gaps after which silence is odd.
+	stallGaps = 8
+	// mostStall bounds the time until a silent upstream is asked.
+	mostStall = 15 * time.Second
+)
+
 func (s *Server) watchdog(ctx context.Context, r *request, target dispatcher.Target, number, from int) *watchdog {
 	w := &watchdog{s: s, r: r, target: target, number: number, from: from, offset: from}
 	r.mu.Lock()
 	w.cancel = r.interval
 	r.mu.Unlock()
+	w.last = s.now()
+	w.stall = laterStall
 	w.timer = time.AfterFunc(firstStall, func() { w.bark(ctx) })
 	return w
 }
 
-// progress records that parts up to offset have arrived.
-func (w *watchdog) progress(offset int) {
+// progress records that parts up to offset have arrived. The time that silence
+// may last follows the stream's own pace.
+func (w *watchdog) progress(now time.Time, offset int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.gap += time.Duration(gapGain * float64(now.Sub(w.last)-w.gap))
+	w.last = now
 	w.offset = offset
+	w.stall = min(mostStall, max(laterStall, stallGaps*w.gap))
 	if !w.stopped {
-		w.timer.Reset(laterStall)
+		w.timer.Reset(w.stall)
 	}
 }
 
@@ -77,7 +95,9 @@
 		w.reason = judge.Mark(judge.MayHaveRun, "the connection to %s went silent", w.target.ID)
 		w.s.metrics.count("silent_connections")
 	default:
-		w.timer.Reset(laterStall)
+		// It is slow, not silent: ask again, but more rarely each time.
+		w.stall = min(mostStall, 2*w.stall)
+		w.timer.Reset(w.stall)
 		return
 	}
 	w.cancel()
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -66,6 +66,14 @@
 type Tracker struct {
 	cfg     Config
 	members map[string]*record
+	// domains lists the members by failure domain, each list by id. It is made
+	// anew when the members change.
+	domains []domain
+}
+
+type domain struct {
+	name    string
+	members []Member
 }
 
 // New returns a tracker that knows only its own member.
@@ -84,6 +92,7 @@
 	for id, rec := range t.members {
 		if !rec.listed && now.Sub(rec.lastSign()) > forgetAfter {
 			delete(t.members, id)
+			t.domains = nil
 		}
 	}
 }
@@ -100,7 +109,10 @@
 		rec = &record{firstSeen: now}
 		t.members[m.ID] = rec
 	}
-	rec.Member = m
+	if rec.Member != m {
+		rec.Member = m
+		t.domains = nil
+	}
 	return rec
 }
 
@@ -157,29 +169,38 @@
 // Round returns the peers of the next exchange: a few of the own failure
 // domain and one of each other domain.
 func (t *Tracker) Round(random *rand.Rand) []Member {
-	byDomain := map[string][]Member{}
-	for _, rec := range t.members {
-		byDomain[rec.FailureDomain] = append(byDomain[rec.FailureDomain], rec.Member)
-	}
-	domains := make([]string, 0, len(byDomain))
-	for domain := range byDomain {
-		domains = append(domains, domain)
+	if t.domains == nil {
+		t.arrange()
 	}
-	slices.Sort(domains)
 	var round []Member
-	for _, domain := range domains {
-		members := byDomain[domain]
-		slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
-		random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	for _, d := range t.domains {
 		fanout := 1
-		if domain == t.cfg.Self.FailureDomain {
+		if d.name == t.cfg.Self.FailureDomain {
 			fanout = localFanout
 		}
-		round = append(round, members[:min(fanout, len(members))]...)
+		for at := range min(fanout, len(d.members)) {
+			// A partial shuffle: the first members become a random choice.
+			other := at + random.IntN(len(d.members)-at)
+			d.members[at], d.members[other] = d.members[other], d.members[at]
+			round = append(round, d.members[at])
+		}
 	}
 	return round
 }
 
+func (t *Tracker) arrange() {
+	byDomain := map[string][]Member{}
+	for _, rec := range t.members {
+		byDomain[rec.FailureDomain] = append(byDomain[rec.FailureDomain], rec.Member)
+	}
+	t.domains = []domain{}
+	for name, members := range byDomain {
+		slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+		t.domains = append(t.domains, domain{name: name, members: members})
+	}
+	slices.SortFunc(t.domains, func(a, b domain) int { return strings.Compare(a.name, b.name) })
+}
+
 // Near returns up to n members in the rendezvous order of key, those that are
 // in reach and not leaving before others.
 func (t *Tracker) Near(now time.Time, key string, n int) []Member {
