--- /dev/null
+++ b/internal/experimenter/capacity.go
@@ -0,0 +1,258 @@
+package experimenter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+	"github.com/galenahitch/galenahitch/pkg/limiter"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/router"
+	"github.com/galenahitch/galenahitch/pkg/tracker"
+)
+
+const (
+	capacityDomains = 10
+	capacityWorkers = 9.4 // workers for each node at the letter's size
+	measureAtLeast  = 100 * time.Millisecond
+)
+
+// cost is the time and the memory that something takes.
+type cost struct {
+	each  time.Duration
+	bytes uint64
+}
+
+// timeOf returns the mean time of one call.
+func timeOf(call func()) time.Duration {
+	call()
+	n := 1
+	for {
+		began := time.Now()
+		for range n {
+			call()
+		}
+		if took := time.Since(began); took >= measureAtLeast {
+			return took / time.Duration(n)
+		}
+		n *= 2
+	}
+}
+
+// bytesOf returns the heap that what make returns holds.
+func bytesOf(make func() any) uint64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := make()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return after.HeapAlloc - min(before.HeapAlloc, after.HeapAlloc)
+}
+
+func members(n int) []tracker.Member {
+	list := make([]tracker.Member, 0, n)
+	for i := range n {
+		list = append(list, tracker.Member{
+			ID: fmt.Sprintf("entry-%05d", i), Address: fmt.Sprintf("10.%d.%d.%d:8082", i>>16, i>>8&255, i&255),
+			FailureDomain: fmt.Sprintf("domain-%d", i%capacityDomains),
+		})
+	}
+	return list
+}
+
+func upstreams(n int) []router.Upstream {
+	list := make([]router.Upstream, 0, n)
+	for i := range n {
+		list = append(list, router.Upstream{
+			ID: fmt.Sprintf("worker-%06d", i), Address: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255),
+			Deployment: "d", Version: "v1", FailureDomain: fmt.Sprintf("domain-%d", i%capacityDomains), Slots: 64,
+		})
+	}
+	return list
+}
+
+// membershipCost measures the view of n entries: its memory, one round's
+// choice of peers and the hearing of one exchange.
+func membershipCost(n int) (view cost, round, heard time.Duration) {
+	list := members(n)
+	make := func() any {
+		t := tracker.New(tracker.Config{Self: list[0]})
+		t.List(epoch, list)
+		t.Round(newRandom(1, 1))
+		return t
+	}
+	view.bytes = bytesOf(make)
+	t := make().(*tracker.Tracker)
+	random := newRandom(1, 1)
+	view.each = timeOf(func() { t.List(epoch, list) })
+	round = timeOf(func() { t.Round(random) })
+	heard = timeOf(func() { t.Heard(epoch, list[random.IntN(n)], 1, true, false) })
+	return view, round, heard
+}
+
+// routingCost measures the routing state for n workers: its memory, taking a
+// list, and one choice.
+func routingCost(n int) (state cost, pick, prefixed time.Duration) {
+	list := upstreams(n)
+	make := func() any {
+		r := router.New(router.Config{EntryID: "entry-1", FailureDomain: "domain-1", Seed: 1})
+		r.Replace(epoch, list)
+		return r
+	}
+	state.bytes = bytesOf(make)
+	r := make().(*router.Router)
+	state.each = timeOf(func() { r.Replace(epoch, list) })
+	pick = timeOf(func() { r.Pick(epoch, router.Ask{Deployment: "d"}) })
+	prefixed = timeOf(func() { r.Pick(epoch, router.Ask{Deployment: "d", Prefix: 7}) })
+	return state, pick, prefixed
+}
+
+// exchangeCost measures one exchange with the news of a busy moment.
+func exchangeCost(news int) (size int, encode, decode time.Duration) {
+	x := messenger.Exchange{From: members(1)[0], Generation: 5700, Ready: true, Members: members(8)}
+	for i := range news {
+		x.Implications = append(x.Implications, isolator.Implication{Fingerprint: isolator.Fingerprint(i), Upstream: fmt.Sprintf("worker-%06d", i)})
+		x.Evidence = append(x.Evidence, messenger.Evidence{EntryID: fmt.Sprintf("entry-%05d", i), MoveID: "0b8f0c1e-0000-4000-8000-000000000000", Route: "chat-answer", Present: mover.Counts{Outcomes: 10000}, Next: mover.Counts{Outcomes: 100}})
+	}
+	for i := range min(news, 4) {
+		x.Moves = append(x.Moves, mover.Start(epoch, mover.Move{ID: fmt.Sprint(i), Epoch: 1, Deployment: "size-advice", From: "v1", To: "v2"}, "ana", time.Hour))
+	}
+	data, _ := cbor.Marshal(x)
+	encode = timeOf(func() { _, _ = cbor.Marshal(x) })
+	decode = timeOf(func() {
+		var out messenger.Exchange
+		_ = cbor.Unmarshal(data, &out)
+	})
+	return len(data), encode, decode
+}
+
+// configCost measures a configuration with n organisations.
+func configCost(n int) (size int, decode time.Duration) {
+	cfg := planner.Config{Generation: 1, Firm: "firm"}
+	for i := range n {
+		cfg.Organisations = append(cfg.Organisations, planner.Organisation{Name: fmt.Sprintf("organisation-%d", i), Weight: 1, TokenSHA256: fmt.Sprintf("%064d", i)})
+	}
+	for i := range 20 {
+		cfg.Routes = append(cfg.Routes, planner.Route{Name: fmt.Sprintf("route-%d", i), Deployment: "d"})
+	}
+	data, _ := planner.Encode(cfg)
+	return len(data), timeOf(func() { _, _ = planner.Decode(data) })
+}
+
+// admissionCost measures one admission and release with n organisations that
+// wait.
+func admissionCost(n int) time.Duration {
+	var l limiter.Limiter
+	l.SetCapacity(64)
+	for i := range 64 {
+		l.Offer(epoch, limiter.Ask{Organisation: fmt.Sprint(i % n), Deadline: epoch.Add(time.Hour)})
+	}
+	names := make([]string, n)
+	for i := range n {
+		names[i] = fmt.Sprint(i)
+		l.Offer(epoch, limiter.Ask{Organisation: names[i], Deadline: epoch.Add(time.Hour)})
+	}
+	random := newRandom(1, 1)
+	return timeOf(func() {
+		name := names[random.IntN(n)]
+		l.Offer(epoch, limiter.Ask{Organisation: name, Deadline: epoch.Add(time.Hour)})
+		l.Release(epoch, name, time.Millisecond)
+	})
+}
+
+// watchCost measures one outcome's part in the comparison of versions.
+func watchCost() time.Duration {
+	var w mover.Watches
+	random := rand.New(rand.NewPCG(1, 1))
+	return timeOf(func() {
+		w.Feed([]string{"a", "b", "c"}[random.IntN(3)], mover.Counts{Outcomes: 1}, mover.Counts{Outcomes: 1})
+	})
+}
+
+// spreadRounds measures how many rounds of exchanges news takes to reach all
+// of n entries, with and without one domain that is cut off, by the peers that
+// Round really chooses.
+func spreadRounds(n int, seed uint64) (half, all, messages int) {
+	list := members(n)
+	trackers := make([]*tracker.Tracker, n)
+	index := map[string]int{}
+	for i := range n {
+		index[list[i].ID] = i
+		trackers[i] = tracker.New(tracker.Config{Self: list[i]})
+		trackers[i].List(epoch, list)
+	}
+	random := newRandom(seed, n)
+	knows := make([]bool, n)
+	knows[0] = true
+	count := 1
+	for round := 1; ; round++ {
+		next := append([]bool{}, knows...)
+		for i := range n {
+			for _, peer := range trackers[i].Round(random) {
+				messages++
+				j := index[peer.ID]
+				// An exchange tells both ends.
+				if knows[i] || knows[j] {
+					next[i], next[j] = true, true
+				}
+			}
+		}
+		knows = next
+		count = 0
+		for _, k := range knows {
+			if k {
+				count++
+			}
+		}
+		if half == 0 && count*2 >= n {
+			half = round
+		}
+		if count == n {
+			return half, round, messages / (round * n)
+		}
+	}
+}
+
+// runCapacity measures the slopes that docs/CAPACITY.md is worked out from.
+func runCapacity(cfg Config) error {
+	sizes := []int{8, 80, 410, 820, 1640}
+	rows := [][]string{cells("entries|view bytes|take list|round|hear|rounds to half|to all|exchanges a round")}
+	for _, n := range sizes {
+		view, round, heard := membershipCost(n)
+		half, all, messages := spreadRounds(n, cfg.Seed)
+		rows = append(rows, cells("%d|%d|%s|%s|%s|%d|%d|%d", n, view.bytes, view.each, round, heard, half, all, messages))
+	}
+	table(cfg.Out, "membership and spread", rows...)
+
+	rows = [][]string{cells("workers|state bytes|take list|choose|choose by prefix")}
+	for _, n := range sizes {
+		workers := int(float64(n) * capacityWorkers)
+		state, pick, prefixed := routingCost(workers)
+		rows = append(rows, cells("%d|%d|%s|%s|%s", workers, state.bytes, state.each, pick, prefixed))
+	}
+	table(cfg.Out, "routing state", rows...)
+
+	rows = [][]string{cells("news in an exchange|bytes|encode|decode")}
+	for _, n := range []int{0, 16, 64} {
+		size, encode, decode := exchangeCost(n)
+		rows = append(rows, cells("%d|%d|%s|%s", n, size, encode, decode))
+	}
+	table(cfg.Out, "exchanges", rows...)
+
+	rows = [][]string{cells("organisations|configuration bytes|decode|admit and release")}
+	for _, n := range []int{5, 50, 500} {
+		size, decode := configCost(n)
+		rows = append(rows, cells("%d|%d|%s|%s", n, size, decode, admissionCost(n)))
+	}
+	table(cfg.Out, "configuration and admission", rows...)
+	table(cfg.Out, "comparison of versions", cells("one outcome"), cells("%s", watchCost()))
+	return nil
+}
--- a/internal/experimenter/experimenter.go
+++ b/internal/experimenter/experimenter.go
@@ -39,6 +39,7 @@
 		{"reclaim", runReclaim},
 		{"moves", runMoves},
 		{"fleet", runFleet},
+		{"capacity", runCapacity},
 	}
 }
 
