internal/server: keep the bytes of control flat as the fleet grows

Ruled out: smaller messages (the empty exchange is mostly names of members). Change: above 24 members a round goes to 3 peers every 3.6 s and news to 4 peers at once, who pass it on; a member is alive until an exchange with it fails; one fetch at a time, with the VM list only when asked for; questions about load fit a rate.

--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -34,6 +34,8 @@
 type StateRequest struct {
 	// Above asks only for a configuration above this generation.
 	Above uint64 `cbor:"1,keyasint"`
+	// NeedVMs asks for the VM list, which is large.
+	NeedVMs bool `cbor:"2,keyasint,omitempty"`
 }
 
 // State is what an entry needs to serve while the platform is down.
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/messenger"
@@ -17,13 +18,16 @@
 )
 
 const (
-	exchangeInterval = 500 * time.Millisecond
-	exchangeTimeout  = time.Second
-	locateTimeout    = 300 * time.Millisecond
+	exchangeTimeout = time.Second
+	locateTimeout   = 300 * time.Millisecond
 	// askedPeers bounds the peers that are asked for a request.
 	askedPeers = 8
-	// urgentPeers bounds the peers that news goes to at once.
+	// urgentPeers bounds the peers that news goes to at once; each passes it on.
 	urgentPeers = 8
+	// urgentPeersLarge is the same where rounds are rare.
+	urgentPeersLarge = 4
+	// rareRounds is the interval of rounds above which a fleet counts as large.
+	rareRounds = time.Second
 	// maxLearned bounds the members in one exchange.
 	maxLearned = 8
 )
@@ -32,14 +36,15 @@
 // once when there is news.
 func (s *Server) gossip(ctx context.Context) error {
 	for {
-		timer := time.NewTimer(s.jitter(exchangeInterval))
+		interval := s.roundInterval()
+		timer := time.NewTimer(s.jitter(interval))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
 		case <-s.news:
 			timer.Stop()
-			s.exchangeWith(ctx, s.near(urgentPeers))
+			s.exchangeWith(ctx, s.newsTo(interval))
 		case <-timer.C:
 			s.state.mu.Lock()
 			round := s.state.tracker.Round(s.state.random)
@@ -57,11 +62,22 @@
 	}
 }
 
-func (s *Server) near(n int) []tracker.Member {
+func (s *Server) roundInterval() time.Duration {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.tracker.Interval()
+}
+
+// newsTo chooses the peers for news: all of a small fleet, a few random ones
+// of a large one, who pass it on.
+func (s *Server) newsTo(interval time.Duration) []tracker.Member {
 	now := s.now()
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	return s.state.tracker.Near(now, s.cfg.Self.ID, n)
+	if interval < rareRounds {
+		return s.state.tracker.Near(now, s.cfg.Self.ID, urgentPeers)
+	}
+	return s.state.tracker.Near(now, strconv.FormatUint(s.state.random.Uint64(), 16), urgentPeersLarge)
 }
 
 // exchangeWith exchanges with peers side by side. A peer that does not answer
@@ -76,13 +92,22 @@
 			ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 			defer cancel()
 			reply, err := s.cfg.Peers.Exchange(ctx, peer.Address, s.digest())
-			if err == nil {
-				s.hear(ctx, reply)
+			if err != nil {
+				s.missed(peer.ID)
+				return
 			}
+			s.hear(ctx, reply)
 		}()
 	}
 }
 
+func (s *Server) missed(id string) {
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.tracker.Missed(now, id)
+}
+
 // busyWith marks an exchange with a peer; one at a time is enough.
 func (s *Server) busyWith(id string) bool {
 	s.exchanging.Lock()
@@ -167,7 +192,10 @@
 func (s *Server) State(_ context.Context, in *messenger.StateRequest) (*messenger.State, error) {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	state := &messenger.State{VMs: s.state.vms, Moves: s.state.allMovesLocked()}
+	state := &messenger.State{Moves: s.state.allMovesLocked()}
+	if in.NeedVMs {
+		state.VMs = s.state.vms
+	}
 	if s.state.generationLocked() > in.Above {
 		state.Config = s.state.encoded
 	}
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -17,11 +17,16 @@
 const (
 	// readBudget is the calls a second that all entries together may spend on
 	// each kind of reading; the interval of one entry grows with their number.
-	readBudget   = 100.0
-	leastPoll    = 500 * time.Millisecond
-	loadPoll     = time.Second
-	probeWorkers = 8
-	auditBatch   = 100
+	readBudget = 100.0
+	leastPoll  = 500 * time.Millisecond
+	// loadPoll is the least time between two questions to one upstream, and
+	// loadRate the questions a second that an entry spends on all of them; in
+	// a large fleet they have to fit into the bytes that control may take.
+	loadPoll      = time.Second
+	loadRate      = 40.0
+	loadRateLarge = 1.5
+	probeWorkers  = 8
+	auditBatch    = 100
 )
 
 // pollInterval is the time between two polls of one kind at one entry.
@@ -113,6 +118,17 @@
 	}
 }
 
+// loadInterval is the time between two questions to one upstream.
+func (s *Server) loadInterval() time.Duration {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	rate := loadRate
+	if s.state.tracker.Interval() > rareRounds {
+		rate = loadRateLarge
+	}
+	return max(loadPoll, time.Duration(float64(len(s.state.router.Listed()))/rate*float64(time.Second)))
+}
+
 // syncLoads asks the upstreams in use for their load, a few at a time.
 func (s *Server) syncLoads(ctx context.Context) {
 	s.state.mu.Lock()
@@ -192,11 +208,16 @@
 }
 
 // fetchState takes a newer configuration and, if there is no list yet, the VM
-// list from a peer.
+// list from a peer. One fetch at a time is enough: news comes from several
+// peers at once, and what a fetch misses the next exchange shows again.
 func (s *Server) fetchState(ctx context.Context, address string) {
+	if !s.fetching.TryLock() {
+		return
+	}
+	defer s.fetching.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	state, err := s.cfg.Peers.State(ctx, address, &messenger.StateRequest{Above: s.state.generation()})
+	state, err := s.cfg.Peers.State(ctx, address, &messenger.StateRequest{Above: s.state.generation(), NeedVMs: !s.knowsVMs()})
 	if err != nil {
 		return
 	}
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -10,14 +10,21 @@
 )
 
 const (
-	// suspectAfter is the silence after which a member is a suspect.
-	suspectAfter = 1500 * time.Millisecond
-	// lostAfter is the silence after which a member counts as out of reach.
-	lostAfter = 5 * time.Second
+	// lostAfter is how long a member must have failed to answer to count as out
+	// of reach.
+	lostAfter = 3 * time.Second
 	// forgetAfter drops an unlisted member that stays silent.
 	forgetAfter = 10 * time.Minute
 	// localFanout is the number of own-domain members in a round.
 	localFanout = 3
+	// smallFleet is the number of members up to which each round goes to every
+	// domain; in larger ones a round goes to fewer, less often.
+	smallFleet = 24
+	// largeLocalFanout is the number of own-domain members in such a round.
+	largeLocalFanout = 2
+	// smallInterval and largeInterval are the times between rounds.
+	smallInterval = 500 * time.Millisecond
+	largeInterval = 3600 * time.Millisecond
 )
 
 // Reach says whether a member answers.
@@ -48,8 +55,11 @@
 
 type record struct {
 	Member
-	heard      time.Time
-	firstSeen  time.Time
+	heard     time.Time
+	firstSeen time.Time
+	// failing is the time of the first exchange that failed since the member
+	// was last heard.
+	failing    time.Time
 	generation uint64
 	ready      bool
 	leaving    bool
@@ -130,6 +140,7 @@
 		return
 	}
 	rec.heard = now
+	rec.failing = time.Time{}
 	rec.generation = max(rec.generation, generation)
 	rec.ready = ready
 	rec.leaving = rec.leaving || leaving
@@ -142,17 +153,23 @@
 	}
 }
 
+// Missed records that a member did not answer.
+func (t *Tracker) Missed(now time.Time, id string) {
+	if rec, ok := t.members[id]; ok && rec.failing.IsZero() {
+		rec.failing = now
+	}
+}
+
+// reach is alive for a member whose last exchange went well, however long ago:
+// in a large fleet most members are not heard from for minutes.
 func (rec *record) reach(now time.Time) Reach {
-	silence := now.Sub(rec.lastSign())
 	switch {
-	case rec.heard.IsZero():
+	case !rec.failing.IsZero() && now.Sub(rec.failing) >= lostAfter:
 		return Lost
-	case silence < suspectAfter:
-		return Alive
-	case silence < lostAfter:
+	case !rec.failing.IsZero() || rec.heard.IsZero():
 		return Suspect
 	default:
-		return Lost
+		return Alive
 	}
 }
 
@@ -166,28 +183,71 @@
 	return list
 }
 
+// Interval returns the time between rounds. The bytes that a member spends on
+// rounds stay the same however large the fleet is.
+func (t *Tracker) Interval() time.Duration {
+	if len(t.members) <= smallFleet {
+		return smallInterval
+	}
+	return largeInterval
+}
+
 // Round returns the peers of the next exchange: a few of the own failure
-// domain and one of each other domain.
+// domain and one of each other domain, in a large fleet one of the others in
+// all. One member that fails is tried again beside them.
 func (t *Tracker) Round(random *rand.Rand) []Member {
 	if t.domains == nil {
 		t.arrange()
 	}
 	var round []Member
-	for _, d := range t.domains {
-		fanout := 1
-		if d.name == t.cfg.Self.FailureDomain {
-			fanout = localFanout
-		}
-		for at := range min(fanout, len(d.members)) {
-			// A partial shuffle: the first members become a random choice.
-			other := at + random.IntN(len(d.members)-at)
-			d.members[at], d.members[other] = d.members[other], d.members[at]
-			round = append(round, d.members[at])
+	large := len(t.members) > smallFleet
+	other := -1
+	if large {
+		other = random.IntN(len(t.domains))
+	}
+	for i, d := range t.domains {
+		switch {
+		case d.name == t.cfg.Self.FailureDomain && large:
+			round = d.draw(random, round, largeLocalFanout)
+		case d.name == t.cfg.Self.FailureDomain:
+			round = d.draw(random, round, localFanout)
+		case !large || i == other:
+			round = d.draw(random, round, 1)
 		}
 	}
+	return t.retry(random, round)
+}
+
+// draw adds a random choice of n members. A partial shuffle leaves the chosen
+// ones in front.
+func (d domain) draw(random *rand.Rand, round []Member, n int) []Member {
+	for at := range min(n, len(d.members)) {
+		other := at + random.IntN(len(d.members)-at)
+		d.members[at], d.members[other] = d.members[other], d.members[at]
+		round = append(round, d.members[at])
+	}
 	return round
 }
 
+// retry adds one of the members that fail.
+func (t *Tracker) retry(random *rand.Rand, round []Member) []Member {
+	var failing []Member
+	for _, rec := range t.members {
+		if !rec.failing.IsZero() {
+			failing = append(failing, rec.Member)
+		}
+	}
+	if len(failing) == 0 {
+		return round
+	}
+	slices.SortFunc(failing, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	chosen := failing[random.IntN(len(failing))]
+	if slices.Contains(round, chosen) {
+		return round
+	}
+	return append(round, chosen)
+}
+
 func (t *Tracker) arrange() {
 	byDomain := map[string][]Member{}
 	for _, rec := range t.members {
