--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,146 @@
+package messenger_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/messenger"
+)
+
+// echo answers each message with what shows that it arrived.
+type echo struct{}
+
+func (echo) Exchange(_ context.Context, in *messenger.Exchange) (*messenger.Exchange, error) {
+	return &messenger.Exchange{Generation: in.Generation + 1}, nil
+}
+
+func (echo) State(_ context.Context, in *messenger.StateRequest) (*messenger.State, error) {
+	return &messenger.State{Config: []byte{byte(in.Above)}}, nil
+}
+
+func (echo) Handoff(_ context.Context, in *messenger.Handoff) (*messenger.HandoffReply, error) {
+	return &messenger.HandoffReply{Accepted: len(in.Parts) == 2}, nil
+}
+
+func (echo) Locate(_ context.Context, in *messenger.Locate) (*messenger.LocateReply, error) {
+	return &messenger.LocateReply{Found: true, Digest: in.RequestID}, nil
+}
+
+func (echo) Join(_ context.Context, in *messenger.Join, send func(*messenger.JoinPart) error) error {
+	if in.RequestID == "broken" {
+		return errors.New("broken")
+	}
+	for offset := in.From; offset < 5; offset++ {
+		if err := send(&messenger.JoinPart{Offset: offset, Text: "x"}); err != nil {
+			return err
+		}
+	}
+	return send(&messenger.JoinPart{Done: true})
+}
+
+func serve(t *testing.T, security messenger.Security) string {
+	server, err := messenger.NewServer(echo{}, security)
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+func client(t *testing.T, security messenger.Security) *messenger.Client {
+	c, err := messenger.NewClient(messenger.ClientConfig{Security: security})
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestMessagesArriveTyped(t *testing.T) {
+	address, c := serve(t, messenger.Security{}), client(t, messenger.Security{})
+	ctx := context.Background()
+	exchange, err := c.Exchange(ctx, address, &messenger.Exchange{Generation: 4})
+	require.NoError(t, err)
+	require.EqualValues(t, 5, exchange.Generation)
+	handoff, err := c.Handoff(ctx, address, &messenger.Handoff{Parts: []string{"a", "b"}})
+	require.NoError(t, err)
+	require.True(t, handoff.Accepted)
+	located, err := c.Locate(ctx, address, &messenger.Locate{RequestID: "r"})
+	require.NoError(t, err)
+	require.Equal(t, "r", located.Digest)
+	var offsets []int
+	err = c.Join(ctx, address, &messenger.Join{From: 2}, func(part *messenger.JoinPart) error {
+		offsets = append(offsets, part.Offset)
+		return nil
+	})
+	require.NoError(t, err)
+	require.Equal(t, []int{2, 3, 4, 0}, offsets)
+	require.Error(t, c.Join(ctx, address, &messenger.Join{RequestID: "broken"}, func(*messenger.JoinPart) error { return nil }))
+}
+
+// issue writes a certificate and its key, signed by the authority.
+func issue(t *testing.T, dir, name string, authority *x509.Certificate, signer *ecdsa.PrivateKey) messenger.Security {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, authority, &key.PublicKey, signer)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	write := func(file, kind string, data []byte) string {
+		path := filepath.Join(dir, name+file)
+		require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+		return path
+	}
+	return messenger.Security{
+		CertFile: write(".crt", "CERTIFICATE", der), KeyFile: write(".key", "EC PRIVATE KEY", keyDER),
+		CAFile: write(".ca", "CERTIFICATE", authority.Raw),
+	}
+}
+
+func authority(t *testing.T) (*x509.Certificate, *ecdsa.PrivateKey) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	parsed, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return parsed, key
+}
+
+func TestOnlyEntriesOfTheSameAuthorityTalk(t *testing.T) {
+	dir := t.TempDir()
+	ca, signer := authority(t)
+	other, otherSigner := authority(t)
+	address := serve(t, issue(t, dir, "server", ca, signer))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := client(t, issue(t, dir, "peer", ca, signer)).Exchange(ctx, address, &messenger.Exchange{})
+	require.NoError(t, err)
+	_, err = client(t, issue(t, dir, "stranger", other, otherSigner)).Exchange(ctx, address, &messenger.Exchange{})
+	require.Error(t, err)
+	_, err = client(t, messenger.Security{}).Exchange(ctx, address, &messenger.Exchange{})
+	require.Error(t, err)
+	_, err = messenger.NewClient(messenger.ClientConfig{Security: messenger.Security{CertFile: "missing"}})
+	require.Error(t, err)
+}
