internal/server: see a death through the resets of a dying process

A process that exits cuts its open connections one by one and takes new ones until its listener is closed; the probe got a reset, which counted as 'not dead', so the death implicated nobody and the bound on what one request may cost did not hold. Ruled out: late implications from peers; the entry was the only one involved. The new test failed before.

--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -237,12 +237,12 @@
 // probeCall asks an upstream whether it is alive; if its address refuses
 // connections it died, and the call is implicated.
 func (s *Server) probeCall(ctx context.Context, call *callState, target dispatcher.Target) {
-	_, err := s.cfg.Upstreams.Load(context.WithoutCancel(ctx), target)
-	if err == nil {
+	found := s.probe(ctx, target, "")
+	if found == healthy {
 		return
 	}
 	s.suspect(target.ID)
-	if judge.Of(err) != judge.NotRun {
+	if found != dead {
 		return
 	}
 	now := s.now()
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -122,6 +122,47 @@
 	s.state.router.Suspect(id, now.Add(suspectTime))
 }
 
+// condition is what a probe finds of an upstream.
+type condition int
+
+const (
+	healthy condition = iota
+	// silent: it does not answer, but its address is there. It may be frozen
+	// or cut off rather than dead.
+	silent
+	dead
+)
+
+const (
+	// probeTries is the number of probes that may fail at once: a process that
+	// is dying still takes connections for a moment.
+	probeTries = 4
+	probePause = 50 * time.Millisecond
+	// quickFailure is the time below which a failed probe was refused or cut
+	// rather than left unanswered.
+	quickFailure = 500 * time.Millisecond
+)
+
+// probe asks an upstream whether it is alive and whether its process is the
+// one that booted as given. An empty boot is not compared.
+func (s *Server) probe(ctx context.Context, target dispatcher.Target, boot string) condition {
+	ctx = context.WithoutCancel(ctx)
+	for range probeTries {
+		began := s.now()
+		load, err := s.cfg.Upstreams.Load(ctx, target)
+		switch {
+		case err == nil && (boot == "" || load.Boot == boot):
+			return healthy
+		case err == nil || judge.Of(err) == judge.NotRun:
+			return dead
+		case s.now().Sub(began) >= quickFailure:
+			return silent
+		}
+		pauseFor(ctx, probePause)
+	}
+	return silent
+}
+
 // investigate probes an upstream whose attempt failed. If it died without
 // notice, the requests in flight on it are implicated. It reports whether the
 // upstream died.
@@ -130,20 +171,14 @@
 		s.suspect(target.ID)
 		return false
 	}
-	load, err := s.cfg.Upstreams.Load(context.WithoutCancel(ctx), target)
-	if err == nil && (r.boot == "" || load.Boot == r.boot) {
-		return false
-	}
-	if err != nil {
+	found := s.probe(ctx, target, r.boot)
+	if found != healthy {
 		s.suspect(target.ID)
-		if judge.Of(err) != judge.NotRun {
-			// It does not answer, but its address is there: it may be frozen
-			// or cut off rather than dead.
-			return false
-		}
 	}
-	s.implicate(r, target.ID)
-	return true
+	if found == dead {
+		s.implicate(r, target.ID)
+	}
+	return found == dead
 }
 
 // implicate records the death of an upstream for the requests that were in
--- /dev/null
+++ b/internal/server/watchdog_test.go
@@ -0,0 +1,36 @@
+package server
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+// dying is an upstream that still takes connections for a moment after it has
+// cut those that were open.
+type dying struct {
+	dispatcher.Upstreams
+	resets int
+}
+
+func (d *dying) Load(context.Context, dispatcher.Target) (dispatcher.Load, error) {
+	d.resets--
+	if d.resets >= 0 {
+		return dispatcher.Load{}, judge.Mark(judge.MayHaveRun, "reset")
+	}
+	return dispatcher.Load{}, judge.Mark(judge.NotRun, "refused")
+}
+
+// A death is seen although the dying process took the first probes.
+func TestDeathIsSeenThroughResets(t *testing.T) {
+	s := testServer(t, "e1", nil, &dying{resets: 2})
+	r := &request{fingerprint: 7}
+	cause := judge.Mark(judge.MayHaveRun, "EOF")
+	require.True(t, s.investigate(context.Background(), r, dispatcher.Target{ID: "u0"}, cause))
+	require.Equal(t, isolator.Suspect, s.standing(7))
+}
