--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -144,3 +144,20 @@
 	_, err = messenger.NewClient(messenger.ClientConfig{Security: messenger.Security{CertFile: "missing"}})
 	require.Error(t, err)
 }
+
+// BenchmarkExchange measures an exchange, both ends together.
+func BenchmarkExchange(b *testing.B) {
+	server, err := messenger.NewServer(echo{}, messenger.Security{})
+	require.NoError(b, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	c, err := messenger.NewClient(messenger.ClientConfig{})
+	require.NoError(b, err)
+	defer c.Close()
+	for b.Loop() {
+		_, err := c.Exchange(context.Background(), listener.Addr().String(), &messenger.Exchange{Generation: 4})
+		require.NoError(b, err)
+	}
+}
--- a/internal/server/moves.go
+++ b/internal/server/moves.go
@@ -184,19 +184,27 @@
 	return mover.Move{}, false
 }
 
-// maxEvidence bounds the evidence in one exchange.
-const maxEvidence = 64
+// maxEvidence and maxEvidenceLarge bound the evidence in one exchange of a
+// small and of a large fleet, beside the entry's own.
+const (
+	maxEvidence      = 64
+	maxEvidenceLarge = 8
+)
 
-// evidence lists what this entry and its peers saw of open moves. The lock
-// must be held.
+// evidence lists what this entry and some of its peers saw of open moves. The
+// lock must be held.
 func (s *state) evidence() []messenger.Evidence {
 	var list []messenger.Evidence
+	most := maxEvidence
+	if s.tracker.Interval() > rareRounds {
+		most = maxEvidenceLarge
+	}
 	for _, m := range s.moves {
 		if !m.move.Open() {
 			continue
 		}
 		for _, evidence := range m.heard {
-			if len(list) < maxEvidence || evidence.EntryID == s.self.ID {
+			if len(list) < most || evidence.EntryID == s.self.ID {
 				list = append(list, evidence)
 			}
 		}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -28,6 +28,8 @@
 	urgentPeersLarge = 4
 	// rareRounds is the interval of rounds above which a fleet counts as large.
 	rareRounds = time.Second
+	// maxImplications bounds the implications in one exchange.
+	maxImplications = 64
 	// maxLearned bounds the members in one exchange.
 	maxLearned = 8
 )
@@ -139,7 +141,7 @@
 		Members:      s.state.tracker.Near(now, s.cfg.Self.ID, maxLearned),
 		Notices:      s.state.openNotices(now),
 		Moves:        s.state.allMovesLocked(),
-		Implications: s.state.isolator.All(now),
+		Implications: s.state.isolator.Newest(now, maxImplications),
 		Evidence:     s.state.evidence(),
 	}
 }
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -164,13 +164,24 @@
 	return true
 }
 
-// All returns the implications that count at now.
-func (i *Isolator) All(now time.Time) []Implication {
-	var all []Implication
-	for f := range i.deaths {
-		for _, upstream := range i.live(now, f) {
-			all = append(all, Implication{Fingerprint: f, Upstream: upstream})
+// Newest returns the latest implications that count at now, at most n of them.
+func (i *Isolator) Newest(now time.Time, n int) []Implication {
+	type dated struct {
+		Implication
+		at time.Time
+	}
+	var all []dated
+	for f, upstreams := range i.deaths {
+		for upstream, at := range upstreams {
+			if now.Sub(at) <= memory {
+				all = append(all, dated{Implication{Fingerprint: f, Upstream: upstream}, at})
+			}
 		}
 	}
-	return all
+	slices.SortFunc(all, func(a, b dated) int { return b.at.Compare(a.at) })
+	newest := make([]Implication, 0, min(n, len(all)))
+	for _, d := range all[:min(n, len(all))] {
+		newest = append(newest, d.Implication)
+	}
+	return newest
 }
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -94,6 +94,7 @@
 	for f := range isolator.Fingerprint(5000) {
 		i.Merge(start.Add(time.Duration(f)*time.Millisecond), isolator.Implication{Fingerprint: f, Upstream: "u"})
 	}
-	require.LessOrEqual(t, len(i.All(start.Add(5*time.Second))), 4096)
+	require.LessOrEqual(t, len(i.Newest(start.Add(5*time.Second), 9999)), 4096)
+	require.Equal(t, []isolator.Implication{{Fingerprint: 4999, Upstream: "u"}}, i.Newest(start.Add(5*time.Second), 1))
 	require.Equal(t, isolator.Suspect, i.Standing(start.Add(5*time.Second), 4999))
 }
