--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"net/http"
 	"time"
 )
@@ -36,9 +37,10 @@
 
 // Stream is an answer that is being received.
 type Stream interface {
-	// Next returns the next part. Parts of other attempts and parts that were
-	// received already are dropped; a gap is an error.
-	Next() (Part, error)
+	// Parts returns the parts in order, up to the last one or an error. Parts
+	// of other attempts and parts that were received already are dropped; a
+	// gap is an error. The parts can be ranged over once.
+	Parts() iter.Seq2[Part, error]
 	// Close ends the stream; its connection is not used again unless the
 	// answer was read to its end.
 	Close()
--- a/internal/dispatcher/http_test.go
+++ b/internal/dispatcher/http_test.go
@@ -121,13 +121,15 @@
 	stream, err := h.Generate(context.Background(), target(server), dispatcher.Attempt{RequestID: "r", Number: 2, Body: body, From: 4, Sent: []byte("four ")})
 	require.NoError(t, err)
 	defer stream.Close()
-	for want := 4; want < 9; want++ {
-		part, err := stream.Next()
+	want := 4
+	for part, err := range stream.Parts() {
 		require.NoError(t, err)
 		require.Equal(t, want, part.Offset)
 		require.Equal(t, emulator.Text([]byte(`[{"a":{"b":"c"}}]`), want), part.Text)
 		require.Equal(t, want == 8, part.Done)
+		want++
 	}
+	require.Equal(t, 9, want)
 }
 
 func TestStreamsThatGoWrong(t *testing.T) {
@@ -140,8 +142,8 @@
 		h := dispatcher.NewHTTP(dispatcher.Config{})
 		stream, err := h.Generate(context.Background(), target(server), dispatcher.Attempt{RequestID: "r", Number: 1, Body: []byte(`{"messages":[1]}`)})
 		require.NoError(t, err)
-		for err == nil {
-			_, err = stream.Next()
+		for _, partErr := range stream.Parts() {
+			err = partErr
 		}
 		require.Equal(t, judge.MayHaveRun, judge.Of(err), name)
 		stream.Close()
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -62,7 +62,7 @@
 		resp.Body.Close()
 		return nil, judge.Mark(judge.MayHaveRun, "%s answered another request", target.ID)
 	}
-	return newEventStream(target, a, resp.Body), nil
+	return &eventStream{target: target, a: a, body: resp.Body, offset: a.From}, nil
 }
 
 // withResume adds the text that the caller has already to a JSON object.
@@ -83,35 +83,28 @@
 	target Target
 	a      Attempt
 	body   io.ReadCloser
-	next   func() (sse.Event, error, bool)
-	stop   func()
 	offset int
 	stale  int
 	ended  bool
 }
 
-func newEventStream(target Target, a Attempt, body io.ReadCloser) *eventStream {
-	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
-	return &eventStream{target: target, a: a, body: body, next: next, stop: stop, offset: a.From}
-}
-
-// Next returns the next part that belongs to this attempt and place.
-func (s *eventStream) Next() (Part, error) {
-	for {
-		event, err, ok := s.next()
-		if !ok || err == io.EOF {
-			return Part{}, judge.Mark(judge.MayHaveRun, "%s ended the answer early", s.target.ID)
-		}
-		if err != nil {
-			return Part{}, judge.Wrap(judge.MayHaveRun, err, "receive from %s", s.target.ID)
-		}
-		part, fits, err := s.accept(event)
-		if err != nil {
-			return Part{}, err
-		}
-		if fits {
-			return part, nil
+// Parts returns the parts that belong to this attempt and place.
+func (s *eventStream) Parts() iter.Seq2[Part, error] {
+	return func(yield func(Part, error) bool) {
+		for event, err := range sse.Read(s.body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+			if err != nil {
+				yield(Part{}, judge.Wrap(judge.MayHaveRun, err, "receive from %s", s.target.ID))
+				return
+			}
+			part, fits, err := s.accept(event)
+			if !fits && err == nil {
+				continue
+			}
+			if !yield(part, err) || err != nil || part.Done {
+				return
+			}
 		}
+		yield(Part{}, judge.Mark(judge.MayHaveRun, "%s ended the answer early", s.target.ID))
 	}
 }
 
@@ -141,7 +134,6 @@
 		// A short read to the end lets the connection be used again.
 		_, _ = io.CopyN(io.Discard, s.body, maxEventBytes)
 	}
-	s.stop()
 	_ = s.body.Close()
 }
 
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -19,6 +19,9 @@
 	memoryReleased = "/memory/classes/heap/released:bytes"
 )
 
+// collections is the number of collections that a caller of ?collect=1 gets.
+const collections = 4
+
 // sampleSize and sampleAlpha are those of the first-token histogram.
 const (
 	sampleSize  = 1028
@@ -94,6 +97,10 @@
 // so that what is left is in use.
 func (s *Server) serveMetrics(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("collect") != "" {
+		// Each collection halves at most the stacks that have grown.
+		for range collections {
+			runtime.GC()
+		}
 		debug.FreeOSMemory()
 	}
 	s.gauges()
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -174,8 +174,7 @@
 	}
 	defer stream.Close()
 	first := time.Duration(0)
-	for {
-		part, err := stream.Next()
+	for part, err := range stream.Parts() {
 		if err != nil {
 			s.observe(parent, r, version, err, first)
 			return guard.explain(err)
@@ -188,14 +187,15 @@
 		guard.progress(now, part.Offset+1)
 		r.step("part")
 		r.buffer.Append(part.Text)
-		if part.Offset-from >= soloParts {
+		if part.Offset-from == soloParts {
 			s.endSolo(r)
 		}
 		if part.Done || part.Offset+1 >= r.maxTokens {
-			s.observe(parent, r, version, nil, first)
-			return nil
+			break
 		}
 	}
+	s.observe(parent, r, version, nil, first)
+	return nil
 }
 
 // enter counts an attempt on an upstream and on the version that moves in. It
