internal/server: buy and give back VMs under a lease

Cause: the fleet's decisions were measured but carried out by nobody. Ruled out: acting without a lease, since two buyers would each fill the gap. Change: a second duty with a lease and fence number of its own, which orders what pkg/buyer wants where the answers allow it (targets.buys_vms). A start has a token, so that a lost answer starts no second VM; a VM that is no longer wanted is drained as by a notice of our own. Deployments with an open move are left as they are.

--- /dev/null
+++ b/internal/emulator/market.go
@@ -0,0 +1,117 @@
+package emulator
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+)
+
+// The prices of the stand-in's offers, in units an hour.
+const (
+	spotPrice   = 0.3
+	steadyPrice = 1.0
+)
+
+// market holds the VMs that can be started. A start puts a spare VM, whose
+// process runs already, on the list.
+type market struct {
+	spares  map[string]keeper.VM
+	started map[string]string
+	fence   uint64
+}
+
+// AddSpare adds a VM that can be started.
+func (p *Platform) AddSpare(vm keeper.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.market.spares == nil {
+		p.market.spares = map[string]keeper.VM{}
+		p.market.started = map[string]string{}
+	}
+	p.market.spares[vm.ID] = vm
+}
+
+func (p *Platform) mountMarket(mux *http.ServeMux) {
+	mux.HandleFunc("POST /cloud/offers", handle(func(*http.Request, struct{}) ([]keeper.Offer, error) {
+		return p.Offers(context.Background())
+	}))
+	mux.HandleFunc("POST /cloud/start", p.losing(handle(func(_ *http.Request, o keeper.StartOrder) (keeper.OrderReply, error) {
+		return p.Start(context.Background(), o)
+	})))
+	mux.HandleFunc("POST /cloud/stop", p.losing(handle(func(_ *http.Request, o keeper.StopOrder) (keeper.OrderReply, error) {
+		return p.Stop(context.Background(), o)
+	})))
+}
+
+// Offers lists both classes in each domain that has VMs.
+func (p *Platform) Offers(context.Context) ([]keeper.Offer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	domains := map[string]bool{}
+	for _, vm := range p.vms {
+		domains[vm.FailureDomain] = true
+	}
+	for _, vm := range p.market.spares {
+		domains[vm.FailureDomain] = true
+	}
+	offers := []keeper.Offer{}
+	for domain := range domains {
+		offers = append(offers,
+			keeper.Offer{FailureDomain: domain, Reclaimable: true, PricePerHour: spotPrice},
+			keeper.Offer{FailureDomain: domain, PricePerHour: steadyPrice})
+	}
+	slices.SortFunc(offers, func(a, b keeper.Offer) int { return strings.Compare(a.FailureDomain, b.FailureDomain) })
+	return offers, nil
+}
+
+// Start puts a spare VM that fits on the list. A token starts one VM at most,
+// and an order with an old fence number is refused.
+func (p *Platform) Start(_ context.Context, o keeper.StartOrder) (keeper.OrderReply, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if id, known := p.market.started[o.Token]; known {
+		return keeper.OrderReply{VMID: id}, nil
+	}
+	if why := p.refusal(o.Fence); why != "" {
+		return keeper.OrderReply{Refused: true, Why: why}, nil
+	}
+	if p.faults.RefuseStarts && o.Reclaimable {
+		return keeper.OrderReply{Refused: true, Why: "no capacity"}, nil
+	}
+	var ids []string
+	for id, vm := range p.market.spares {
+		if vm.FailureDomain == o.FailureDomain && vm.Deployment == o.Deployment && vm.Version == o.Version && vm.Reclaimable == o.Reclaimable {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return keeper.OrderReply{Refused: true, Why: "no capacity"}, nil
+	}
+	id := slices.Min(ids)
+	p.vms[id] = p.market.spares[id]
+	delete(p.market.spares, id)
+	p.market.started[o.Token] = id
+	return keeper.OrderReply{VMID: id}, nil
+}
+
+// Stop takes a VM off the list.
+func (p *Platform) Stop(_ context.Context, o keeper.StopOrder) (keeper.OrderReply, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if why := p.refusal(o.Fence); why != "" {
+		return keeper.OrderReply{Refused: true, Why: why}, nil
+	}
+	delete(p.vms, o.VMID)
+	return keeper.OrderReply{VMID: o.VMID}, nil
+}
+
+func (p *Platform) refusal(fence uint64) string {
+	if fence < p.market.fence {
+		return "old fence number"
+	}
+	p.market.fence = fence
+	return ""
+}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -25,6 +25,8 @@
 	CutIPs []string `json:"cut_ips"`
 	// FreezeList keeps the VM list as it is now.
 	FreezeList bool `json:"freeze_list"`
+	// RefuseStarts refuses orders for reclaimable VMs.
+	RefuseStarts bool `json:"refuse_starts"`
 }
 
 // Reclaim announces that VMs will be taken back. FailureDomain adds all
@@ -44,6 +46,7 @@
 	vms     map[string]keeper.VM
 	frozen  []keeper.VM
 	notices map[string]time.Time
+	market  market
 	faults  PlatformFaults
 	calls   CallCounts
 	now     func() time.Time
@@ -87,8 +90,13 @@
 	data.HandleFunc("POST /cloud/notices", handle(func(*http.Request, struct{}) ([]keeper.Notice, error) {
 		return p.Notices(context.Background())
 	}))
+	p.mountMarket(data)
 	mux := http.NewServeMux()
 	mux.Handle("/", p.faulty(data))
+	mux.HandleFunc("POST /control/spares", handle(func(_ *http.Request, vm keeper.VM) (keeper.VM, error) {
+		p.AddSpare(vm)
+		return vm, nil
+	}))
 	mux.HandleFunc("POST /control/faults", handle(func(_ *http.Request, f PlatformFaults) (PlatformFaults, error) {
 		p.SetFaults(f)
 		return f, nil
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -78,6 +78,21 @@
 	return call[[]Notice](ctx, h, "/cloud/notices", struct{}{})
 }
 
+// Offers reads what VMs cost.
+func (h *HTTP) Offers(ctx context.Context) ([]Offer, error) {
+	return call[[]Offer](ctx, h, "/cloud/offers", struct{}{})
+}
+
+// Start orders one VM.
+func (h *HTTP) Start(ctx context.Context, order StartOrder) (OrderReply, error) {
+	return call[OrderReply](ctx, h, "/cloud/start", order)
+}
+
+// Stop gives one VM back.
+func (h *HTTP) Stop(ctx context.Context, order StopOrder) (OrderReply, error) {
+	return call[OrderReply](ctx, h, "/cloud/stop", order)
+}
+
 func call[Resp, Req any](ctx context.Context, h *HTTP, path string, req Req) (Resp, error) {
 	var resp Resp
 	body, err := json.Marshal(req)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -79,10 +79,44 @@
 // Left returns the time until the VM is gone.
 func (n Notice) Left() time.Duration { return time.Duration(n.LeftMS) * time.Millisecond }
 
-// Cloud lists VMs, with a lag, and tells of reclaims, without one.
+// Offer is what a class of VMs costs in a failure domain.
+type Offer struct {
+	FailureDomain string  `json:"failure_domain"`
+	Reclaimable   bool    `json:"reclaimable"`
+	PricePerHour  float64 `json:"price_per_hour"`
+}
+
+// StartOrder asks for one VM. The same token never starts a second one.
+type StartOrder struct {
+	Token         string `json:"token"`
+	Fence         uint64 `json:"fence"`
+	Deployment    string `json:"deployment"`
+	Version       string `json:"version"`
+	FailureDomain string `json:"failure_domain"`
+	Reclaimable   bool   `json:"reclaimable"`
+}
+
+// StopOrder gives one VM back.
+type StopOrder struct {
+	VMID  string `json:"vm_id"`
+	Fence uint64 `json:"fence"`
+}
+
+// OrderReply answers an order. A refused start is no error.
+type OrderReply struct {
+	Refused bool   `json:"refused"`
+	Why     string `json:"why,omitempty"`
+	VMID    string `json:"vm_id,omitempty"`
+}
+
+// Cloud lists VMs, with a lag, tells of reclaims, without one, and takes
+// orders. An error of an order means that its outcome is unknown.
 type Cloud interface {
 	VMs(ctx context.Context) ([]VM, error)
 	Notices(ctx context.Context) ([]Notice, error)
+	Offers(ctx context.Context) ([]Offer, error)
+	Start(ctx context.Context, order StartOrder) (OrderReply, error)
+	Stop(ctx context.Context, order StopOrder) (OrderReply, error)
 }
 
 var (
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -128,10 +128,16 @@
 	if err != nil {
 		return err
 	}
-	return f.register(f.processes[name], keeper.VM{
+	vm := keeper.VM{
 		ID: name, Role: role, Address: address, FailureDomain: o["domain"], Deployment: o["deployment"],
 		Version: o["version"], Slots: slots, Reclaimable: o["reclaimable"] == "true",
-	})
+	}
+	if o["spare"] == "true" {
+		f.processes[name].vm = vm
+		_, err := post[keeper.VM](f, f.control("spares"), vm)
+		return err
+	}
+	return f.register(f.processes[name], vm)
 }
 
 // cmdEntry: entry NAME domain=D [seed=ENTRY] [lease=1s] [listed=true]
@@ -295,6 +301,7 @@
 	f.faults = emulator.PlatformFaults{CutIPs: cuts}
 	_, f.faults.Down = o["down"]
 	_, f.faults.FreezeList = o["freeze_list"]
+	_, f.faults.RefuseStarts = o["refuse_starts"]
 	f.faults.SlowMS, _ = strconv.ParseInt(o["slow"], 10, 64)
 	f.faults.LoseWrites, _ = strconv.Atoi(o["lose"])
 	return f.setPlatform()
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -20,46 +20,55 @@
 	movePrefix = "move/"
 	// pastPrefix begins the keys of moves that a later one has replaced.
 	pastPrefix   = "past_move/"
-	leaseKey     = "lease/moves"
+	leasePrefix  = "lease/"
 	dutyInterval = 250 * time.Millisecond
 )
 
-// duty holds the lease on driving version moves.
+// The duties that one entry at a time has.
+const (
+	dutyMoves = "moves"
+	dutyFleet = "fleet"
+)
+
+// duty is one entry's hold on a duty's lease.
 type duty struct {
+	name   string
 	leaser *leaser.Leaser
 }
 
-func newDuty(cfg Config) *duty {
-	return &duty{leaser: leaser.New(leaser.Config{
+func newDuty(cfg Config, name string) *duty {
+	return &duty{name: name, leaser: leaser.New(leaser.Config{
 		Holder: cfg.Self.ID, Lifetime: cfg.LeaseLifetime, Margin: cfg.LeaseLifetime / leaseMarginDivisor,
 	})}
 }
 
-// driveMoves keeps the lease and, while it holds, advances the moves.
-func (s *Server) driveMoves(ctx context.Context) error {
-	for {
-		if s.keepLease(ctx) {
-			s.advanceMoves(ctx)
-		}
-		if !pauseFor(ctx, s.dutyPause()) {
-			return nil
+// drive keeps a duty's lease and, while it holds, does the work.
+func (s *Server) drive(d *duty, work func(context.Context)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			if s.keepLease(ctx, d) {
+				work(ctx)
+			}
+			if !pauseFor(ctx, s.dutyPause(d)) {
+				return nil
+			}
 		}
 	}
 }
 
 // dutyPause is short only for the holder: the others look rarely.
-func (s *Server) dutyPause() time.Duration {
-	if s.duty.leaser.Holds(s.now()) {
+func (s *Server) dutyPause(d *duty) time.Duration {
+	if d.leaser.Holds(s.now()) {
 		return dutyInterval
 	}
 	return s.jitter(max(leastPoll, s.shared()))
 }
 
 // keepLease reads the lease and takes or renews it if that is due.
-func (s *Server) keepLease(ctx context.Context) bool {
-	l := s.duty.leaser
+func (s *Server) keepLease(ctx context.Context, d *duty) bool {
+	l := d.leaser
 	if !l.Holds(s.now()) || l.Version() == 0 {
-		row, err := s.cfg.Table.Get(ctx, leaseKey)
+		row, err := s.cfg.Table.Get(ctx, leasePrefix+d.name)
 		if err != nil {
 			return false
 		}
@@ -76,7 +85,7 @@
 	value, _ := json.Marshal(want)
 	sentAt := s.now()
 	taken := l.Holder() != s.cfg.Self.ID
-	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: leaseKey, Value: value, Expect: l.Version()})
+	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: leasePrefix + d.name, Value: value, Expect: l.Version()})
 	if err != nil {
 		return l.Holds(s.now())
 	}
@@ -88,7 +97,7 @@
 	}
 	l.Won(sentAt, result.Row.Version, want)
 	if taken {
-		s.cfg.Log.Info().Str("event", "lease_taken").Str("duty", "moves").Uint64("fence", want.Fence).Send()
+		s.cfg.Log.Info().Str("event", "lease_taken").Str("duty", d.name).Uint64("fence", want.Fence).Send()
 	}
 	return l.Holds(s.now())
 }
@@ -120,7 +129,7 @@
 		return
 	}
 	next, event := mover.Advance(now, known, evidence, policy)
-	if event == "" || !s.duty.leaser.Holds(s.now()) {
+	if event == "" || !s.moveDuty.leaser.Holds(s.now()) {
 		return
 	}
 	if !s.writeMove(ctx, next, version) {
--- /dev/null
+++ b/internal/server/fleet.go
@@ -0,0 +1,240 @@
+package server
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/buyer"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+)
+
+const (
+	// fleetInterval is the time between two decisions about the fleet.
+	fleetInterval = 2 * time.Second
+	// busyTarget is the share of a VM's slots that demand should fill.
+	busyTarget = 0.7
+	// fleetSlack is held above the demand in any case.
+	fleetSlack = 0.1
+	// startPatience is how long a started VM may take to be listed.
+	startPatience = 5 * time.Minute
+	// drainTime is given to a VM that is no longer wanted before it stops.
+	drainTime = 30 * time.Second
+	// peakMemory is the time after which a peak of demand has halved.
+	peakMemory = 5 * time.Minute
+)
+
+// fleet is the state of the duty that buys and gives back VMs. Only the duty's
+// own goroutine uses it. A new holder starts without it: it reads what there
+// is from the VM list, and a VM that is still starting is at most bought
+// twice.
+type fleet struct {
+	duty     *duty
+	next     time.Time
+	buyers   map[string]*buyer.Buyer
+	peaks    map[string]float64
+	starting map[string]startingVM
+	draining map[string]time.Time
+	leaving  map[string]bool
+}
+
+type startingVM struct {
+	class      buyer.Holding
+	deployment string
+	since      time.Time
+}
+
+func newFleet(cfg Config) *fleet {
+	return &fleet{
+		duty:   newDuty(cfg, dutyFleet),
+		buyers: map[string]*buyer.Buyer{}, peaks: map[string]float64{},
+		starting: map[string]startingVM{}, draining: map[string]time.Time{}, leaving: map[string]bool{},
+	}
+}
+
+// driveFleet brings each deployment's VMs to what the buyer wants, if the
+// answers allow it.
+func (s *Server) driveFleet(ctx context.Context) {
+	now := s.now()
+	cfg := s.state.config()
+	if cfg == nil || !cfg.Fleet.BuysVMs || now.Before(s.fleet.next) {
+		return
+	}
+	s.fleet.next = now.Add(fleetInterval)
+	offers, err := s.cfg.Cloud.Offers(ctx)
+	if err != nil {
+		return
+	}
+	s.stopDrained(ctx, now)
+	for _, d := range cfg.Deployments {
+		if s.move(d.Name).Open() {
+			// The two versions of a move are kept as they are.
+			continue
+		}
+		s.buyFor(ctx, now, cfg, d, offers)
+	}
+}
+
+func (s *Server) buyFor(ctx context.Context, now time.Time, cfg *planner.Config, d planner.Deployment, offers []keeper.Offer) {
+	b, ok := s.fleet.buyers[d.Name]
+	if !ok {
+		b = &buyer.Buyer{}
+		s.fleet.buyers[d.Name] = b
+	}
+	vms, demand := s.surveyFleet(now, d.Name)
+	s.noteReclaims(now, b, vms)
+	holdings := s.holdings(now, d.Name, vms)
+	choices := make([]buyer.Offer, 0, len(offers))
+	for _, o := range offers {
+		choices = append(choices, buyer.Offer{FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable, PricePerHour: o.PricePerHour})
+	}
+	policy := buyer.Policy{ReclaimableShare: cfg.Fleet.ReclaimableShare, Slack: fleetSlack}
+	for _, o := range b.Decide(now, demand, holdings, choices, policy) {
+		if o.Change < 0 {
+			s.drainVMs(now, o, vms)
+			continue
+		}
+		s.startVMs(ctx, now, b, d, o)
+	}
+}
+
+// surveyFleet returns a deployment's VMs and the number that its load needs.
+func (s *Server) surveyFleet(now time.Time, deployment string) ([]keeper.VM, int) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	var vms []keeper.VM
+	for _, vm := range s.state.vms {
+		if vm.Role != keeper.RoleEntry && vm.Deployment == deployment {
+			vms = append(vms, vm)
+		}
+	}
+	busy, slots, count := 0, 0, 0
+	for _, status := range s.state.router.Statuses() {
+		if status.Deployment == deployment {
+			busy += max(status.Running, status.InFlight)
+			slots += status.Slots
+			count++
+		}
+	}
+	busy += s.state.pool(deployment).limiter.Queued() * s.state.tracker.Sharing(now)
+	if slots == 0 {
+		return vms, 1
+	}
+	needed := float64(busy) * float64(count) / float64(slots) / busyTarget
+	decay := math.Exp2(-fleetInterval.Seconds() / peakMemory.Seconds())
+	s.fleet.peaks[deployment] = max(needed, s.fleet.peaks[deployment]*decay)
+	return vms, max(1, int(math.Ceil(s.fleet.peaks[deployment])))
+}
+
+// noteReclaims tells the buyer of reclaims that are news.
+func (s *Server) noteReclaims(now time.Time, b *buyer.Buyer, vms []keeper.VM) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	for _, vm := range vms {
+		_, ours := s.fleet.draining[vm.ID]
+		if ours || s.fleet.leaving[vm.ID] || !s.state.router.Leaving(vm.ID) {
+			continue
+		}
+		s.fleet.leaving[vm.ID] = true
+		if vm.Reclaimable {
+			b.Reclaimed(now, vm.FailureDomain)
+		}
+	}
+}
+
+// holdings counts the VMs that stay, with those that are starting.
+func (s *Server) holdings(now time.Time, deployment string, vms []keeper.VM) []buyer.Holding {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	var holdings []buyer.Holding
+	for _, vm := range vms {
+		delete(s.fleet.starting, vm.ID)
+		if !s.state.router.Leaving(vm.ID) {
+			holdings = append(holdings, buyer.Holding{FailureDomain: vm.FailureDomain, Reclaimable: vm.Reclaimable, VMs: 1})
+		}
+	}
+	for id, starting := range s.fleet.starting {
+		switch {
+		case now.Sub(starting.since) > startPatience:
+			delete(s.fleet.starting, id)
+		case starting.deployment == deployment:
+			holdings = append(holdings, starting.class)
+		}
+	}
+	return holdings
+}
+
+// startVMs orders VMs one by one and stops at the first refusal. Each order is
+// sent only while the lease holds, with its fence number.
+func (s *Server) startVMs(ctx context.Context, now time.Time, b *buyer.Buyer, d planner.Deployment, o buyer.Order) {
+	for range o.Change {
+		if !s.fleet.duty.leaser.Holds(s.now()) {
+			return
+		}
+		order := keeper.StartOrder{
+			Token: uuid.NewString(), Fence: s.fleet.duty.leaser.Fence(), Deployment: d.Name, Version: s.present(d),
+			FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable,
+		}
+		reply, err := s.cfg.Cloud.Start(ctx, order)
+		if err != nil {
+			// The same token settles whether it took effect.
+			reply, err = s.cfg.Cloud.Start(ctx, order)
+		}
+		if err != nil || reply.Refused {
+			b.Refused(now, o.FailureDomain, o.Reclaimable)
+			s.metrics.count("starts_refused")
+			s.cfg.Log.Info().Str("event", "start_refused").Str("deployment", d.Name).Str("failure_domain", o.FailureDomain).
+				Bool("reclaimable", o.Reclaimable).Str("why", reply.Why).Err(err).Send()
+			return
+		}
+		b.Started(o.FailureDomain, o.Reclaimable)
+		s.metrics.count("vms_started")
+		s.fleet.starting[reply.VMID] = startingVM{
+			class: buyer.Holding{FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable, VMs: 1}, deployment: d.Name, since: now,
+		}
+		s.audit("system", "vm_started", reply.VMID, "for "+d.Name+" in "+o.FailureDomain)
+	}
+}
+
+// present is the version that a deployment serves with.
+func (s *Server) present(d planner.Deployment) string {
+	if m := s.move(d.Name); m.ID != "" {
+		return m.Present()
+	}
+	return d.Version
+}
+
+// drainVMs turns work away from VMs that are no longer wanted, by a notice of
+// our own.
+func (s *Server) drainVMs(now time.Time, o buyer.Order, vms []keeper.VM) {
+	left := -o.Change
+	for _, vm := range vms {
+		_, draining := s.fleet.draining[vm.ID]
+		if left == 0 || draining || vm.FailureDomain != o.FailureDomain || vm.Reclaimable != o.Reclaimable {
+			continue
+		}
+		left--
+		s.fleet.draining[vm.ID] = now.Add(drainTime)
+		s.audit("system", "vm_drained", vm.ID, "no longer wanted in "+vm.FailureDomain)
+		s.takeNotices([]keeper.Notice{{VMID: vm.ID, LeftMS: drainTime.Milliseconds()}})
+	}
+}
+
+// stopDrained stops the VMs whose drain has ended.
+func (s *Server) stopDrained(ctx context.Context, now time.Time) {
+	for id, end := range s.fleet.draining {
+		if now.Before(end) || !s.fleet.duty.leaser.Holds(s.now()) {
+			continue
+		}
+		reply, err := s.cfg.Cloud.Stop(ctx, keeper.StopOrder{VMID: id, Fence: s.fleet.duty.leaser.Fence()})
+		if err != nil || reply.Refused {
+			continue
+		}
+		delete(s.fleet.draining, id)
+		s.metrics.count("vms_stopped")
+		s.audit("system", "vm_stopped", id, "")
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,12 +16,13 @@
 
 // Server is one entry process. New makes one; Run serves until it is stopped.
 type Server struct {
-	cfg     Config
-	state   *state
-	runs    *registry
-	metrics *measures
-	duty    *duty
-	news    chan struct{}
+	cfg      Config
+	state    *state
+	runs     *registry
+	metrics  *measures
+	moveDuty *duty
+	fleet    *fleet
+	news     chan struct{}
 
 	outcomes *outcomes
 
@@ -42,7 +43,8 @@
 		state:     newState(cfg),
 		runs:      newRegistry(),
 		metrics:   newMeasures(),
-		duty:      newDuty(cfg),
+		moveDuty:  newDuty(cfg, dutyMoves),
+		fleet:     newFleet(cfg),
 		news:      make(chan struct{}, 1),
 		outcomes:  newOutcomes(),
 		exchanges: map[string]bool{},
@@ -131,7 +133,8 @@
 func (s *Server) addTasks(group *run.Group) {
 	tasks := []func(context.Context) error{
 		s.gossip,
-		s.driveMoves,
+		s.drive(s.moveDuty, s.advanceMoves),
+		s.drive(s.fleet.duty, s.driveFleet),
 		s.writeOutcomes,
 		s.every(s.shared, s.syncConfig),
 		s.every(s.shared, s.syncVMs),
--- a/pkg/planner/answers.go
+++ b/pkg/planner/answers.go
@@ -65,4 +65,6 @@
 	ReclaimableShare float64 `yaml:"reclaimable_share"`
 	// PricePerHour is the most that the fleet may cost, 0 for no limit.
 	PricePerHour float64 `yaml:"price_per_hour"`
+	// BuysVMs says whether the system may start and stop upstreams' VMs.
+	BuysVMs bool `yaml:"buys_vms"`
 }
