internal/server: name the victims of a death once

Cause: an entry with 5,000 open streams on one upstream that died did not stop any more; its stack dump showed one goroutine in the isolator under the state's lock and the rest waiting for it. Each of the streams that found the death named all the others, and a full isolator looked for its oldest entry at each new one: the square of the streams times the isolator's size. Ruled out: the planned stop itself, which only waited. Change: the first request that finds a death names all, the others themselves; a full isolator drops a quarter at once.

--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -245,14 +245,7 @@
 	if found != dead {
 		return
 	}
-	now := s.now()
-	s.state.mu.Lock()
-	news := s.state.isolator.Implicate(now, target.ID, []isolator.Fingerprint{call.fingerprint})
-	s.state.mu.Unlock()
-	if len(news) > 0 {
-		s.metrics.count("upstream_deaths")
-		s.urgent()
-	}
+	s.implicate(&request{fingerprint: call.fingerprint}, target.ID)
 }
 
 // succeedCall fills the retry budget.
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -36,6 +36,8 @@
 	boots    map[string]string
 	moves    map[string]*moveState
 	late     map[string]*mover.LateMark
+	// deaths holds when upstreams were found dead.
+	deaths map[string]time.Time
 	// solo holds the suspects that must not share their upstream yet.
 	solo     map[string]*request
 	random   *rand.Rand
@@ -66,6 +68,7 @@
 		moves:    map[string]*moveState{},
 		late:     map[string]*mover.LateMark{},
 		solo:     map[string]*request{},
+		deaths:   map[string]time.Time{},
 		random:   rand.New(rand.NewPCG(seed, seed)),
 	}
 }
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -181,21 +181,43 @@
 	return found == dead
 }
 
+// deathMemory is the time in which further findings are of the same death.
+const deathMemory = 10 * time.Second
+
 // implicate records the death of an upstream for the requests that were in
-// flight on it, the given one among them.
+// flight on it. The first request that finds the death names all of them, the
+// others only themselves: each naming all would cost the square of their
+// number.
 func (s *Server) implicate(r *request, upstream string) {
+	now := s.now()
 	fingerprints := []isolator.Fingerprint{r.fingerprint}
-	for _, other := range s.runs.open() {
-		if other != r && other.last() == upstream {
-			fingerprints = append(fingerprints, other.fingerprint)
+	if s.firstToFind(now, upstream) {
+		s.metrics.count("upstream_deaths")
+		for _, other := range s.runs.open() {
+			if other != r && other.last() == upstream {
+				fingerprints = append(fingerprints, other.fingerprint)
+			}
 		}
 	}
-	now := s.now()
 	s.state.mu.Lock()
 	news := s.state.isolator.Implicate(now, upstream, fingerprints)
 	s.state.mu.Unlock()
 	if len(news) > 0 {
-		s.metrics.count("upstream_deaths")
 		s.urgent()
 	}
 }
+
+func (s *Server) firstToFind(now time.Time, upstream string) bool {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	for id, at := range s.state.deaths {
+		if now.Sub(at) >= deathMemory {
+			delete(s.state.deaths, id)
+		}
+	}
+	if _, found := s.state.deaths[upstream]; found {
+		return false
+	}
+	s.state.deaths[upstream] = now
+	return true
+}
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -34,3 +34,23 @@
 	require.True(t, s.investigate(context.Background(), r, dispatcher.Target{ID: "u0"}, cause))
 	require.Equal(t, isolator.Suspect, s.standing(7))
 }
+
+// The first request that finds a death names all that were in flight, later
+// ones only themselves.
+func TestOneFindingOfADeathNamesAll(t *testing.T) {
+	s := testServer(t, "e1", nil, &dying{})
+	runs := map[string]*request{}
+	for i, id := range []string{"a", "b", "c"} {
+		runs[id] = &request{id: id, fingerprint: isolator.Fingerprint(i + 1), lastOn: "u0"}
+	}
+	s.runs.start(runs["a"])
+	s.runs.start(runs["b"])
+	s.implicate(runs["a"], "u0")
+	require.Equal(t, isolator.Suspect, s.standing(1))
+	require.Equal(t, isolator.Suspect, s.standing(2))
+	s.runs.start(runs["c"])
+	s.implicate(runs["b"], "u0")
+	require.Equal(t, isolator.Clear, s.standing(3))
+	s.implicate(runs["c"], "u0")
+	require.Equal(t, isolator.Suspect, s.standing(3))
+}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -90,22 +90,29 @@
 	return true
 }
 
-// forget drops what is too old, or else the oldest.
+// keptShare is the share of the fingerprints that forget keeps, so that it runs
+// rarely however fast new ones come.
+const keptShare = 0.75
+
+// forget drops what is too old, and then the oldest beyond the kept share.
 func (i *Isolator) forget(now time.Time) {
-	var oldest Fingerprint
-	oldestAt := now
+	type dated struct {
+		f  Fingerprint
+		at time.Time
+	}
+	var kept []dated
 	for f := range i.deaths {
 		newest := i.newest(f)
 		if now.Sub(newest) > memory {
 			delete(i.deaths, f)
 			continue
 		}
-		if !newest.After(oldestAt) {
-			oldest, oldestAt = f, newest
-		}
+		kept = append(kept, dated{f, newest})
 	}
-	if len(i.deaths) >= maxFingerprints {
-		delete(i.deaths, oldest)
+	slices.SortFunc(kept, func(a, b dated) int { return a.at.Compare(b.at) })
+	excess := len(kept) - int(keptShare*maxFingerprints)
+	for _, d := range kept[:max(0, excess)] {
+		delete(i.deaths, d.f)
 	}
 }
 
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -89,6 +89,18 @@
 	require.Equal(t, isolator.Clear, i.Standing(start.Add(2*time.Hour), culprit), "it is forgotten after an hour")
 }
 
+// A full isolator makes room for many at once, so that it seldom has to.
+func TestForgettingIsRare(t *testing.T) {
+	var i isolator.Isolator
+	at := func(f isolator.Fingerprint) time.Time { return start.Add(time.Duration(f) * time.Millisecond) }
+	for f := range isolator.Fingerprint(4097) {
+		i.Merge(at(f), isolator.Implication{Fingerprint: f, Upstream: "u"})
+	}
+	require.Len(t, i.Newest(at(5000), 9999), 3073)
+	require.Equal(t, isolator.Clear, i.Standing(at(5000), 1023))
+	require.Equal(t, isolator.Suspect, i.Standing(at(5000), 1024))
+}
+
 func TestStateIsBounded(t *testing.T) {
 	var i isolator.Isolator
 	for f := range isolator.Fingerprint(5000) {
