internal/server: take the load that comes with answers

Ruled out: asking more rarely alone, which leaves the router with reports that no longer count. Change: an upstream may say with its answer how many it runs; a large fleet asks only those that have not, one a second at most.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -41,6 +41,9 @@
 	// of other attempts and parts that were received already are dropped; a
 	// gap is an error. The parts can be ranged over once.
 	Parts() iter.Seq2[Part, error]
+	// Running returns how many requests the upstream said that it runs, this
+	// one included, when it took this one. It is 0 if it did not say.
+	Running() int
 	// Close ends the stream; its connection is not used again unless the
 	// answer was read to its end.
 	Close()
@@ -115,6 +118,7 @@
 	headerResumeKV   = "X-Resume-Kv"
 	headerKey        = "X-Key"
 	headerNotRun     = "X-Not-Run"
+	headerRunning    = "X-Running"
 )
 
 // Answered reports whether an HTTP status is the service's own answer, which
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -62,7 +62,8 @@
 		resp.Body.Close()
 		return nil, judge.Mark(judge.MayHaveRun, "%s answered another request", target.ID)
 	}
-	return &eventStream{target: target, a: a, body: resp.Body, offset: a.From}, nil
+	running, _ := strconv.Atoi(resp.Header.Get(headerRunning))
+	return &eventStream{target: target, a: a, body: resp.Body, offset: a.From, running: max(0, running)}, nil
 }
 
 // withResume adds the text that the caller has already to a JSON object.
@@ -86,8 +87,13 @@
 	offset int
 	stale  int
 	ended  bool
+	// running is the load that came with the answer.
+	running int
 }
 
+// Running returns the load that came with the answer.
+func (s *eventStream) Running() int { return s.running }
+
 // Parts returns the parts that belong to this attempt and place.
 func (s *eventStream) Parts() iter.Seq2[Part, error] {
 	return func(yield func(Part, error) bool) {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -245,6 +245,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Attempt", strconv.Itoa(attempt))
+	e.mu.Lock()
+	w.Header().Set("X-Running", strconv.Itoa(e.running))
+	e.mu.Unlock()
 	if !pause(r.Context(), e.cfg.FirstToken+time.Duration(f.DelayMS)*time.Millisecond) {
 		return
 	}
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -173,6 +173,7 @@
 		return guard.explain(err)
 	}
 	defer stream.Close()
+	s.hearLoad(target, stream.Running())
 	first := time.Duration(0)
 	for part, err := range stream.Parts() {
 		if err != nil {
@@ -198,6 +199,17 @@
 	return nil
 }
 
+// hearLoad takes the load that came with an answer, which costs no question.
+func (s *Server) hearLoad(target dispatcher.Target, running int) {
+	if running == 0 {
+		return
+	}
+	now := s.now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.router.Report(now, target.ID, running, 0)
+}
+
 // enter counts an attempt on an upstream and on the version that moves in. It
 // returns the boot of the upstream's process, as far as known.
 func (s *Server) enter(deployment string, target dispatcher.Target, version string) string {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -140,7 +140,7 @@
 		s.every(s.shared, s.syncVMs),
 		s.every(s.shared, s.syncNotices),
 		s.every(s.shared, s.syncMoves),
-		s.every(s.loadInterval, s.syncLoads),
+		s.every(func() time.Duration { return loadPoll }, s.syncLoads),
 		s.every(func() time.Duration { return leastPoll }, s.writeAudit),
 		s.every(func() time.Duration { return time.Second }, s.housekeep),
 		s.bootstrapUntilKnown,
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -19,12 +19,10 @@
 	// each kind of reading; the interval of one entry grows with their number.
 	readBudget = 100.0
 	leastPoll  = 500 * time.Millisecond
-	// loadPoll is the least time between two questions to one upstream, and
-	// loadRate the questions a second that an entry spends on all of them; in
-	// a large fleet they have to fit into the bytes that control may take.
+	// loadPoll is the time between two rounds of questions about load, and
+	// loadQuestions their number in a round of a large fleet.
 	loadPoll      = time.Second
-	loadRate      = 40.0
-	loadRateLarge = 1.5
+	loadQuestions = 1
 	probeWorkers  = 8
 	auditBatch    = 100
 )
@@ -118,22 +116,23 @@
 	}
 }
 
-// loadInterval is the time between two questions to one upstream.
-func (s *Server) loadInterval() time.Duration {
+// questions returns the upstreams to ask for their load now: all of a small
+// fleet; in a large one those whose answers have not told of it lately, as many
+// as the bytes of control allow.
+func (s *Server) questions(now time.Time) []router.Upstream {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	rate := loadRate
-	if s.state.tracker.Interval() > rareRounds {
-		rate = loadRateLarge
+	if s.state.tracker.Interval() <= rareRounds {
+		return s.state.router.Listed()
 	}
-	return max(loadPoll, time.Duration(float64(len(s.state.router.Listed()))/rate*float64(time.Second)))
+	stale := s.state.router.Stale(now)
+	s.state.random.Shuffle(len(stale), func(i, j int) { stale[i], stale[j] = stale[j], stale[i] })
+	return stale[:min(len(stale), loadQuestions)]
 }
 
-// syncLoads asks the upstreams in use for their load, a few at a time.
+// syncLoads asks upstreams for their load, a few at a time.
 func (s *Server) syncLoads(ctx context.Context) {
-	s.state.mu.Lock()
-	upstreams := s.state.router.Listed()
-	s.state.mu.Unlock()
+	upstreams := s.questions(s.now())
 	jobs := make(chan router.Upstream)
 	done := make(chan struct{})
 	for range probeWorkers {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -441,6 +441,19 @@
 	return list
 }
 
+// Stale lists the upstreams in use whose last report no longer counts.
+func (r *Router) Stale(now time.Time) []Upstream {
+	var list []Upstream
+	for _, group := range r.groups {
+		for _, rec := range group {
+			if now.Sub(rec.reported) >= reportLifetime {
+				list = append(list, rec.Upstream)
+			}
+		}
+	}
+	return list
+}
+
 // Leaving reports whether an upstream has a notice.
 func (r *Router) Leaving(id string) bool {
 	rec, ok := r.records[id]
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -66,6 +66,8 @@
 		picked[u.ID]++
 	}
 	require.Greater(t, picked["u3"], 20, "the idle upstream wins each draw that it is in")
+	require.Len(t, r.Stale(start), 1, "only u3 has not told of its load")
+	require.Len(t, r.Stale(start.Add(time.Minute)), 4)
 	// The report grows old; only the own counts are left.
 	for range 8 {
 		r.Begin("u3")
