internal/emulator, pkg/router: one piece of code where the logic is the same

The stand-ins share their faults, counts and control; reading the moves stands once; choosing an upstream has a file of its own. Behaviour is as it was.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -7,11 +7,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 )
 
 const (
@@ -108,54 +106,36 @@
 // so that a reader can check an answer byte for byte.
 type Engine struct {
 	cfg EngineConfig
-	journal
-	mu       sync.Mutex
-	faults   EngineFaults
-	running  int
-	requests int
-	silence  chan struct{}
-	caches   map[string]bool
-	boot     string
+	upstream
+	silence chan struct{}
+	caches  map[string]bool
 }
 
 // NewEngine returns an engine.
 func NewEngine(cfg EngineConfig) *Engine {
-	return &Engine{cfg: cfg, silence: make(chan struct{}), caches: map[string]bool{}, boot: uuid.NewString()}
+	return &Engine{cfg: cfg, upstream: newUpstream(cfg.Version, cfg.Slots), silence: make(chan struct{}), caches: map[string]bool{}}
 }
 
 // Handler returns the engine's HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.generate)
-	mux.HandleFunc("GET /load", handle(func(*http.Request, struct{}) (Load, error) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return Load{Version: e.cfg.Version, Running: e.running, Slots: e.cfg.Slots, LeavingMS: e.faults.LeavingMS, Boot: e.boot}, nil
-	}))
-	mux.HandleFunc("POST /control/faults", handle(func(_ *http.Request, f EngineFaults) (EngineFaults, error) {
-		e.SetFaults(f)
-		return f, nil
-	}))
-	mux.HandleFunc("GET /control/requests", handle(func(*http.Request, struct{}) (int, error) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return e.requests, nil
-	}))
 	mux.HandleFunc("GET /kv/{id}/{attempt}", e.exportKV)
 	mux.HandleFunc("PUT /kv/{id}", e.importKV)
-	e.journal.mount(mux)
+	e.mount(mux, e.SetFaults)
 	return mux
 }
 
 // SetFaults replaces the faults in force.
 func (e *Engine) SetFaults(f EngineFaults) {
+	e.upstream.SetFaults(f)
+	if !f.SilenceOpen {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if f.SilenceOpen {
-		close(e.silence)
-		e.silence = make(chan struct{})
-	}
-	e.faults = f
+	close(e.silence)
+	e.silence = make(chan struct{})
 }
 
 // Text returns token i of the answer to a request whose messages are given as
@@ -173,18 +153,6 @@
 	return b.String()
 }
 
-func (e *Engine) begin(route string) (f EngineFaults, silence chan struct{}) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.requests++
-	e.running++
-	f = e.faults
-	if !f.hits(route, e.requests, e.running) {
-		f.Fail, f.DelayMS = false, 0
-	}
-	return f, e.silence
-}
-
 // hits reports whether the conditional faults apply to a request.
 func (f EngineFaults) hits(route string, requests, running int) bool {
 	if f.Route != "" && f.Route != route {
@@ -193,10 +161,12 @@
 	return requests > f.AfterRequests && running > f.OverRunning
 }
 
-func (e *Engine) end() {
+// open returns the channel that is closed when the connections open now go
+// silent.
+func (e *Engine) open() chan struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running--
+	return e.silence
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
@@ -209,7 +179,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	f, silence := e.begin(req.Model)
+	f, silence := e.begin(req.Model), e.open()
 	defer e.end()
 	if e.cfg.Crash != nil && strings.Contains(string(req.Messages), crashMark) {
 		e.cfg.Crash()
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -6,10 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
-
-	"github.com/google/uuid"
 )
 
 // ServiceConfig describes one plain service.
@@ -25,59 +22,22 @@
 // a repeated one: keeping repeats away is the work of the system under test.
 type Service struct {
 	cfg ServiceConfig
-	journal
-	mu       sync.Mutex
-	faults   EngineFaults
-	running  int
-	requests int
-	boot     string
+	upstream
 }
 
 // NewService returns a service.
-func NewService(cfg ServiceConfig) *Service { return &Service{cfg: cfg, boot: uuid.NewString()} }
+func NewService(cfg ServiceConfig) *Service {
+	return &Service{cfg: cfg, upstream: newUpstream(cfg.Version, cfg.Slots)}
+}
 
 // Handler returns the service's HTTP interface.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/run/", s.run)
-	mux.HandleFunc("GET /load", handle(func(*http.Request, struct{}) (Load, error) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return Load{Version: s.cfg.Version, Running: s.running, Slots: s.cfg.Slots, LeavingMS: s.faults.LeavingMS, Boot: s.boot}, nil
-	}))
-	mux.HandleFunc("POST /control/faults", handle(func(_ *http.Request, f EngineFaults) (EngineFaults, error) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.faults = f
-		return f, nil
-	}))
-	mux.HandleFunc("GET /control/requests", handle(func(*http.Request, struct{}) (int, error) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.requests, nil
-	}))
-	s.journal.mount(mux)
+	s.mount(mux, s.SetFaults)
 	return mux
 }
 
-func (s *Service) begin(route string) EngineFaults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.requests++
-	s.running++
-	f := s.faults
-	if !f.hits(route, s.requests, s.running) {
-		f.Fail, f.DelayMS = false, 0
-	}
-	return f
-}
-
-func (s *Service) end() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running--
-}
-
 func (s *Service) run(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
 	if err != nil {
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -102,19 +102,34 @@
 	return l.Holds(s.now())
 }
 
-// advanceMoves takes each open move a step on if its evidence allows it.
-func (s *Server) advanceMoves(ctx context.Context) {
+// storedMove is a move as the platform has it.
+type storedMove struct {
+	mover.Move
+	version uint64
+}
+
+// readMoves reads the newest move of each deployment and merges what is news.
+func (s *Server) readMoves(ctx context.Context) []storedMove {
 	rows, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: movePrefix})
 	if err != nil {
-		return
+		return nil
 	}
+	var moves []storedMove
 	for _, row := range rows {
-		var stored mover.Move
-		if json.Unmarshal(row.Value, &stored) != nil {
+		var m mover.Move
+		if json.Unmarshal(row.Value, &m) != nil {
 			continue
 		}
-		s.noteMove(stored)
-		s.advanceMove(ctx, stored, row.Version)
+		s.noteMove(m)
+		moves = append(moves, storedMove{Move: m, version: row.Version})
+	}
+	return moves
+}
+
+// advanceMoves takes each open move a step on if its evidence allows it.
+func (s *Server) advanceMoves(ctx context.Context) {
+	for _, stored := range s.readMoves(ctx) {
+		s.advanceMove(ctx, stored.Move, stored.version)
 	}
 }
 
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -8,7 +8,6 @@
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
 	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/internal/messenger"
-	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/planner"
 	"github.com/galenahitch/galenahitch/pkg/recorder"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -92,19 +91,10 @@
 // syncMoves reads the moves and writes back what this entry knows better: a
 // move that was taken back while the platform was down.
 func (s *Server) syncMoves(ctx context.Context) {
-	rows, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: movePrefix})
-	if err != nil {
-		return
-	}
-	for _, row := range rows {
-		var stored mover.Move
-		if json.Unmarshal(row.Value, &stored) != nil {
-			continue
-		}
-		s.noteMove(stored)
+	for _, stored := range s.readMoves(ctx) {
 		known := s.move(stored.Deployment)
 		if known.Epoch == stored.Epoch && !known.Open() && stored.Open() {
-			s.writeMove(ctx, known, row.Version)
+			s.writeMove(ctx, known, stored.version)
 		}
 	}
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -12,24 +12,6 @@
 )
 
 const (
-	// prefixBound is how far above the mean score the upstream of a prefix
-	// may be loaded before its requests go elsewhere.
-	prefixBound = 1.25
-	// prefixSlack is added to the bound, in shares of an upstream's slots, so
-	// that affinity holds at low load.
-	prefixSlack = 0.1
-	// prefixSpare is the number of slots that must look free on an upstream
-	// for a prefix to keep going there.
-	prefixSpare = 2
-	// ownWeight is the weight of the own counts, taken to be every entry's,
-	// against the load that the upstream reported.
-	ownWeight = 0.3
-	// remotePenalty is added to the score of an upstream in another failure
-	// domain, in shares of its slots.
-	remotePenalty = 0.30
-	// pricePenalty weighs an upstream's price against the dearest one, in
-	// shares of its slots.
-	pricePenalty = 0.05
 	// reportLifetime is how long a load report counts.
 	reportLifetime = 5 * time.Second
 	// defaultSlots stands for upstreams that do not say how much they carry.
@@ -288,111 +270,6 @@
 	}
 }
 
-// Pick chooses an upstream. It returns false if none may take the attempt.
-func (r *Router) Pick(now time.Time, ask Ask) (Upstream, bool) {
-	r.init()
-	open := r.open(now, ask)
-	if len(open) == 0 {
-		return Upstream{}, false
-	}
-	if ask.Prefix != 0 {
-		return r.byPrefix(now, ask, open).Upstream, true
-	}
-	return r.least(now, open).Upstream, true
-}
-
-func (r *Router) open(now time.Time, ask Ask) []*record {
-	group := r.groups[ask.Deployment]
-	open := make([]*record, 0, len(group))
-	var resting []*record
-	for _, rec := range group {
-		if ask.Version != "" && rec.Version != ask.Version || slices.Contains(ask.Exclude, rec.ID) {
-			continue
-		}
-		if r.available(now, rec) {
-			open = append(open, rec)
-		} else if rec.state == "suspect" {
-			resting = append(resting, rec)
-		}
-	}
-	if len(open) == 0 {
-		// When all are suspects, the suspicion says nothing about one of them.
-		return resting
-	}
-	return open
-}
-
-func (r *Router) available(now time.Time, rec *record) bool {
-	if rec.state == "suspect" && !now.Before(rec.suspectTill) {
-		r.step(rec.ID, "recover")
-	}
-	return rec.state == "live"
-}
-
-// least returns the upstream with the lowest score; a random start breaks ties.
-func (r *Router) least(now time.Time, open []*record) *record {
-	start := r.random.IntN(len(open))
-	best := open[start]
-	bestScore := r.score(now, best)
-	for i := 1; i < len(open); i++ {
-		rec := open[(start+i)%len(open)]
-		if score := r.score(now, rec); score < bestScore {
-			best, bestScore = rec, score
-		}
-	}
-	return best
-}
-
-// byPrefix walks the prefix's rendezvous order to the first upstream below
-// the load bound. Where none is, the cache is not worth the wait.
-func (r *Router) byPrefix(now time.Time, ask Ask, open []*record) *record {
-	total := 0.0
-	for _, rec := range open {
-		total += r.score(now, rec)
-	}
-	mean := total / float64(len(open))
-	var best *record
-	var bestRank uint64
-	for _, rec := range open {
-		bound := min(prefixBound*mean+prefixSlack, max(0, 1-prefixSpare/float64(rec.slots())))
-		rank := mix(ask.Prefix ^ xxhash.Sum64String(rec.ID))
-		if r.score(now, rec) <= bound && (best == nil || rank > bestRank) {
-			best, bestRank = rec, rank
-		}
-	}
-	if best == nil {
-		return r.least(now, open)
-	}
-	return best
-}
-
-// mix spreads a combined hash over all bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
-// score is the share of an upstream's slots in use, with penalties for other
-// failure domains and for price. What has changed here since the last report
-// is taken to have changed at the other entries too: they saw the same report.
-func (r *Router) score(now time.Time, rec *record) float64 {
-	busy := float64(rec.inFlight)
-	if now.Sub(rec.reported) < reportLifetime {
-		sharing := float64(r.sharing())
-		told := float64(rec.running) + float64(rec.inFlight-rec.ownAtReport)*sharing
-		busy = max(busy, ownWeight*float64(rec.inFlight)*sharing+(1-ownWeight)*told)
-	}
-	score := busy / float64(rec.slots())
-	if r.cfg.FailureDomain != "" && rec.FailureDomain != r.cfg.FailureDomain {
-		score += remotePenalty
-	}
-	return score + pricePenalty*rec.PricePerHour
-}
-
-func (r *Router) sharing() int { return max(1, r.entries) }
-
 // Share tells the router how many entries use the same upstreams.
 func (r *Router) Share(entries int) { r.entries = entries }
 
