--- /dev/null
+++ b/internal/server/sender.go
@@ -0,0 +1,166 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/galenahitch/galenahitch/internal/replayer"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+type chatChunk struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+}
+
+type chatChoice struct {
+	Index        int       `json:"index"`
+	Delta        *chatText `json:"delta,omitempty"`
+	Message      *chatText `json:"message,omitempty"`
+	FinishReason *string   `json:"finish_reason"`
+}
+
+type chatText struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+func (s *Server) send(c *gin.Context, buffer *replayer.Buffer, id, model string, from int, stream bool) {
+	if !stream {
+		from = 0
+	}
+	s.sendFrom(c, buffer.Reader(from), 0, id, model, stream)
+}
+
+// sendFrom writes an answer to its caller; shift is added to the reader's
+// offsets.
+func (s *Server) sendFrom(c *gin.Context, reader *replayer.Reader, shift int, id, model string, stream bool) {
+	defer reader.Close()
+	c.Header(headerRequestID, id)
+	if stream {
+		s.sendStream(c, reader, shift, id, model)
+		return
+	}
+	s.sendWhole(c, reader, id, model)
+}
+
+func (s *Server) sendWhole(c *gin.Context, reader *replayer.Reader, id, model string) {
+	var text strings.Builder
+	for {
+		part, end, err := reader.Next(c.Request.Context())
+		if err != nil {
+			return
+		}
+		if part != "" {
+			text.WriteString(part)
+			continue
+		}
+		switch end.Kind {
+		case replayer.Done:
+			finish := "stop"
+			c.Header(headerVerdict, string(judge.Ran))
+			c.JSON(http.StatusOK, chatChunk{ID: id, Object: "chat.completion", Model: model, Choices: []chatChoice{{
+				Message: &chatText{Role: "assistant", Content: text.String()}, FinishReason: &finish,
+			}}})
+		case replayer.Refused:
+			s.reply(c, end.Refusal.For(id))
+		default:
+			s.reply(c, judge.Refuse(judge.CodeLeaving, judge.MayHaveRun, "the request moved to another entry; ask for it by its id").After(100*time.Millisecond).For(id))
+		}
+		return
+	}
+}
+
+func (s *Server) sendStream(c *gin.Context, reader *replayer.Reader, shift int, id, model string) {
+	writer := eventWriter{c: c, s: s, id: id, model: model}
+	for {
+		offset := reader.Offset() + shift
+		part, end, err := reader.Next(c.Request.Context())
+		if err != nil {
+			return
+		}
+		if part != "" {
+			if writer.part(offset, part) != nil {
+				return
+			}
+			continue
+		}
+		switch end.Kind {
+		case replayer.Done:
+			writer.done(offset)
+		case replayer.Refused:
+			writer.refused(end.Refusal)
+		default:
+			writer.moved()
+		}
+		return
+	}
+}
+
+// eventWriter writes an answer as server-sent events.
+type eventWriter struct {
+	c       *gin.Context
+	s       *Server
+	id      string
+	model   string
+	started bool
+}
+
+func (w *eventWriter) start() {
+	if w.started {
+		return
+	}
+	w.started = true
+	w.c.Header("Content-Type", "text/event-stream")
+	w.c.Header("Cache-Control", "no-store")
+	w.c.Status(http.StatusOK)
+}
+
+func (w *eventWriter) write(format string, args ...any) error {
+	w.start()
+	slowly(w.c, w.s.now())
+	if _, err := fmt.Fprintf(w.c.Writer, format, args...); err != nil {
+		return err
+	}
+	return http.NewResponseController(w.c.Writer).Flush()
+}
+
+func (w *eventWriter) chunk(delta string, finish *string) string {
+	data, _ := json.Marshal(chatChunk{ID: w.id, Object: "chat.completion.chunk", Model: w.model, Choices: []chatChoice{{
+		Delta: &chatText{Content: delta}, FinishReason: finish,
+	}}})
+	return string(data)
+}
+
+func (w *eventWriter) part(offset int, text string) error {
+	return w.write("id: %d\ndata: %s\n\n", offset, w.chunk(text, nil))
+}
+
+func (w *eventWriter) done(offset int) {
+	finish := "stop"
+	_ = w.write("id: %d\ndata: %s\n\ndata: [DONE]\n\n", offset, w.chunk("", &finish))
+}
+
+// refused ends a stream with a refusal: as a plain answer if nothing was
+// written, as an event otherwise.
+func (w *eventWriter) refused(refusal *judge.Refusal) {
+	if !w.started {
+		w.s.reply(w.c, refusal.For(w.id))
+		return
+	}
+	data, _ := json.Marshal(refusal.For(w.id))
+	_ = w.write("event: error\ndata: %s\n\n", data)
+}
+
+// moved tells the caller that another entry has the request: it reconnects
+// with the id of the last event.
+func (w *eventWriter) moved() {
+	_ = w.write("event: moved\nretry: 100\ndata: {\"request_id\":%q}\n\n", w.id)
+}
--- /dev/null
+++ b/internal/server/trail.go
@@ -0,0 +1,97 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/recorder"
+)
+
+func (s *Server) adminHistory(c *gin.Context) {
+	rows, err := s.cfg.Table.Scan(c.Request.Context(), keeper.Scan{Prefix: planner.KeyPrefix, Reverse: true, Limit: maxHistory})
+	if err != nil {
+		s.reply(c, refusalOf(err))
+		return
+	}
+	history := make([]recorder.Record, 0, len(rows))
+	for _, row := range rows {
+		if cfg, err := planner.Decode(row.Value); err == nil {
+			history = append(history, configRecord(cfg))
+		}
+	}
+	c.JSON(http.StatusOK, history)
+}
+
+// configRecord is a generation as a line of the audit trail.
+func configRecord(cfg planner.Config) recorder.Record {
+	return recorder.Record{
+		AtMS: cfg.SubmittedMS, Actor: cfg.SubmittedBy, Event: "config_accepted",
+		Subject: "generation " + strconv.FormatUint(cfg.Generation, 10), Detail: "answers of " + cfg.Firm, Generation: cfg.Generation,
+	}
+}
+
+// adminAudit merges the accepted configurations with the other records.
+func (s *Server) adminAudit(c *gin.Context) {
+	trail, err := s.auditTrail(c.Request.Context())
+	if err != nil {
+		s.reply(c, refusalOf(err))
+		return
+	}
+	c.JSON(http.StatusOK, trail)
+}
+
+func (s *Server) auditTrail(ctx context.Context) ([]recorder.Record, error) {
+	rows, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: "audit/", Reverse: true, Limit: maxAuditRows})
+	if err != nil {
+		return nil, err
+	}
+	trail := make([]recorder.Record, 0, len(rows))
+	for _, row := range rows {
+		var record recorder.Record
+		if json.Unmarshal(row.Value, &record) == nil {
+			trail = append(trail, record)
+		}
+	}
+	configs, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: planner.KeyPrefix, Reverse: true, Limit: maxHistory})
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range configs {
+		if cfg, err := planner.Decode(row.Value); err == nil {
+			trail = append(trail, configRecord(cfg))
+		}
+	}
+	for _, prefix := range []string{movePrefix, pastPrefix} {
+		moves, err := s.cfg.Table.Scan(ctx, keeper.Scan{Prefix: prefix, Reverse: true, Limit: maxHistory})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range moves {
+			var m mover.Move
+			if json.Unmarshal(row.Value, &m) == nil {
+				trail = append(trail, moveRecords(m)...)
+			}
+		}
+	}
+	slices.SortStableFunc(trail, func(a, b recorder.Record) int { return int(a.AtMS - b.AtMS) })
+	return trail, nil
+}
+
+// moveRecords is a move's history as lines of the audit trail.
+func moveRecords(m mover.Move) []recorder.Record {
+	records := make([]recorder.Record, 0, len(m.History))
+	for _, change := range m.History {
+		records = append(records, recorder.Record{
+			AtMS: change.AtMS, Actor: change.Actor, Event: "move_" + string(change.Event), Subject: m.ID, Detail: change.Detail,
+		})
+	}
+	return records
+}
