--- a/internal/commander/logger.go
+++ b/internal/commander/logger.go
@@ -10,16 +10,21 @@
 	"github.com/rs/zerolog"
 )
 
+// timeFormat gives the times of events to the millisecond.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // newLogger writes one line of key=value pairs for each event.
 func newLogger(out io.Writer, level string) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return zerolog.Nop(), err
 	}
+	// The library keeps the precision of times in a variable of its own.
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	writer := zerolog.ConsoleWriter{
 		Out:             out,
 		NoColor:         true,
-		TimeFormat:      time.RFC3339Nano,
+		TimeFormat:      timeFormat,
 		FormatTimestamp: func(v any) string { return fmt.Sprintf("time=%v", v) },
 		FormatLevel:     func(v any) string { return fmt.Sprintf("level=%v", v) },
 		FormatMessage:   func(v any) string { return "" },
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -196,6 +196,10 @@
 		}()
 	}
 	opened.Wait()
+	// What opening a stream has used is garbage by the second collection.
+	if _, err := c.memory(client); err != nil {
+		return err
+	}
 	with, err := c.memory(client)
 	if err != nil {
 		return err
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -17,6 +17,8 @@
 const (
 	memoryTotal    = "/memory/classes/total:bytes"
 	memoryReleased = "/memory/classes/heap/released:bytes"
+	memoryStacks   = "/memory/classes/heap/stacks:bytes"
+	memoryObjects  = "/memory/classes/heap/objects:bytes"
 )
 
 // collections is the number of collections that a caller of ?collect=1 gets.
@@ -76,9 +78,11 @@
 
 // gauges fits the gauges to the present state.
 func (s *Server) gauges() {
-	samples := []runtimemetrics.Sample{{Name: memoryTotal}, {Name: memoryReleased}}
+	samples := []runtimemetrics.Sample{{Name: memoryTotal}, {Name: memoryReleased}, {Name: memoryStacks}, {Name: memoryObjects}}
 	runtimemetrics.Read(samples)
 	s.metrics.gauge("memory_bytes", int64(samples[0].Value.Uint64()-samples[1].Value.Uint64()))
+	s.metrics.gauge("stack_bytes", int64(samples[2].Value.Uint64()))
+	s.metrics.gauge("object_bytes", int64(samples[3].Value.Uint64()))
 	s.metrics.gauge("goroutines", int64(runtime.NumGoroutine()))
 	s.metrics.gauge("open_runs", int64(len(s.runs.open())))
 	s.state.mu.Lock()
