internal/server: give duplicates the answer that is being recorded

Ruled out: a lost outcome; the next question got it. Change: a duplicate of a call that has run looks for the outcome for a moment.

--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -23,6 +23,10 @@
 	askTime = 500 * time.Millisecond
 	// askPause is the wait between questions about a call that still runs.
 	askPause = 200 * time.Millisecond
+	// outcomeLooks and outcomeLook are how often and after which pauses a
+	// duplicate looks for the outcome of a call that has run.
+	outcomeLooks = 4
+	outcomeLook  = 25 * time.Millisecond
 	// maxOutcomeBody bounds the answer that is kept for duplicates.
 	maxOutcomeBody = 64 << 10
 )
@@ -156,17 +160,44 @@
 	case claimer.RejectReuse:
 		return dispatcher.Reply{}, judge.Refuse(judge.CodeKeyReuse, judge.NotRun, "the key belongs to another request")
 	case claimer.Replay:
-		if existing.Status == 0 {
-			return dispatcher.Reply{}, judge.Refuse(judge.CodeDuplicate, judge.Ran, "it ran, but its answer was lost")
-		}
-		return dispatcher.Reply{Status: existing.Status, Type: existing.Type, Body: existing.Body}, nil
+		return replay(existing)
 	}
 	target := dispatcher.Target{ID: existing.UpstreamID, Address: existing.UpstreamAddress}
 	progress, err := s.cfg.Upstreams.Progress(ctx, target, existing.RequestID, existing.Attempt)
-	if err == nil && progress.Done {
-		return dispatcher.Reply{}, judge.Refuse(judge.CodeDuplicate, judge.Ran, "it ran; ask again for its answer").After(s.jitter(askPause))
+	if err != nil || !progress.Done {
+		return dispatcher.Reply{}, judge.Refuse(judge.CodeInProgress, judge.MayHaveRun, "the key was used for this request before and its outcome is not known yet").After(s.jitter(time.Second))
+	}
+	if settled, ok := s.awaitOutcome(ctx, call); ok {
+		return replay(settled)
+	}
+	return dispatcher.Reply{}, judge.Refuse(judge.CodeDuplicate, judge.Ran, "it ran; ask again for its answer").After(s.jitter(askPause))
+}
+
+// replay answers with a recorded outcome.
+func replay(claim claimer.Claim) (dispatcher.Reply, *judge.Refusal) {
+	if claim.Status == 0 {
+		return dispatcher.Reply{}, judge.Refuse(judge.CodeDuplicate, judge.Ran, "it ran, but its answer was lost")
+	}
+	return dispatcher.Reply{Status: claim.Status, Type: claim.Type, Body: claim.Body}, nil
+}
+
+// awaitOutcome reads a claim again for a moment: a call that has run is about
+// to have its outcome recorded.
+func (s *Server) awaitOutcome(ctx context.Context, call *callState) (claimer.Claim, bool) {
+	for range outcomeLooks {
+		if !pauseFor(ctx, outcomeLook) {
+			break
+		}
+		row, err := s.cfg.Table.Get(ctx, claimer.Key(call.org.Name, call.key))
+		var claim claimer.Claim
+		if err != nil || json.Unmarshal(row.Value, &claim) != nil {
+			break
+		}
+		if claimer.Decide(claim, call.digest) == claimer.Replay {
+			return claim, true
+		}
 	}
-	return dispatcher.Reply{}, judge.Refuse(judge.CodeInProgress, judge.MayHaveRun, "the key was used for this request before and its outcome is not known yet").After(s.jitter(time.Second))
+	return claimer.Claim{}, false
 }
 
 // settle records the outcome of a claim.
--- a/internal/server/claims_test.go
+++ b/internal/server/claims_test.go
@@ -214,3 +214,29 @@
 		}
 	})
 }
+
+// A duplicate that comes between the run and the record of its outcome waits
+// for the record and gets the answer.
+func TestDuplicateGetsTheAnswerThatIsBeingRecorded(t *testing.T) {
+	table := emulator.NewPlatform(time.Now)
+	up := &upstream{next: func() int { return 5 }, byID: map[string]bool{}, runs: map[string]int{}}
+	s := testServer(t, "e1", table, up)
+	route, _ := s.state.config().Route("save")
+	call := func(id string) *callState {
+		return &callState{
+			caller: caller{org: s.state.config().Organisations[0], key: "k", id: id}, route: route, digest: "d",
+			end: time.Now().Add(time.Second), call: dispatcher.Call{Attempt: dispatcher.Attempt{RequestID: id}, Key: "k"},
+		}
+	}
+	_, refusal := s.claimCall(context.Background(), call("r1"))
+	require.Nil(t, refusal)
+	_, refusal = s.claimCall(context.Background(), call("r2"))
+	require.Equal(t, judge.Ran, refusal.Verdict, "the outcome is not recorded yet")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = s.writeOutcomes(ctx) }()
+	reply, refusal := s.claimCall(context.Background(), call("r3"))
+	require.Nil(t, refusal)
+	require.Equal(t, "k", string(reply.Body))
+	require.Equal(t, 1, up.runs["k"])
+}
