--- a/pkg/judge/judge.go
+++ b/pkg/judge/judge.go
@@ -60,26 +60,24 @@
 
 // The codes of refusals.
 const (
-	CodeBadRequest      Code = "bad_request"
-	CodeTooLarge        Code = "too_large"
-	CodeUnauthorised    Code = "unauthorised"
-	CodeUnknownRoute    Code = "unknown_route"
-	CodeOverloaded      Code = "overloaded"
-	CodeDeadline        Code = "deadline"
-	CodeNoUpstream      Code = "no_upstream"
-	CodeUpstreamFailed  Code = "upstream_failed"
-	CodeStore           Code = "store_unreachable"
-	CodeInProgress      Code = "duplicate_in_progress"
-	CodeDuplicate       Code = "duplicate_unknown_outcome"
-	CodeKeyReuse        Code = "idempotency_key_reuse"
-	CodeConvicted       Code = "request_crashes_upstreams"
-	CodeLeaving         Code = "leaving"
-	CodeNotFound        Code = "not_found"
-	CodeNotConfigured   Code = "not_configured"
-	CodeConflict        Code = "conflict"
-	CodeRetriesSpent    Code = "retry_budget_spent"
-	CodeUpstreamAnswer  Code = "upstream_answer_invalid"
-	CodeNotRunAttempted Code = "not_run"
+	CodeBadRequest     Code = "bad_request"
+	CodeTooLarge       Code = "too_large"
+	CodeUnauthorised   Code = "unauthorised"
+	CodeUnknownRoute   Code = "unknown_route"
+	CodeOverloaded     Code = "overloaded"
+	CodeDeadline       Code = "deadline"
+	CodeNoUpstream     Code = "no_upstream"
+	CodeUpstreamFailed Code = "upstream_failed"
+	CodeStore          Code = "store_unreachable"
+	CodeInProgress     Code = "duplicate_in_progress"
+	CodeDuplicate      Code = "duplicate_unknown_outcome"
+	CodeKeyReuse       Code = "idempotency_key_reuse"
+	CodeConvicted      Code = "request_crashes_upstreams"
+	CodeLeaving        Code = "leaving"
+	CodeNotFound       Code = "not_found"
+	CodeNotConfigured  Code = "not_configured"
+	CodeConflict       Code = "conflict"
+	CodeRetriesSpent   Code = "retry_budget_spent"
 )
 
 // Refusal is the body of every answer that is not the upstream's own.
@@ -133,7 +131,7 @@
 		return http.StatusConflict
 	case CodeKeyReuse, CodeConvicted:
 		return http.StatusUnprocessableEntity
-	case CodeUpstreamFailed, CodeUpstreamAnswer:
+	case CodeUpstreamFailed:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
--- a/pkg/limiter/doc.go
+++ b/pkg/limiter/doc.go
@@ -11,8 +11,8 @@
 //	l.SetCapacity(64)
 //	d := l.Offer(now, limiter.Ask{Organisation: "boutique-luna", Weight: 3, Deadline: now.Add(time.Second)})
 //	switch d.Outcome { case limiter.Admitted: ...; case limiter.Refused: wait d.RetryAfter }
-//	granted, expired := l.Release(now, 400*time.Millisecond)
+//	granted, expired := l.Release(now, "boutique-luna", 400*time.Millisecond)
 //
 // Limiter has no goroutine and no clock; its owner locks it and wakes the
-// requests that Release and Expire name.
+// requests that Release and Grant name.
 package limiter
