--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -193,16 +194,25 @@
 	return conn, nil
 }
 
-// Forget closes the connection to a peer.
-func (c *Client) Forget(address string) {
+// Keep closes the connections to all but the given peers.
+func (c *Client) Keep(addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := c.conns[address]; ok {
-		_ = conn.Close()
-		delete(c.conns, address)
+	for address, conn := range c.conns {
+		if !slices.Contains(addresses, address) {
+			_ = conn.Close()
+			delete(c.conns, address)
+		}
 	}
 }
 
+// Connections returns the number of peers that the client is connected to.
+func (c *Client) Connections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -91,6 +91,18 @@
 	require.Error(t, c.Join(ctx, address, &messenger.Join{RequestID: "broken"}, func(*messenger.JoinPart) error { return nil }))
 }
 
+func TestKeepClosesConnectionsToPeersThatAreGone(t *testing.T) {
+	first, second, c := serve(t, messenger.Security{}), serve(t, messenger.Security{}), client(t, messenger.Security{})
+	for _, address := range []string{first, second} {
+		_, err := c.Exchange(context.Background(), address, &messenger.Exchange{})
+		require.NoError(t, err)
+	}
+	c.Keep([]string{second, "another"})
+	require.Equal(t, 1, c.Connections())
+	_, err := c.Exchange(context.Background(), first, &messenger.Exchange{})
+	require.NoError(t, err, "one that comes back is connected anew")
+}
+
 // issue writes a certificate and its key, signed by the authority.
 func issue(t *testing.T, dir, name string, authority *x509.Certificate, signer *ecdsa.PrivateKey) messenger.Security {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"time"
 
@@ -133,6 +134,7 @@
 func (s *Server) noteReclaims(now time.Time, b *buyer.Buyer, vms []keeper.VM) {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
+	maps.DeleteFunc(s.fleet.leaving, func(id string, _ bool) bool { return !s.state.router.Leaving(id) })
 	for _, vm := range vms {
 		_, ours := s.fleet.draining[vm.ID]
 		if ours || s.fleet.leaving[vm.ID] || !s.state.router.Leaving(vm.ID) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -169,13 +169,18 @@
 	return nil
 }
 
-// housekeep fits limits to the members in reach, ends runs that nobody reads
-// and drops old ones.
+// housekeep fits limits to the members in reach, closes connections to members
+// that are gone, ends runs that nobody reads and drops old ones.
 func (s *Server) housekeep(context.Context) {
 	now := s.now()
 	s.state.mu.Lock()
 	s.state.resize(now)
+	peers := append([]string{}, s.cfg.Seeds...)
+	for _, member := range s.state.tracker.Statuses(now) {
+		peers = append(peers, member.Address)
+	}
 	s.state.mu.Unlock()
+	s.cfg.Peers.Keep(peers)
 	for _, r := range s.runs.sweep(now) {
 		if r.unreadSince(now) > abandonTime {
 			s.metrics.count("runs_abandoned")
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -128,6 +129,11 @@
 			FailureDomain: vm.FailureDomain, Slots: vm.Slots, PricePerHour: vm.PricePerHour,
 		})
 	}
+	known := make(map[string]bool, len(upstreams))
+	for _, u := range upstreams {
+		known[u.ID] = true
+	}
+	maps.DeleteFunc(s.boots, func(id, _ string) bool { return !known[id] })
 	s.router.Replace(now, upstreams)
 	s.tracker.List(now, members)
 	for id, gone := range s.notices {
