--- a/internal/experimenter/capacity.go
+++ b/internal/experimenter/capacity.go
@@ -280,5 +280,11 @@
 	}
 	table(cfg.Out, "configuration and admission", rows...)
 	table(cfg.Out, "comparison of versions", cells("one outcome"), cells("%s", watchCost()))
+
+	rows, err := claimRows()
+	if err != nil {
+		return err
+	}
+	table(cfg.Out, "claims", rows...)
 	return nil
 }
