internal/server: start a move over the end of the last one

Ruled out: a second operator; the row's next state was the end of the same move. Change: a start looks again, up to three times; only a move that is open is a conflict. The other failure, a race, was in a test, which changed its clock while the entry read it.

--- a/internal/server/callers_test.go
+++ b/internal/server/callers_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -183,8 +184,9 @@
 // A run that nobody reads any more is ended, so that its upstream is free.
 func TestAbandonedRunsEnd(t *testing.T) {
 	r := newRig(t, emulator.EngineConfig{Version: "v1", Slots: 10, EachToken: time.Millisecond})
-	clock := time.Now()
-	r.cfg.Now = func() time.Time { return clock }
+	began := time.Now()
+	var passed atomic.Int64
+	r.cfg.Now = func() time.Time { return began.Add(time.Duration(passed.Load())) }
 	ctx, cancel := context.WithCancel(context.Background())
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.callers.URL+"/v1/chat/completions",
 		strings.NewReader(`{"model":"ask","messages":[{"content":"q"}],"max_tokens":30000,"stream":true}`))
@@ -197,7 +199,7 @@
 	require.Eventually(t, func() bool { return r.runs.open()[0].buffer.Readers() == 0 }, 10*time.Second, time.Millisecond)
 	r.housekeep(context.Background())
 	require.Len(t, r.runs.open(), 1, "a caller may still reconnect")
-	clock = clock.Add(abandonTime + time.Second)
+	passed.Store(int64(abandonTime + time.Second))
 	r.housekeep(context.Background())
 	require.Eventually(t, func() bool { return len(r.runs.open()) == 0 }, 10*time.Second, time.Millisecond)
 }
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -217,37 +217,50 @@
 	if !ok {
 		return mover.Move{}, moveRefused{"deployment " + deployment + " is not known"}
 	}
-	row, err := s.cfg.Table.Get(ctx, movePrefix+deployment)
+	if within <= 0 {
+		within = time.Duration(d.Move.FinishWithinMS) * time.Millisecond
+	}
+	for range startTries {
+		m, applied, err := s.tryStart(ctx, operator, d, to, within)
+		if err != nil {
+			return mover.Move{}, err
+		}
+		if applied {
+			s.noteMove(m)
+			s.logMove("started", m)
+			return m, nil
+		}
+	}
+	return mover.Move{}, moveRefused{"the move was changed at the same time; look at its status"}
+}
+
+// startTries is how often a move may be tried to start over a row that changes:
+// an entry may just then write the end of the last move.
+const startTries = 3
+
+// tryStart writes a new move over the last one. It returns false if the row
+// has changed in between; looking again tells whether a new move stands there.
+func (s *Server) tryStart(ctx context.Context, operator string, d planner.Deployment, to string, within time.Duration) (mover.Move, bool, error) {
+	row, err := s.cfg.Table.Get(ctx, movePrefix+d.Name)
 	if err != nil {
-		return mover.Move{}, err
+		return mover.Move{}, false, err
 	}
-	present, epoch, err := lastMove(row, d, s.move(deployment))
+	present, epoch, err := lastMove(row, d, s.move(d.Name))
 	if err != nil {
-		return mover.Move{}, err
+		return mover.Move{}, false, err
 	}
 	if present == to {
-		return mover.Move{}, moveRefused{deployment + " is at " + to + " already"}
-	}
-	if within <= 0 {
-		within = time.Duration(d.Move.FinishWithinMS) * time.Millisecond
+		return mover.Move{}, false, moveRefused{d.Name + " is at " + to + " already"}
 	}
 	if err := s.archiveMove(ctx, row); err != nil {
-		return mover.Move{}, err
+		return mover.Move{}, false, err
 	}
 	m := mover.Start(s.now(), mover.Move{
-		ID: uuid.NewString(), Epoch: epoch + 1, Deployment: deployment, From: present, To: to,
+		ID: uuid.NewString(), Epoch: epoch + 1, Deployment: d.Name, From: present, To: to,
 	}, operator, within)
 	value, _ := json.Marshal(m)
-	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: movePrefix + deployment, Value: value, Expect: row.Version})
-	if err != nil {
-		return mover.Move{}, err
-	}
-	if !result.Applied {
-		return mover.Move{}, moveRefused{"another operator changed the move at the same time; look at its status"}
-	}
-	s.noteMove(m)
-	s.logMove("started", m)
-	return m, nil
+	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: movePrefix + d.Name, Value: value, Expect: row.Version})
+	return m, result.Applied, err
 }
 
 // archiveMove keeps a move that is about to be replaced for the audit trail.
--- /dev/null
+++ b/internal/server/duties_test.go
@@ -0,0 +1,63 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/emulator"
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+)
+
+// meddling is a table in which another entry writes just before each of the
+// first writes to a move's row.
+type meddling struct {
+	keeper.Table
+	before []func()
+}
+
+func (m *meddling) Put(ctx context.Context, put keeper.Put) (keeper.PutResult, error) {
+	if put.Key == movePrefix+"s" && len(m.before) > 0 {
+		meddle := m.before[0]
+		m.before = m.before[1:]
+		meddle()
+	}
+	return m.Table.Put(ctx, put)
+}
+
+func write(t *testing.T, table keeper.Table, m mover.Move) {
+	row, err := table.Get(context.Background(), movePrefix+m.Deployment)
+	require.NoError(t, err)
+	value, err := json.Marshal(m)
+	require.NoError(t, err)
+	_, err = table.Put(context.Background(), keeper.Put{Key: row.Key, Value: value, Expect: row.Version})
+	require.NoError(t, err)
+}
+
+// The end of the last move may be written while the next one starts; only
+// another operator's new move is a conflict.
+func TestStartOverAChangingRow(t *testing.T) {
+	platform := emulator.NewPlatform(time.Now)
+	open := mover.Start(time.Now(), mover.Move{ID: "m1", Epoch: 1, Deployment: "s", From: "v1", To: "v2"}, "ana", time.Minute)
+	ended := mover.TakeBack(time.Now(), open, "system", "failures")
+	write(t, platform, open)
+	table := &meddling{Table: platform, before: []func(){func() { write(t, platform, ended) }}}
+	s := testServer(t, "e1", table, nil)
+	s.state.mergeMove(ended)
+	m, err := s.startMove(context.Background(), "ana", "s", "v3", 0)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, m.Epoch)
+	require.Equal(t, "v1", m.From)
+
+	back := mover.TakeBack(time.Now(), m, "ana", "enough")
+	write(t, platform, back)
+	s.state.mergeMove(back)
+	other := mover.Start(time.Now(), mover.Move{ID: "m3", Epoch: 3, Deployment: "s", From: "v1", To: "v4"}, "bea", time.Minute)
+	table.before = []func(){func() { write(t, platform, other) }}
+	_, err = s.startMove(context.Background(), "ana", "s", "v5", 0)
+	require.ErrorContains(t, err, "a move to v4 goes on")
+}
