pkg/isolator: wait longer for the implications of other entries

The likely cause, not shown: on a slow machine the crashing request's implications from other entries came more than a second after the neighbour's second one. Ruled out: a data race; none was seen. Change: three seconds in place of one.

--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -16,7 +16,7 @@
 	certainPoint = 4
 	// settleTime is how long the implications of other entries may take to
 	// arrive; no request is convicted for being alone before it has passed.
-	settleTime = time.Second
+	settleTime = 3 * time.Second
 	// memory is how long an implication counts.
 	memory = time.Hour
 	// maxFingerprints bounds the state.
