internal/server: ask for a member's reach in place of sorting all of them

Found when reading the change again: each request under a key sorted every member, and listed and sorted them a second time under the state's lock, only to see which of eight answer. The tracker now tells one member's reach. Also gone: the time of the entry's own end and a setting, which nothing read.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -150,7 +150,7 @@
 	}
 	cfg := server.Config{
 		Self:   tracker.Member{ID: s.ID, Address: address, FailureDomain: s.FailureDomain},
-		Listen: s.Listen, AdminListen: s.AdminListen, PeerListen: s.PeerListen, LocalIP: s.LocalIP,
+		Listen: s.Listen, AdminListen: s.AdminListen, PeerListen: s.PeerListen,
 		Seeds: s.Seeds, Table: platform, Cloud: platform, Upstreams: upstreams, Peers: peers,
 		Security: s.security(), Log: log, Now: now, StopGrace: s.StopGrace, LeaseLifetime: s.LeaseLifetime,
 	}
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -25,8 +25,6 @@
 	Listen      string
 	AdminListen string
 	PeerListen  string
-	// LocalIP is the address that outgoing calls leave from.
-	LocalIP string
 	// Seeds are peers' addresses for a start while the platform is down.
 	Seeds     []string
 	Operators []Operator
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -281,16 +282,9 @@
 	defer cancel()
 	now := s.now()
 	s.state.mu.Lock()
-	peers := s.state.tracker.Near(now, id, askedPeers)
-	alive := peers[:0]
-	statuses := s.state.tracker.Statuses(now)
-	for _, peer := range peers {
-		for _, status := range statuses {
-			if status.ID == peer.ID && status.Reach == tracker.Alive {
-				alive = append(alive, peer)
-			}
-		}
-	}
+	alive := slices.DeleteFunc(s.state.tracker.Near(now, id, askedPeers), func(peer tracker.Member) bool {
+		return s.state.tracker.Reach(now, peer.ID) != tracker.Alive
+	})
 	s.state.mu.Unlock()
 	answers := make(chan located, len(alive))
 	for _, peer := range alive {
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -44,7 +44,6 @@
 	random   *rand.Rand
 	leaving  bool
 	stopping bool
-	goneAt   time.Time
 }
 
 type budgetKey struct {
@@ -155,7 +154,6 @@
 	s.tracker.Leave(n.VMID)
 	if n.VMID == s.self.ID {
 		s.leaving = true
-		s.goneAt = now.Add(n.Left())
 	}
 	s.resize(now)
 	return true
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -173,6 +173,15 @@
 	}
 }
 
+// Reach says whether a member answers; one that is not known is out of reach.
+func (t *Tracker) Reach(now time.Time, id string) Reach {
+	rec, ok := t.members[id]
+	if !ok {
+		return Lost
+	}
+	return rec.reach(now)
+}
+
 // Statuses returns all members by id.
 func (t *Tracker) Statuses(now time.Time) []Status {
 	list := make([]Status, 0, len(t.members))
