pkg/isolator: convict nobody of deaths that another request was in

Cause, traced by dumping the isolator's state when it convicts, with three copies of the scenario test beside six busy loops: all neighbours that were convicted had exactly the culprit's deaths, four of them, and the fourth death convicted in any case. They shared the third and fourth because two suspects met: one that had made its first two parts let the culprit join it, and one that took an upstream between the culprit's crash and the finding of the death was named among the victims.

Ruled out: late implications of other entries. No conviction came from being alone in the intersection, so the waiting time was not the cause.

Change: the fourth death convicts only a request that alone was in all of them; a suspect does not join one that it can't be told from; an upstream stays reserved until its death is known; a request that took it after the death is not named; attempts that did not run do not use up the attempts.

The logger and the metrics move to packages of their own, for a second entry process to use.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
 	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/logger"
 	"github.com/galenahitch/galenahitch/internal/messenger"
 	"github.com/galenahitch/galenahitch/internal/server"
 	"github.com/galenahitch/galenahitch/pkg/tracker"
@@ -97,7 +98,7 @@
 	if wrong := c.Check(); len(wrong) > 0 {
 		return fail(ExitUsage, "the settings have mistakes:\n  %s", strings.Join(wrong, "\n  "))
 	}
-	log, err := newLogger(c.io.Err, c.LogLevel)
+	log, err := logger.New(c.io.Err, c.LogLevel)
 	if err != nil {
 		return fail(ExitUsage, "%v", err)
 	}
--- a/internal/commander/logger.go
+++ b/internal/logger/logger.go
@@ -1,4 +1,4 @@
-package commander
+package logger
 
 import (
 	"fmt"
@@ -13,8 +13,9 @@
 // timeFormat gives the times of events to the millisecond.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// newLogger writes one line of key=value pairs for each event.
-func newLogger(out io.Writer, level string) (zerolog.Logger, error) {
+// New returns a logger that writes one line of key=value pairs for each event
+// to out.
+func New(out io.Writer, level string) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return zerolog.Nop(), err
--- /dev/null
+++ b/internal/logger/queue.go
@@ -0,0 +1,139 @@
+package logger
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// queueLines bounds the lines that wait for the writer.
+	queueLines = 512
+	// dropReport is the time between two lines about dropped lines.
+	dropReport = time.Second
+)
+
+// QueueConfig sets a queue up.
+type QueueConfig struct {
+	Out io.Writer
+	// PerSecond bounds the lines of one kind of event in a second. Zero means
+	// no bound.
+	PerSecond int
+	Now       func() time.Time
+}
+
+// Queue passes lines on to a writer without keeping those who log waiting. It
+// is safe for concurrent use.
+type Queue struct {
+	cfg   QueueConfig
+	lines chan []byte
+
+	mu      sync.Mutex
+	second  int64
+	written map[string]int
+	dropped map[string]int
+}
+
+// NewQueue returns a queue that passes nothing on until Run.
+func NewQueue(cfg QueueConfig) *Queue {
+	return &Queue{cfg: cfg, lines: make(chan []byte, queueLines), written: map[string]int{}, dropped: map[string]int{}}
+}
+
+// Write takes one line. It never fails and never waits.
+func (q *Queue) Write(line []byte) (int, error) {
+	event := eventOf(line)
+	if !q.admit(event) {
+		return len(line), nil
+	}
+	select {
+	case q.lines <- bytes.Clone(line):
+	default:
+		q.drop(event)
+	}
+	return len(line), nil
+}
+
+func (q *Queue) admit(event string) bool {
+	if q.cfg.PerSecond <= 0 {
+		return true
+	}
+	second := q.cfg.Now().Unix()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if second != q.second {
+		q.second = second
+		clear(q.written)
+	}
+	if q.written[event] >= q.cfg.PerSecond {
+		q.dropped[event]++
+		return false
+	}
+	q.written[event]++
+	return true
+}
+
+func (q *Queue) drop(event string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dropped[event]++
+}
+
+// eventOf returns the kind of event that a line is about.
+func eventOf(line []byte) string {
+	_, rest, found := bytes.Cut(line, []byte("event="))
+	if !found {
+		return "none"
+	}
+	name, _, _ := bytes.Cut(rest, []byte(" "))
+	return strings.TrimSpace(string(name))
+}
+
+// Run writes lines until ctx ends and the queue is empty.
+func (q *Queue) Run(ctx context.Context) error {
+	ticker := time.NewTicker(dropReport)
+	defer ticker.Stop()
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(line)
+		case <-ticker.C:
+			q.report()
+		case <-ctx.Done():
+			q.flush()
+			return nil
+		}
+	}
+}
+
+func (q *Queue) flush() {
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(line)
+		default:
+			q.report()
+			return
+		}
+	}
+}
+
+// write passes a line on. There is nowhere to report that logs can't be
+// written.
+func (q *Queue) write(line []byte) { _, _ = q.cfg.Out.Write(line) }
+
+func (q *Queue) report() {
+	q.mu.Lock()
+	dropped := q.dropped
+	q.dropped = map[string]int{}
+	q.mu.Unlock()
+	for _, event := range slices.Sorted(maps.Keys(dropped)) {
+		q.write(fmt.Appendf(nil, "time=%s level=warn event=log_lines_dropped kind=%s count=%d\n",
+			q.cfg.Now().Format(timeFormat), event, dropped[event]))
+	}
+}
--- /dev/null
+++ b/internal/measurer/measurer.go
@@ -0,0 +1,60 @@
+package measurer
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// sampleSize and sampleAlpha are those of the histograms: the library's usual
+// ones, which weigh the last five minutes most.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Measures are a process's metrics. They are safe for concurrent use.
+type Measures struct {
+	registry metrics.Registry
+}
+
+// New returns no metrics.
+func New() *Measures { return &Measures{registry: metrics.NewRegistry()} }
+
+// Count adds one to a counter.
+func (m *Measures) Count(name string) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+// Gauge sets a gauge.
+func (m *Measures) Gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
+// Observe adds a value to a histogram.
+func (m *Measures) Observe(name string, value int64) {
+	metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)).Update(value)
+}
+
+// Text renders all metrics, one name and value a line.
+func (m *Measures) Text() string {
+	var lines []string
+	m.registry.Each(func(name string, metric any) {
+		switch metric := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, metric.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, metric.Value()))
+		case metrics.Histogram:
+			h := metric.Snapshot()
+			lines = append(lines,
+				fmt.Sprintf("%s_count %d", name, h.Count()),
+				fmt.Sprintf("%s_p50 %.0f", name, h.Percentile(0.5)),
+				fmt.Sprintf("%s_p95 %.0f", name, h.Percentile(0.95)))
+		}
+	})
+	sort.Strings(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -48,7 +48,7 @@
 	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(cause)
 	}
-	s.metrics.count("panics")
+	s.metrics.Count("panics")
 	s.cfg.Log.Error().Str("event", "panic").Interface("cause", cause).Send()
 	c.AbortWithStatus(http.StatusInternalServerError)
 }
@@ -71,7 +71,7 @@
 	if refusal.RetryAfterMS > 0 {
 		c.Header("Retry-After", strconv.FormatInt((refusal.RetryAfterMS+999)/1000, 10))
 	}
-	s.metrics.count("refused_" + string(refusal.Code))
+	s.metrics.Count("refused_" + string(refusal.Code))
 	c.AbortWithStatusJSON(refusal.Status, refusal)
 }
 
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -204,7 +204,7 @@
 		s.reply(c, judge.Refuse(judge.CodeKeyReuse, judge.NotRun, "the key belongs to another request"))
 		return
 	}
-	s.metrics.count("joins")
+	s.metrics.Count("joins")
 	if found.run != nil {
 		s.send(c, &found.run.buffer, found.id, found.run.route.Name, resumeOffset(c), stream)
 		return
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -94,7 +94,7 @@
 	defer cancel()
 	result, err := keeper.Settle(ctx, s.cfg.Table, keeper.Put{Key: key, Value: value, Expect: expect})
 	if err != nil {
-		s.metrics.count("claims_refused_store")
+		s.metrics.Count("claims_refused_store")
 		s.abandon(held{key: key, claim: claim})
 		return claimed{}, "", judge.Refuse(judge.CodeStore, judge.NotRun, "the platform's table can't be reached, so the call can't be kept from running twice").After(s.jitter(2 * time.Second))
 	}
@@ -155,7 +155,7 @@
 
 // answerDuplicate answers a call whose key is another's.
 func (s *Server) answerDuplicate(ctx context.Context, call *callState, existing claimer.Claim) (dispatcher.Reply, *judge.Refusal) {
-	s.metrics.count("duplicates")
+	s.metrics.Count("duplicates")
 	switch claimer.Decide(existing, call.digest) {
 	case claimer.RejectReuse:
 		return dispatcher.Reply{}, judge.Refuse(judge.CodeKeyReuse, judge.NotRun, "the key belongs to another request")
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -196,7 +196,7 @@
 // takenBack acts on a move that this entry's evidence took back: peers hear of
 // it at once, the platform when it can be reached.
 func (s *Server) takenBack(m mover.Move) {
-	s.metrics.count("moves_taken_back")
+	s.metrics.Count("moves_taken_back")
 	s.logMove("taken_back", m)
 	s.urgent()
 	go s.syncMoves(s.base)
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -187,13 +187,13 @@
 		}
 		if err != nil || reply.Refused {
 			b.Refused(now, o.FailureDomain, o.Reclaimable)
-			s.metrics.count("starts_refused")
+			s.metrics.Count("starts_refused")
 			s.cfg.Log.Info().Str("event", "start_refused").Str("deployment", d.Name).Str("failure_domain", o.FailureDomain).
 				Bool("reclaimable", o.Reclaimable).Str("why", reply.Why).Err(err).Send()
 			return
 		}
 		b.Started(o.FailureDomain, o.Reclaimable)
-		s.metrics.count("vms_started")
+		s.metrics.Count("vms_started")
 		s.fleet.starting[reply.VMID] = startingVM{
 			class: buyer.Holding{FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable, VMs: 1}, deployment: d.Name, since: now,
 		}
@@ -236,7 +236,7 @@
 			continue
 		}
 		delete(s.fleet.draining, id)
-		s.metrics.count("vms_stopped")
+		s.metrics.Count("vms_stopped")
 		s.audit("system", "vm_stopped", id, "")
 	}
 }
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -230,7 +230,7 @@
 	}
 	r.step("admit")
 	if _, fresh := s.runs.start(r); fresh {
-		s.metrics.count("handoffs_taken")
+		s.metrics.Count("handoffs_taken")
 		s.launch(r)
 	}
 	return &messenger.HandoffReply{Accepted: true}, nil
--- a/internal/server/reclaim.go
+++ b/internal/server/reclaim.go
@@ -33,7 +33,7 @@
 		if !s.state.notice(s.now(), n) {
 			continue
 		}
-		s.metrics.count("notices")
+		s.metrics.Count("notices")
 		s.cfg.Log.Info().Str("event", "reclaim_notice").Str("vm", n.VMID).Int64("left_ms", n.LeftMS).Send()
 		s.urgent()
 		if n.VMID == s.cfg.Self.ID {
@@ -58,7 +58,7 @@
 	costs := reclaimer.Costs{EachToken: assumedToken, EachPrefill: assumedPrefill, EachTransfer: assumedTransfer}
 	for _, step := range reclaimer.Plan(streams, left, costs) {
 		r := byID[step.RequestID]
-		s.metrics.count("reclaim_" + string(step.Way))
+		s.metrics.Count("reclaim_" + string(step.Way))
 		after := step.After
 		if step.Way == reclaimer.Finish {
 			// What does not finish as expected leaves just before the end.
@@ -95,7 +95,7 @@
 
 // moveKV moves a run's cache to the upstream that it will go on at.
 func (s *Server) moveKV(r *request) (dispatcher.Target, string, bool) {
-	from, attempt := r.on(), r.attemptCount()
+	from, attempt := r.on(), r.attemptNumber()
 	to, version, ok := s.choose(r)
 	if !ok || to.ID == from.ID {
 		return dispatcher.Target{}, "", false
@@ -103,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(s.base, moveTime)
 	defer cancel()
 	if err := s.cfg.Upstreams.MoveKV(ctx, from, to, r.id, attempt); err != nil {
-		s.metrics.count("kv_moves_failed")
+		s.metrics.Count("kv_moves_failed")
 		return dispatcher.Target{}, "", false
 	}
 	return to, version, true
@@ -137,10 +137,10 @@
 	if s.offerToPeers(r) {
 		r.step("hand_over")
 		r.buffer.End(replayer.End{Kind: replayer.Moved})
-		s.metrics.count("handoffs_given")
+		s.metrics.Count("handoffs_given")
 		return
 	}
-	s.metrics.count("handoffs_failed")
+	s.metrics.Count("handoffs_failed")
 	r.clearOrder()
 	r.relayed = make(chan struct{})
 	s.launch(r)
@@ -150,7 +150,7 @@
 	now := s.now()
 	handoff := &messenger.Handoff{
 		RequestID: r.id, Organisation: r.org.Name, Route: r.route.Name, Digest: r.digest, Body: r.body,
-		MaxTokens: r.maxTokens, Parts: r.buffer.Parts(), Attempts: r.attemptCount(), LeftMS: r.deadline.Sub(now).Milliseconds(),
+		MaxTokens: r.maxTokens, Parts: r.buffer.Parts(), Attempts: r.mayHaveRun(), LeftMS: r.deadline.Sub(now).Milliseconds(),
 	}
 	s.state.mu.Lock()
 	peers := s.state.tracker.Near(now, r.id, handoffPeers)
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -56,24 +56,31 @@
 			r.step("redispatch")
 		}
 		err := s.attempt(ctx, r, target, version, next.way == reclaimer.MoveKV)
+		endedAt := s.now()
 		next = order{}
 		if err == nil {
 			r.step("finish")
 			r.buffer.End(replayer.End{Kind: replayer.Done})
+			s.endSolo(r)
 			s.succeed(r, target)
 			return
 		}
 		if o := r.takeOrder(); o != nil {
+			s.endSolo(r)
 			if o.stop {
 				return
 			}
 			next = *o
-			s.metrics.count("streams_moved_" + string(o.way))
+			s.metrics.Count("streams_moved_" + string(o.way))
 			r.avoid(target.ID)
 			continue
 		}
 		r.failedOn = version
-		if !s.after(ctx, r, target, err) {
+		// Until it is known what became of the upstream, no other suspect may
+		// take it: it would be implicated in a death that came before it.
+		goOn := s.after(ctx, r, target, endedAt, err)
+		s.endSolo(r)
+		if !goOn {
 			return
 		}
 	}
@@ -143,7 +150,7 @@
 	if refusal.RetryAfterMS == 0 {
 		refusal = refusal.After(s.jitter(time.Second))
 	}
-	s.metrics.count("runs_refused_" + string(refusal.Code))
+	s.metrics.Count("runs_refused_" + string(refusal.Code))
 	r.refuse(refusal)
 }
 
@@ -155,14 +162,13 @@
 
 // attempt runs one attempt. A nil error means that the answer is whole.
 func (s *Server) attempt(parent context.Context, r *request, target dispatcher.Target, version string, kv bool) error {
-	ctx, number := r.begin(parent, target)
+	began := s.now()
+	ctx, number := r.begin(parent, began, target)
 	defer r.finish()
-	defer s.endSolo(r)
 	r.boot = s.enter(r.route.Deployment, target, version)
 	defer s.leave(r.route.Deployment, target, version)
 	sent := r.buffer.Text()
 	from := r.buffer.Len()
-	began := s.now()
 	guard := s.watchdog(ctx, r, target, number, from)
 	defer guard.stop()
 	stream, err := s.cfg.Upstreams.Generate(ctx, target, dispatcher.Attempt{
@@ -183,13 +189,13 @@
 		now := s.now()
 		if first == 0 {
 			first = now.Sub(began)
-			s.metrics.firstToken(first)
+			s.metrics.Observe("first_token_us", first.Microseconds())
 		}
 		guard.progress(now, part.Offset+1)
 		r.step("part")
 		r.buffer.Append(part.Text)
 		if part.Offset-from == soloParts {
-			s.endSolo(r)
+			s.prove(r)
 		}
 		if part.Done || part.Offset+1 >= r.maxTokens {
 			break
@@ -273,19 +279,22 @@
 	defer s.state.mu.Unlock()
 	s.state.router.Succeed(target.ID)
 	s.state.budget(budgetKey{organisation: r.org.Name, route: r.route.Name}).Succeed()
-	s.metrics.count("runs_done")
+	s.metrics.Count("runs_done")
 }
 
-// after decides what follows a failed attempt. It returns false if the run is
-// over.
-func (s *Server) after(ctx context.Context, r *request, target dispatcher.Target, cause error) bool {
+// after decides what follows an attempt that failed at endedAt. It returns
+// false if the run is over.
+func (s *Server) after(ctx context.Context, r *request, target dispatcher.Target, endedAt time.Time, cause error) bool {
 	if abandoned(ctx) {
 		s.giveUp(ctx, r, judge.Refuse(judge.CodeDeadline, judge.MayHaveRun, "the request was ended"))
 		return false
 	}
+	if judge.Of(cause) == judge.NotRun {
+		r.notRun()
+	}
 	now := s.now()
 	announced := s.excused(target)
-	died := !announced && s.investigate(ctx, r, target, cause)
+	died := !announced && s.investigate(ctx, r, target, endedAt, cause)
 	r.avoid(target.ID)
 	s.failed(target, announced)
 	s.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", r.id).Str("upstream", target.ID).
@@ -296,14 +305,14 @@
 		s.giveUp(ctx, r, refusal)
 		return false
 	}
-	s.metrics.count("retries")
+	s.metrics.Count("retries")
 	return s.backoff(ctx, r, decision.Backoff)
 }
 
 // failed counts an attempt that failed against its upstream, unless a reclaim
 // explains it.
 func (s *Server) failed(target dispatcher.Target, announced bool) {
-	s.metrics.count("attempts_failed")
+	s.metrics.Count("attempts_failed")
 	if announced {
 		return
 	}
@@ -317,7 +326,7 @@
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	return retrier.Decide(now, s.state.budget(budgetKey{organisation: r.org.Name, route: r.route.Name}), retrier.Failure{
-		Verdict: judge.Of(cause), Idempotent: r.route.Idempotent, Attempts: r.attemptCount(),
+		Verdict: judge.Of(cause), Idempotent: r.route.Idempotent, Attempts: r.mayHaveRun(),
 		Deadline: r.deadline, Announced: announced, Died: died,
 	}, s.state.random)
 }
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -39,9 +39,11 @@
 	mu       sync.Mutex
 	state    charter.State
 	attempts int
+	unsent   int
 	exclude  []string
 	target   dispatcher.Target
 	lastOn   string
+	lastAt   time.Time
 	order    *order
 	interval context.CancelFunc
 	ended    time.Time
@@ -102,8 +104,8 @@
 	r.order = nil
 }
 
-// begin starts an attempt and returns its context.
-func (r *request) begin(ctx context.Context, target dispatcher.Target) (context.Context, int) {
+// begin starts an attempt at now and returns its context.
+func (r *request) begin(ctx context.Context, now time.Time, target dispatcher.Target) (context.Context, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ctx, r.interval = context.WithCancel(ctx)
@@ -113,6 +115,7 @@
 	r.attempts++
 	r.target = target
 	r.lastOn = target.ID
+	r.lastAt = now
 	return ctx, r.attempts
 }
 
@@ -134,11 +137,12 @@
 	return r.target
 }
 
-// last returns the id of the upstream of the newest attempt, ended or not.
-func (r *request) last() string {
+// wasOn reports whether the newest attempt, ended or not, is on an upstream and
+// began before a time.
+func (r *request) wasOn(upstream string, before time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lastOn
+	return r.lastOn == upstream && r.lastAt.Before(before)
 }
 
 // avoid keeps later attempts from an upstream.
@@ -161,12 +165,28 @@
 	r.exclude = nil
 }
 
-func (r *request) attemptCount() int {
+// attemptNumber returns the number of the newest attempt.
+func (r *request) attemptNumber() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.attempts
 }
 
+// mayHaveRun returns the number of attempts that are not known to have ended
+// before the upstream got the request.
+func (r *request) mayHaveRun() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.attempts - r.unsent
+}
+
+// notRun records that the newest attempt did not run.
+func (r *request) notRun() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unsent++
+}
+
 // refuse ends the run with a refusal.
 func (r *request) refuse(refusal *judge.Refusal) {
 	refusal.RequestID = r.id
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 	"google.golang.org/grpc"
 
+	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/messenger"
 )
 
@@ -19,7 +20,7 @@
 	cfg      Config
 	state    *state
 	runs     *registry
-	metrics  *measures
+	metrics  *measurer.Measures
 	moveDuty *duty
 	fleet    *fleet
 	news     chan struct{}
@@ -42,7 +43,7 @@
 		cfg:       cfg,
 		state:     newState(cfg),
 		runs:      newRegistry(),
-		metrics:   newMeasures(),
+		metrics:   measurer.New(),
 		moveDuty:  newDuty(cfg, dutyMoves),
 		fleet:     newFleet(cfg),
 		news:      make(chan struct{}, 1),
@@ -183,7 +184,7 @@
 	s.cfg.Peers.Keep(peers)
 	for _, r := range s.runs.sweep(now) {
 		if r.unreadSince(now) > abandonTime {
-			s.metrics.count("runs_abandoned")
+			s.metrics.Count("runs_abandoned")
 			r.cancel()
 		}
 	}
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -208,7 +208,7 @@
 		}
 		hopeless++
 		if hopeless > 1 {
-			s.metrics.count("silent_connections")
+			s.metrics.Count("silent_connections")
 			return dispatcher.Reply{}, judge.Mark(judge.MayHaveRun, "%s does not answer the call", target.ID)
 		}
 	}
@@ -245,7 +245,7 @@
 	if found != dead {
 		return
 	}
-	s.implicate(&request{fingerprint: call.fingerprint}, target.ID)
+	s.implicate(&request{fingerprint: call.fingerprint}, target.ID, s.now())
 }
 
 // succeedCall fills the retry budget.
--- a/internal/server/solo.go
+++ b/internal/server/solo.go
@@ -8,10 +8,19 @@
 	"github.com/galenahitch/galenahitch/pkg/tracker"
 )
 
-// soloParts is the number of parts after which a suspect is no longer kept
-// apart from other suspects: requests that crash upstreams do so early.
+// soloParts is the number of parts after which another suspect may join a
+// suspect on its upstream: requests that crash upstreams do so early. One that
+// was in all the same deaths may not join even then, since the next death would
+// not tell the two apart.
 const soloParts = 2
 
+// suspect is a suspected request on the upstream that it runs on.
+type suspect struct {
+	request *request
+	// proved says that it has made its first parts there.
+	proved bool
+}
+
 // pickAlone chooses an upstream that no other suspect of this entry is on.
 // Each entry prefers its own share of the upstreams, so that the suspects of
 // two entries rarely meet. The lock must be held.
@@ -23,10 +32,10 @@
 			if own && at%entries != index%max(1, min(entries, len(open))) {
 				continue
 			}
-			if holder, taken := s.solo[u.ID]; taken && holder != r {
+			if !s.mayJoin(now, r, s.suspects[u.ID]) {
 				continue
 			}
-			s.solo[u.ID] = r
+			s.suspects[u.ID] = append(s.suspects[u.ID], suspect{request: r})
 			return u, true
 		}
 		if own && len(open) >= entries {
@@ -37,6 +46,13 @@
 	return router.Upstream{}, false
 }
 
+// mayJoin reports whether a suspect may run where others do.
+func (s *state) mayJoin(now time.Time, r *request, others []suspect) bool {
+	return !slices.ContainsFunc(others, func(other suspect) bool {
+		return !other.proved || s.isolator.Alike(now, r.fingerprint, other.request.fingerprint)
+	})
+}
+
 // rank returns this entry's place among the entries in reach, and their number.
 func (s *state) rank(now time.Time) (int, int) {
 	ids := []string{s.self.ID}
@@ -49,13 +65,26 @@
 	return slices.Index(ids, s.self.ID), len(ids)
 }
 
-// endSolo lets other suspects onto the upstream of a suspect.
+// prove records that a suspect has made its first parts.
+func (s *Server) prove(r *request) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	for _, list := range s.state.suspects {
+		for i := range list {
+			list[i].proved = list[i].proved || list[i].request == r
+		}
+	}
+}
+
+// endSolo records that a suspect has left its upstream.
 func (s *Server) endSolo(r *request) {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	for id, holder := range s.state.solo {
-		if holder == r {
-			delete(s.state.solo, id)
+	for id, list := range s.state.suspects {
+		list = slices.DeleteFunc(list, func(other suspect) bool { return other.request == r })
+		s.state.suspects[id] = list
+		if len(list) == 0 {
+			delete(s.state.suspects, id)
 		}
 	}
 }
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -39,8 +39,8 @@
 	late     map[string]*mover.LateMark
 	// deaths holds when upstreams were found dead.
 	deaths map[string]time.Time
-	// solo holds the suspects that must not share their upstream yet.
-	solo     map[string]*request
+	// suspects holds the suspected requests by the upstream that they run on.
+	suspects map[string][]suspect
 	random   *rand.Rand
 	leaving  bool
 	stopping bool
@@ -67,7 +67,7 @@
 		boots:    map[string]string{},
 		moves:    map[string]*moveState{},
 		late:     map[string]*mover.LateMark{},
-		solo:     map[string]*request{},
+		suspects: map[string][]suspect{},
 		deaths:   map[string]time.Time{},
 		random:   rand.New(rand.NewPCG(seed, seed)),
 	}
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -102,7 +102,7 @@
 // reached counts what the platform could not be asked for.
 func (s *Server) reached(what string, err error) {
 	if err != nil {
-		s.metrics.count("platform_unreachable_" + what)
+		s.metrics.Count("platform_unreachable_" + what)
 	}
 }
 
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -93,7 +93,7 @@
 		w.reason = judge.Mark(judge.MayHaveRun, "%s knows nothing of the request", w.target.ID)
 	case w.from+progress.Tokens > w.offset || progress.Done:
 		w.reason = judge.Mark(judge.MayHaveRun, "the connection to %s went silent", w.target.ID)
-		w.s.metrics.count("silent_connections")
+		w.s.metrics.Count("silent_connections")
 	default:
 		// It is slow, not silent: ask again, but more rarely each time.
 		w.stall = min(mostStall, 2*w.stall)
@@ -163,10 +163,10 @@
 	return silent
 }
 
-// investigate probes an upstream whose attempt failed. If it died without
+// investigate probes an upstream whose attempt failed at endedAt. If it died without
 // notice, the requests in flight on it are implicated. It reports whether the
 // upstream died.
-func (s *Server) investigate(ctx context.Context, r *request, target dispatcher.Target, cause error) bool {
+func (s *Server) investigate(ctx context.Context, r *request, target dispatcher.Target, endedAt time.Time, cause error) bool {
 	if judge.Of(cause) == judge.NotRun {
 		s.suspect(target.ID)
 		return false
@@ -176,7 +176,7 @@
 		s.suspect(target.ID)
 	}
 	if found == dead {
-		s.implicate(r, target.ID)
+		s.implicate(r, target.ID, endedAt)
 	}
 	return found == dead
 }
@@ -185,16 +185,16 @@
 const deathMemory = 10 * time.Second
 
 // implicate records the death of an upstream for the requests that were in
-// flight on it. The first request that finds the death names all of them, the
+// flight on it when an attempt failed at endedAt. The first request that finds the death names all of them, the
 // others only themselves: each naming all would cost the square of their
 // number.
-func (s *Server) implicate(r *request, upstream string) {
+func (s *Server) implicate(r *request, upstream string, endedAt time.Time) {
 	now := s.now()
 	fingerprints := []isolator.Fingerprint{r.fingerprint}
 	if s.firstToFind(now, upstream) {
-		s.metrics.count("upstream_deaths")
+		s.metrics.Count("upstream_deaths")
 		for _, other := range s.runs.open() {
-			if other != r && other.last() == upstream {
+			if other != r && other.wasOn(upstream, endedAt) {
 				fingerprints = append(fingerprints, other.fingerprint)
 			}
 		}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -12,7 +12,8 @@
 	// in all of them is convicted.
 	alonePoint = 2
 	// certainPoint is the number of deaths after which a request is convicted
-	// in any case. It bounds what one request can cost.
+	// at once, unless another request was in all of them too. It bounds what one
+	// request can cost.
 	certainPoint = 4
 	// settleTime is how long the implications of other entries may take to
 	// arrive; no request is convicted for being alone before it has passed.
@@ -122,13 +123,13 @@
 	switch {
 	case len(upstreams) == 0:
 		return Clear
-	case len(upstreams) >= certainPoint:
+	case len(upstreams) >= certainPoint && i.alone(now, f):
 		return Convicted
 	case len(upstreams) < alonePoint:
 		return Suspect
 	case now.Sub(i.newest(f)) < settleTime:
 		return Pending
-	case i.alone(now, f, upstreams):
+	case i.alone(now, f):
 		return Convicted
 	default:
 		return Suspect
@@ -156,15 +157,17 @@
 	return upstreams
 }
 
+// Alike reports whether another request was in flight at every death of f, so
+// that one more death of both would not tell them apart.
+func (i *Isolator) Alike(now time.Time, f, other Fingerprint) bool {
+	shared := i.live(now, other)
+	return !slices.ContainsFunc(i.live(now, f), func(u string) bool { return !slices.Contains(shared, u) })
+}
+
 // alone reports whether no other request was in flight at all those deaths.
-func (i *Isolator) alone(now time.Time, f Fingerprint, upstreams []string) bool {
+func (i *Isolator) alone(now time.Time, f Fingerprint) bool {
 	for other := range i.deaths {
-		if other == f {
-			continue
-		}
-		shared := i.live(now, other)
-		missing := slices.ContainsFunc(upstreams, func(u string) bool { return !slices.Contains(shared, u) })
-		if !missing {
+		if other != f && i.Alike(now, f, other) {
 			return false
 		}
 	}
