--- a/cmd/galenahitch/main.go
+++ b/cmd/galenahitch/main.go
@@ -7,8 +7,9 @@
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/commander"
+	"github.com/galenahitch/galenahitch/platform"
 )
 
 func main() {
-	os.Exit(int(commander.Main(os.Args[1:], commander.IO{Out: os.Stdout, Err: os.Stderr, Now: time.Now})))
+	os.Exit(int(commander.Main(os.Args[1:], commander.IO{Out: os.Stdout, Err: os.Stderr, Now: time.Now}, platform.Command())))
 }
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -56,8 +56,16 @@
 	io IO
 }
 
+// Extra is a command that another package adds to the command line. Make
+// returns what package go-flags fills and executes.
+type Extra struct {
+	Name  string
+	Short string
+	Make  func(io IO) any
+}
+
 // Main parses args, runs the command that they name and returns its exit code.
-func Main(args []string, io IO) Exit {
+func Main(args []string, io IO, more ...Extra) Exit {
 	parser := flags.NewNamedParser("galenahitch", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "answers from language models on VMs that can be reclaimed"
 	base := command{io: io}
@@ -79,6 +87,9 @@
 	add(parser, "upstreams", "list the upstreams as an entry sees them", &upstreamsCommand{adminCommand: adminCommand{command: base}})
 	add(parser, "audit", "print the audit trail", &auditCommand{adminCommand: adminCommand{command: base}})
 	add(parser, "status", "show an entry and its peers", &statusCommand{adminCommand: adminCommand{command: base}})
+	for _, extra := range more {
+		add(parser, extra.Name, extra.Short, extra.Make(io))
+	}
 	_, err := parser.ParseArgs(args)
 	return report(io, err)
 }
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,226 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+)
+
+const (
+	// leastBackoff and mostBackoff bound the wait after a failed call. The upper
+	// bound leaves half of the time in which a change has to be in force.
+	leastBackoff = 50 * time.Millisecond
+	mostBackoff  = 800 * time.Millisecond
+	// away is how long calls must have failed for the store to count as having
+	// been away.
+	away = time.Second
+)
+
+// Config sets a follower up.
+type Config struct {
+	Store keeper.Store
+	Table string
+	// Wait is how long one call waits for changes.
+	Wait time.Duration
+	// Pause is the time between two calls; changes are collected meanwhile.
+	Pause time.Duration
+	// Grace is how long rows are kept that are missing after the store was away.
+	Grace time.Duration
+	// Apply takes the rows that changed. It is called from one goroutine.
+	Apply func(now time.Time, changed []keeper.Entry)
+	Now   func() time.Time
+	Log   zerolog.Logger
+}
+
+// Follower is a copy of one table.
+type Follower struct {
+	cfg Config
+
+	mu       sync.Mutex
+	rows     map[string]keeper.Entry
+	version  uint64
+	heardAt  time.Time
+	failedAt time.Time
+	missing  map[string]time.Time
+	graceEnd time.Time
+}
+
+// New returns a follower that has read nothing.
+func New(cfg Config) *Follower {
+	return &Follower{cfg: cfg, rows: map[string]keeper.Entry{}, missing: map[string]time.Time{}}
+}
+
+// Age returns how long ago the store last answered, and whether it ever did.
+func (f *Follower) Age(now time.Time) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.heardAt), !f.heardAt.IsZero()
+}
+
+// Version returns the store's version that the copy is as of.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	backoff := leastBackoff
+	known := false
+	for ctx.Err() == nil {
+		page, err := f.call(ctx, known)
+		now := f.cfg.Now()
+		if err != nil {
+			if errorx.IsOfType(err, keeper.Compacted) {
+				known = false
+				f.cfg.Log.Info().Str("event", "store_history_lost").Str("table", f.cfg.Table).Uint64("version", f.Version()).Send()
+			} else {
+				f.failed(now, err)
+			}
+			if !pause(ctx, backoff/2+rand.N(backoff)) {
+				break
+			}
+			backoff = min(mostBackoff, 2*backoff)
+			continue
+		}
+		backoff = leastBackoff
+		known = f.take(now, page, !known) && page.Version > 0
+		if !pause(ctx, f.cfg.Pause) {
+			break
+		}
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) call(ctx context.Context, known bool) (keeper.Page, error) {
+	if !known {
+		return f.cfg.Store.Read(ctx, f.cfg.Table)
+	}
+	wait := f.cfg.Wait
+	if f.waiting() {
+		wait = min(wait, f.cfg.Grace/4)
+	}
+	return f.cfg.Store.Watch(ctx, f.cfg.Table, f.Version(), wait)
+}
+
+func (f *Follower) waiting() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.missing) > 0
+}
+
+func (f *Follower) failed(now time.Time, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failedAt.IsZero() {
+		f.failedAt = now
+		f.cfg.Log.Warn().Str("event", "store_lost").Str("table", f.cfg.Table).Uint64("version", f.version).Err(err).Send()
+	}
+}
+
+// take applies a page. Whole says that it is the content of the table rather
+// than what has changed. It returns false for a page that is older than the
+// copy; such a page changes nothing.
+func (f *Follower) take(now time.Time, page keeper.Page, whole bool) bool {
+	changed, ok := f.merge(now, page, whole)
+	if len(changed) > 0 {
+		f.cfg.Apply(now, changed)
+	}
+	return ok
+}
+
+func (f *Follower) merge(now time.Time, page keeper.Page, whole bool) ([]keeper.Entry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.returned(now)
+	f.heardAt = now
+	if page.Version < f.version {
+		f.cfg.Log.Warn().Str("event", "store_answer_stale").Str("table", f.cfg.Table).Uint64("version", page.Version).Uint64("known", f.version).Send()
+		return nil, false
+	}
+	f.version = page.Version
+	var changed []keeper.Entry
+	seen := map[string]bool{}
+	for _, e := range page.Entries {
+		seen[e.Key] = true
+		if old, ok := f.rows[e.Key]; ok && old.Version >= e.Version && !e.Deleted {
+			delete(f.missing, e.Key)
+			continue
+		}
+		if e.Deleted {
+			changed = append(changed, f.drop(now, e)...)
+			continue
+		}
+		delete(f.missing, e.Key)
+		f.rows[e.Key] = e
+		changed = append(changed, e)
+	}
+	if whole {
+		for key, old := range f.rows {
+			if !seen[key] {
+				changed = append(changed, f.drop(now, keeper.Entry{Table: old.Table, Key: key, Deleted: true})...)
+			}
+		}
+	}
+	return append(changed, f.expired(now)...), true
+}
+
+// returned notes the end of a time in which calls failed.
+func (f *Follower) returned(now time.Time) {
+	if f.failedAt.IsZero() {
+		return
+	}
+	f.cfg.Log.Info().Str("event", "store_back").Str("table", f.cfg.Table).Dur("away", now.Sub(f.failedAt)).Send()
+	if now.Sub(f.failedAt) >= away {
+		f.graceEnd = now.Add(f.cfg.Grace)
+	}
+	f.failedAt = time.Time{}
+}
+
+// drop removes a row, or keeps it for a while after the store was away.
+func (f *Follower) drop(now time.Time, e keeper.Entry) []keeper.Entry {
+	if _, ok := f.rows[e.Key]; !ok {
+		return nil
+	}
+	if now.Before(f.graceEnd) {
+		f.missing[e.Key] = f.graceEnd
+		return nil
+	}
+	delete(f.rows, e.Key)
+	delete(f.missing, e.Key)
+	return []keeper.Entry{e}
+}
+
+func (f *Follower) expired(now time.Time) []keeper.Entry {
+	var gone []keeper.Entry
+	for key, until := range f.missing {
+		if !now.Before(until) {
+			delete(f.missing, key)
+			delete(f.rows, key)
+			gone = append(gone, keeper.Entry{Table: f.cfg.Table, Key: key, Deleted: true})
+		}
+	}
+	return gone
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/beliefs.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/accountant"
+	"github.com/galenahitch/galenahitch/pkg/quoter"
+	"github.com/galenahitch/galenahitch/pkg/resolver"
+	"github.com/galenahitch/galenahitch/pkg/retrier"
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+const (
+	// peerReach is how long another entry counts as heard after its last
+	// message: three messages may be lost.
+	peerReach = 4 * gossipInterval
+	// usageWindows is the number of windows of usage that are remembered. A
+	// window is due two windows after its end; the rest outlasts an outage.
+	usageWindows = 12
+	// remoteCost is what the way to another failure domain counts in the choice
+	// of an upstream, in shares of its slots: it breaks ties.
+	remoteCost = 0.03
+)
+
+// beliefs are what the entry knows of the world. The configuration is read
+// without a lock; everything else is guarded by mu, and decisions under it are
+// short.
+type beliefs struct {
+	cfg      Config
+	log      zerolog.Logger
+	resolver atomic.Pointer[resolver.Resolver]
+
+	mu         sync.Mutex
+	configAt   time.Time
+	upstreams  map[string]Upstream
+	listedAt   time.Time
+	router     *router.Router
+	quoter     *quoter.Quoter
+	accountant *accountant.Accountant
+	budgets    map[string]*retrier.Window
+	demand     map[string]*demand
+	peers      map[string]*peer
+	elsewhere  map[string]float64
+	random     *rand.Rand
+}
+
+func newBeliefs(cfg Config, boot uint64) *beliefs {
+	remote := remoteCost
+	window := cfg.UsageWindow
+	if window <= 0 {
+		window = time.Minute
+	}
+	return &beliefs{
+		cfg:        cfg,
+		log:        cfg.Log,
+		upstreams:  map[string]Upstream{},
+		router:     router.New(router.Config{EntryID: cfg.ID, FailureDomain: cfg.FailureDomain, Seed: boot, RemotePenalty: &remote}),
+		quoter:     quoter.New(quoter.Config{Reach: peerReach}),
+		accountant: accountant.New(accountant.Config{Self: processName(cfg.ID, boot), Window: window, Keep: usageWindows}),
+		budgets:    map[string]*retrier.Window{},
+		demand:     map[string]*demand{},
+		peers:      map[string]*peer{},
+		elsewhere:  map[string]float64{},
+		random:     rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
+	}
+}
+
+// configure takes rows of the operator's table.
+func (b *beliefs) configure(now time.Time, changed []keeper.Entry) {
+	for _, row := range changed {
+		if row.Key != b.cfg.Tables.Config || row.Deleted {
+			continue
+		}
+		cfg, err := b.cfg.Decoder.Config(row.Value)
+		if err != nil {
+			b.log.Error().Str("event", "config_invalid").Uint64("row_version", row.Version).Err(err).Send()
+			continue
+		}
+		b.adopt(now, cfg)
+	}
+}
+
+// adopt puts a configuration in force if it is newer than the present one.
+func (b *beliefs) adopt(now time.Time, cfg resolver.Config) {
+	present := b.resolver.Load()
+	if present != nil && cfg.Version <= present.Version() {
+		return
+	}
+	next, err := resolver.New(cfg)
+	if err != nil {
+		b.log.Error().Str("event", "config_invalid").Uint64("version", cfg.Version).Err(err).Send()
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.resolver.Store(next)
+	b.configAt = now
+	b.fitBudgets(next)
+	b.log.Info().Str("event", "config_adopted").Uint64("version", cfg.Version).Int("routes", len(cfg.Routes)).
+		Int("organisations", len(cfg.Organisations)).Send()
+}
+
+// fitBudgets gives each deployment this entry's part of the retries.
+func (b *beliefs) fitBudgets(r *resolver.Resolver) {
+	for _, d := range r.Deployments() {
+		w, ok := b.budgets[d.Name]
+		if !ok {
+			w = &retrier.Window{}
+			b.budgets[d.Name] = w
+		}
+		w.Span = b.cfg.Quotas.RetryWindow
+		w.Ratio = b.cfg.Quotas.RetryRatio
+		w.Extra = b.cfg.Quotas.RetryExtra / float64(b.members())
+	}
+}
+
+// list takes rows of the table of upstreams.
+func (b *beliefs) list(now time.Time, changed []keeper.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, row := range changed {
+		old, known := b.upstreams[row.Key]
+		if row.Deleted {
+			if known {
+				delete(b.upstreams, row.Key)
+				b.log.Info().Str("event", "upstream_gone").Str("upstream", old.ID).Uint64("row_version", row.Version).Send()
+			}
+			continue
+		}
+		u, err := b.cfg.Decoder.Upstream(row.Key, row.Value)
+		if err != nil {
+			b.log.Warn().Str("event", "upstream_row_invalid").Str("row", row.Key).Uint64("row_version", row.Version).Err(err).Send()
+			continue
+		}
+		if !known || old.ID != u.ID {
+			b.log.Info().Str("event", "upstream_listed").Str("upstream", u.ID).Str("address", u.Address).
+				Str("deployment", u.Deployment).Str("version", u.Version).Bool("reclaimable", u.Reclaimable).Send()
+		}
+		b.upstreams[row.Key] = u
+	}
+	b.listedAt = now
+	b.relist(now)
+}
+
+// relist gives the router the upstreams as they are.
+func (b *beliefs) relist(now time.Time) {
+	listed := make([]router.Upstream, 0, len(b.upstreams))
+	for _, u := range b.upstreams {
+		listed = append(listed, u.Upstream)
+	}
+	b.router.Replace(now, listed)
+	for _, u := range b.upstreams {
+		if u.Leaving && b.router.Leave(now, u.ID, u.LeavesIn) {
+			b.log.Info().Str("event", "upstream_leaving").Str("upstream", u.ID).Dur("left", u.LeavesIn).Send()
+		}
+	}
+}
+
+// addresses returns the addresses of listed upstreams with the most connections
+// that this entry may have to each.
+func (b *beliefs) addresses() map[string]int {
+	r := b.resolver.Load()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limits := map[string]int{}
+	for _, u := range b.upstreams {
+		limits[u.Address] = 0
+		if r == nil {
+			continue
+		}
+		if d, ok := r.Deployment(u.Deployment); ok && d.MaxConnections > 0 {
+			limits[u.Address] = max(1, d.MaxConnections/b.members())
+		}
+	}
+	return limits
+}
+
+// knows reports whether the entry can serve: it has a configuration and has
+// heard of upstreams.
+func (b *beliefs) knows() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.resolver.Load() != nil && !b.listedAt.IsZero()
+}
+
+// jitter returns a time between half and one and a half of d.
+func (b *beliefs) jitter(d time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return retrier.Jitter(d, b.random)
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,329 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenahitch/galenahitch/internal/pooler"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/quoter"
+	"github.com/galenahitch/galenahitch/pkg/resolver"
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+const (
+	// mostSends bounds the upstreams that get one request, those that refuse it
+	// included.
+	mostSends = 4
+	// promptUnit is the number of prompt tokens whose reading delays an engine's
+	// other requests as much as one more running request does.
+	promptUnit = 1500.0
+	// unreachableRest is how long an upstream that takes no connection gets no
+	// requests.
+	unreachableRest = time.Second
+)
+
+// call is one caller's request on its way to an answer. It belongs to the
+// goroutine that serves it.
+type call struct {
+	ask      Ask
+	body     []byte
+	route    resolver.Route
+	org      *resolver.Organisation
+	resolver *resolver.Resolver
+	arrived  time.Time
+	deadline time.Time
+
+	deployment string
+	cost       float64
+	// sends counts upstreams that got the request, runs those of them that may
+	// have run it.
+	sends   int
+	runs    int
+	exclude []string
+
+	upstream Upstream
+	status   int
+	first    time.Duration
+	// answering says that part of an answer has gone to the caller, last which
+	// event of a stream was the last one.
+	answering bool
+	last      string
+	begun     bool
+	gone      bool
+	finished  bool
+}
+
+// failure is an attempt that brought no whole answer.
+type failure struct {
+	verdict judge.Verdict
+	// unsent says that the upstream got nothing of the request.
+	unsent bool
+	// busy says that the upstream is well but takes no more.
+	busy bool
+	// elsewhere says that the address is now that of another upstream.
+	elsewhere bool
+	// paid says that the retry was taken from the budget already.
+	paid  bool
+	cause error
+}
+
+// carry brings a call through its attempts. It returns nil once the caller has
+// a whole answer, or the reason why it gets none.
+func (g *Gateway) carry(parent context.Context, w http.ResponseWriter, c *call) *judge.Refusal {
+	if refusal := g.admit(c); refusal != nil {
+		return refusal
+	}
+	defer g.settle(c)
+	ctx, cancel := g.bound(parent, c)
+	defer cancel()
+	for {
+		upstream, ok := g.choose(c)
+		if !ok {
+			return g.none(c)
+		}
+		f := g.attempt(ctx, w, c, upstream)
+		if f == nil {
+			return nil
+		}
+		g.judge(ctx, c, upstream, f)
+		if ctx.Err() != nil || c.gone {
+			return g.ended(ctx, c, f)
+		}
+		if !g.again(c, f) {
+			return g.failed(c, f)
+		}
+		c.exclude = append(c.exclude, upstream.ID)
+		g.measures.Count("retries")
+	}
+}
+
+// admit takes a call's cost from its organisation's quota.
+func (g *Gateway) admit(c *call) *judge.Refusal {
+	now := g.cfg.Now()
+	b := g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.deployment = c.route.Pick(b.random.Float64())
+	if c.org == nil {
+		return nil
+	}
+	c.cost = c.org.Cost(c.ask.PromptTokens + c.ask.AnswerTokens)
+	ok, wait := b.quoter.Spend(now, c.org.Name, quoter.Limit{Rate: c.org.Rate, Burst: c.org.Burst}, c.cost)
+	if ok {
+		return nil
+	}
+	c.cost = 0
+	refusal := judge.Refuse(judge.CodeOverloaded, judge.NotRun, "the quota of "+c.org.Name+" is used up")
+	return refusal.After(wait + time.Duration(b.random.Int64N(int64(comeBack))))
+}
+
+// settle gives back what a call that no upstream ran has cost.
+func (g *Gateway) settle(c *call) {
+	if c.runs > 0 || c.cost == 0 {
+		return
+	}
+	g.beliefs.mu.Lock()
+	defer g.beliefs.mu.Unlock()
+	g.beliefs.quoter.Refund(c.org.Name, c.cost)
+}
+
+// choose picks the upstream of the next attempt.
+func (g *Gateway) choose(c *call) (Upstream, bool) {
+	now := g.cfg.Now()
+	b := g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ask := router.Ask{Deployment: c.deployment, Exclude: c.exclude}
+	if c.ask.Prefix != "" {
+		ask.Prefix = xxhash.Sum64String(c.ask.Prefix)
+	}
+	picked, ok := b.router.Pick(now, ask)
+	if !ok {
+		return Upstream{}, false
+	}
+	for _, u := range b.upstreams {
+		if u.ID == picked.ID {
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
+
+// attempt sends a call to an upstream and relays the answer. It returns nil
+// once the caller has a whole answer.
+func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, u Upstream) *failure {
+	now := g.cfg.Now()
+	c.upstream = u
+	load := float64(c.ask.PromptTokens) / promptUnit
+	g.enter(now, c, load)
+	eased := false
+	ease := func() {
+		if !eased {
+			eased = true
+			g.weigh(u.ID, -load)
+		}
+	}
+	defer func() {
+		ease()
+		g.leave(c)
+	}()
+	header := c.ask.Header.Clone()
+	told := Attempt{Upstream: u.Name, Left: c.deadline.Sub(now), Priority: c.route.Priority, After: c.after()}
+	if c.org != nil {
+		told.Organisation = c.org.Name
+		if c.org.Priority != nil {
+			told.Priority = *c.org.Priority
+		}
+	}
+	g.cfg.Codec.Attempt(header, told)
+	answer, err := g.pool.Do(ctx, u.Address, pooler.Request{
+		ID: c.ask.ID, Method: c.ask.Method, Target: c.ask.Target, Host: c.ask.Host, Header: header, Body: c.body,
+	})
+	if err != nil {
+		verdict := judge.Of(err)
+		return &failure{verdict: verdict, unsent: verdict == judge.NotRun, cause: err}
+	}
+	defer answer.Close()
+	reply := g.cfg.Codec.Reply(answer.Status, answer.Header)
+	if reply.Verdict == judge.NotRun {
+		return &failure{
+			verdict: judge.NotRun, busy: !reply.Elsewhere, elsewhere: reply.Elsewhere,
+			cause: judge.Mark(judge.NotRun, "the upstream refused it with status %d", answer.Status),
+		}
+	}
+	return g.relay(ctx, w, c, &relayed{answer: answer, reply: reply, sentAt: now, ease: ease})
+}
+
+// after is the last event that the caller has.
+func (c *call) after() string {
+	if c.last != "" {
+		return c.last
+	}
+	return c.ask.After
+}
+
+func (g *Gateway) enter(now time.Time, c *call, load float64) {
+	b := g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.router.Begin(c.upstream.ID)
+	b.router.Weigh(c.upstream.ID, load)
+	d := b.demandFor(c.deployment)
+	d.Running++
+	if c.sends == 0 {
+		d.ask(now, c.ask.PromptTokens)
+		if w, ok := b.budgets[c.deployment]; ok {
+			w.Request(now)
+		}
+	}
+	c.sends++
+}
+
+func (g *Gateway) weigh(id string, change float64) {
+	g.beliefs.mu.Lock()
+	defer g.beliefs.mu.Unlock()
+	g.beliefs.router.Weigh(id, change)
+}
+
+func (g *Gateway) leave(c *call) {
+	g.beliefs.mu.Lock()
+	defer g.beliefs.mu.Unlock()
+	g.beliefs.router.End(c.upstream.ID)
+	g.beliefs.demandFor(c.deployment).Running--
+}
+
+// judge records what a failed attempt says about its upstream.
+func (g *Gateway) judge(ctx context.Context, c *call, u Upstream, f *failure) {
+	if f.verdict != judge.NotRun {
+		c.runs++
+	}
+	g.measures.Count("attempts_failed")
+	now := g.cfg.Now()
+	b := g.beliefs
+	b.mu.Lock()
+	switch {
+	case f.elsewhere:
+		b.router.Leave(now, u.ID, 0)
+	case c.gone || f.busy || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+		// Neither a caller that leaves nor a full queue is the upstream's fault.
+	case f.unsent:
+		b.router.Suspect(u.ID, now.Add(unreachableRest))
+	default:
+		b.router.Fail(now, u.ID)
+	}
+	listed := now.Sub(b.listedAt)
+	b.mu.Unlock()
+	g.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", c.ask.ID).Str("upstream", u.ID).
+		Str("verdict", string(f.verdict)).Bool("busy", f.busy).Int("sends", c.sends).Dur("list_age", listed).Err(f.cause).Send()
+}
+
+// again decides whether another upstream may get the call.
+func (g *Gateway) again(c *call, f *failure) bool {
+	if c.sends >= mostSends {
+		return false
+	}
+	if f.verdict != judge.NotRun && (!c.route.Retryable() || c.runs >= c.route.Attempts) {
+		return false
+	}
+	return f.unsent || f.paid || g.pay(c)
+}
+
+// mayRepeat reports whether a call that has run once more may run again, and
+// takes that from the budget.
+func (g *Gateway) mayRepeat(c *call) bool {
+	if c.sends >= mostSends || !c.route.Retryable() || c.runs+1 >= c.route.Attempts {
+		return false
+	}
+	b := g.beliefs
+	now := g.cfg.Now()
+	b.mu.Lock()
+	others := b.router.Open(now, router.Ask{Deployment: c.deployment, Exclude: append(slices.Clone(c.exclude), c.upstream.ID)})
+	b.mu.Unlock()
+	return len(others) > 0 && g.pay(c)
+}
+
+// pay takes a retry from the deployment's budget.
+func (g *Gateway) pay(c *call) bool {
+	b := g.beliefs
+	now := g.cfg.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, ok := b.budgets[c.deployment]
+	return ok && w.Take(now)
+}
+
+// none refuses a call for which there is no upstream.
+func (g *Gateway) none(c *call) *judge.Refusal {
+	if c.runs > 0 {
+		return judge.Refuse(judge.CodeUpstreamFailed, judge.MayHaveRun, "no other upstream takes it")
+	}
+	return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+c.deployment+" takes work").After(g.beliefs.jitter(comeBack))
+}
+
+// ended refuses a call whose time is over or whose caller has left.
+func (g *Gateway) ended(ctx context.Context, c *call, f *failure) *judge.Refusal {
+	cause := context.Cause(ctx)
+	if cause == nil || errors.Is(cause, errGone) {
+		c.gone, cause = true, errGone
+	}
+	if c.runs == 0 {
+		refusal := judge.Refuse(judge.CodeDeadline, judge.NotRun, cause.Error()).After(g.beliefs.jitter(comeBack))
+		refusal.Status = http.StatusServiceUnavailable
+		return refusal
+	}
+	return judge.Refuse(judge.CodeDeadline, f.verdict, cause.Error())
+}
+
+// failed refuses a call after its last attempt.
+func (g *Gateway) failed(c *call, f *failure) *judge.Refusal {
+	if c.runs == 0 {
+		return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, f.cause.Error()).After(g.beliefs.jitter(comeBack))
+	}
+	return judge.Refuse(judge.CodeUpstreamFailed, judge.MayHaveRun, f.cause.Error())
+}
--- /dev/null
+++ b/internal/gateway/doc.go
@@ -0,0 +1,19 @@
+// Package gateway is the entry process for opaque requests: method, path,
+// headers and body go to an upstream and its answer comes back, unchanged.
+//
+// The idea: what the entry believes (configuration, upstreams, other entries)
+// is kept apart from what carries a request. Beliefs change behind one lock and
+// carry a version and an age; a request resolves against the configuration that
+// was in force when it came and asks the decision packages where to go. Callers'
+// and upstreams' protocols are met through a Codec, the platform's store through
+// keeper.Store, so nothing here knows the names on the wire.
+//
+// How the parts fit: ingress.go takes requests in and refuses; call.go brings
+// one through attempts; relay.go passes answers on; beliefs.go holds what is
+// known; peers.go exchanges it with other entries; duties.go, usage.go and
+// fleet.go act for all entries under a lease; stop.go ends a process without
+// cutting a request.
+//
+//	g, err := gateway.New(gateway.Config{...})
+//	err = g.Run(ctx)
+package gateway
--- /dev/null
+++ b/internal/gateway/duties.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/leaser"
+)
+
+const (
+	// dutyTick is the time between two looks at the lease and the duties.
+	dutyTick = 500 * time.Millisecond
+	// leaseFactor times the shortest time between two holders is how long a
+	// lease lasts after its last renewal.
+	leaseFactor = 2
+	// leaseMargin is how much earlier a holder stops to act.
+	leaseMargin = 1500 * time.Millisecond
+	// callTimeout bounds a call to the cloud. A call that is sent at the last
+	// moment of the lease has ended before anybody else may act.
+	callTimeout = time.Second
+	// leaseKey is the row of the lease.
+	leaseKey = "lease"
+)
+
+// Cloud takes what one entry does for all. An error means that the outcome is
+// unknown, unless it is of type keeper.Refused.
+type Cloud interface {
+	Report(ctx context.Context, usage Usage) error
+	Order(ctx context.Context, order FleetOrder) error
+}
+
+// duty is the right to act for all entries, and what is done with it.
+type duty struct {
+	g     *Gateway
+	lease *leaser.Leaser
+	usage *usageReporter
+	fleet *fleetManager
+}
+
+func newDuty(g *Gateway) *duty {
+	d := &duty{g: g}
+	lifetime := leaseFactor * g.cfg.Lease
+	d.lease = leaser.New(leaser.Config{Holder: processName(g.cfg.ID, g.boot), Lifetime: lifetime, Margin: leaseMargin})
+	d.usage = newUsageReporter(g, d)
+	d.fleet = newFleetManager(g, d)
+	return d
+}
+
+// holdsDuty reports whether this entry may act. The beliefs' lock must be held.
+func (g *Gateway) holdsDuty(now time.Time) bool { return g.duty.lease.Holds(now) }
+
+// heldElsewhere reports whether an entry in reach says that it holds the duty.
+func (b *beliefs) heldElsewhere(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.duty && now.Sub(p.heardAt) <= peerReach {
+			return true
+		}
+	}
+	return false
+}
+
+// run keeps the lease, or waits for it, and does what its holder has to do.
+func (d *duty) run(ctx context.Context) error {
+	if d.g.cfg.Cloud == nil {
+		return nil
+	}
+	for pause(ctx, d.g.beliefs.jitter(dutyTick)) {
+		if d.g.stopping.Load() {
+			continue
+		}
+		d.contend(ctx)
+		if !d.holds() {
+			d.fleet.idle()
+			continue
+		}
+		d.usage.work(ctx)
+		d.fleet.work(ctx)
+	}
+	return nil
+}
+
+func (d *duty) holds() bool {
+	d.g.beliefs.mu.Lock()
+	defer d.g.beliefs.mu.Unlock()
+	return d.lease.Holds(d.g.cfg.Now())
+}
+
+// stamp returns the name and the fence that go with each call, if the entry may
+// act.
+func (d *duty) stamp() (holder string, fence uint64, ok bool) {
+	d.g.beliefs.mu.Lock()
+	defer d.g.beliefs.mu.Unlock()
+	return d.g.cfg.ID, d.lease.Fence(), d.lease.Holds(d.g.cfg.Now())
+}
+
+// contend reads the lease's row where that can matter, and writes it where this
+// entry may.
+func (d *duty) contend(ctx context.Context) {
+	g := d.g
+	now := g.cfg.Now()
+	if !d.holds() {
+		if g.beliefs.heldElsewhere(now) {
+			return
+		}
+		if err := d.observe(ctx); err != nil {
+			g.cfg.Log.Debug().Str("event", "lease_not_read").Err(err).Send()
+			return
+		}
+	}
+	g.beliefs.mu.Lock()
+	sentAt := g.cfg.Now()
+	want, ok := d.lease.Want(sentAt)
+	version := d.lease.Version()
+	held := d.lease.Holds(sentAt)
+	g.beliefs.mu.Unlock()
+	if !ok {
+		return
+	}
+	want.Nonce = processName(g.cfg.ID, uint64(sentAt.UnixNano()))
+	value, err := json.Marshal(want)
+	if err != nil {
+		g.cfg.Log.Error().Str("event", "lease_not_encoded").Err(err).Send()
+		return
+	}
+	row := keeper.Entry{Table: g.cfg.Tables.Duties, Key: leaseKey, Value: value}
+	result, err := g.cfg.Store.Commit(ctx, keeper.Commit{
+		Expect: []keeper.Entry{{Table: row.Table, Key: row.Key, Version: version}}, Put: []keeper.Entry{row},
+	})
+	if err != nil || !result.Applied {
+		// The next look reads the row, which tells what became of the write.
+		if seen := d.observe(ctx); seen != nil {
+			g.cfg.Log.Warn().Str("event", "lease_not_written").AnErr("cause", err).Err(seen).Send()
+		}
+		return
+	}
+	g.beliefs.mu.Lock()
+	d.lease.Won(sentAt, result.Version, want)
+	g.beliefs.mu.Unlock()
+	if !held {
+		g.cfg.Log.Info().Str("event", "duty_taken").Uint64("fence", want.Fence).Uint64("row_version", result.Version).Send()
+	}
+}
+
+// observe reads the lease's row.
+func (d *duty) observe(ctx context.Context) error {
+	g := d.g
+	sentAt := g.cfg.Now()
+	page, err := g.cfg.Store.Read(ctx, g.cfg.Tables.Duties)
+	if err != nil {
+		return err
+	}
+	var lease leaser.Lease
+	version := uint64(0)
+	for _, row := range page.Entries {
+		if row.Key != leaseKey {
+			continue
+		}
+		if err := json.Unmarshal(row.Value, &lease); err != nil {
+			return err
+		}
+		version = row.Version
+	}
+	g.beliefs.mu.Lock()
+	defer g.beliefs.mu.Unlock()
+	d.lease.Observe(sentAt, version, lease)
+	d.usage.learn(page)
+	return nil
+}
+
+// yield ends what the holder does before the process stops. The lease itself
+// runs out: whoever follows must not act sooner.
+func (d *duty) yield(ctx context.Context) {
+	if d.g.cfg.Cloud == nil || !d.holds() {
+		return
+	}
+	d.usage.work(ctx)
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// unseen returns events without those that the caller has had, and remembers
+// the last one.
+func (c *call) unseen(events []byte) []byte {
+	kept := events[:0:0]
+	for len(events) > 0 {
+		event := events
+		if end := bytes.Index(events, []byte("\n\n")); end >= 0 {
+			event = events[:end+2]
+		}
+		events = events[len(event):]
+		id, numbered := eventID(event)
+		if numbered && c.seen(id) {
+			continue
+		}
+		if numbered {
+			c.last = id
+		}
+		kept = append(kept, event...)
+	}
+	return kept
+}
+
+// seen reports whether an event comes no later than the last one.
+func (c *call) seen(id string) bool {
+	if c.last == "" {
+		return false
+	}
+	last, err := strconv.ParseInt(c.last, 10, 64)
+	if err != nil {
+		return id == c.last
+	}
+	number, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && number <= last
+}
+
+// eventID returns the value of an event's id field.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		name, value, found := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		if found && string(name) == "id" {
+			return string(bytes.TrimPrefix(value, []byte(" "))), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/oklog/run"
+
+	"github.com/galenahitch/galenahitch/internal/follower"
+	"github.com/galenahitch/galenahitch/internal/gossiper"
+	"github.com/galenahitch/galenahitch/internal/measurer"
+	"github.com/galenahitch/galenahitch/internal/pooler"
+)
+
+const (
+	// headerBytes and headerTimeout bound what is read of a request before a
+	// configuration says what callers may send.
+	headerBytes   = 32 << 10
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an unused connection of a caller stays open. It
+	// has to be longer than any caller keeps one for reuse.
+	idleTimeout = 60 * time.Second
+	// configWait and upstreamWait are how long one call waits for changes.
+	configWait   = 10 * time.Second
+	upstreamWait = 5 * time.Second
+	// lapseGrace is how long upstreams are kept that are missing after the
+	// store was away: they write their rows again within two seconds.
+	lapseGrace = 2500 * time.Millisecond
+	// sweepInterval is the time between two looks at what has grown old.
+	sweepInterval = time.Second
+)
+
+// Gateway is one entry process. New makes one; Run serves until it is stopped.
+type Gateway struct {
+	cfg      Config
+	boot     uint64
+	beliefs  *beliefs
+	pool     *pooler.Pool
+	gossip   *gossiper.Gossiper[news]
+	measures *measurer.Measures
+	entries  *follower.Follower
+	config   *follower.Follower
+	servers  *follower.Follower
+	duty     *duty
+
+	open     atomic.Int64
+	stopping atomic.Bool
+	// hard ends when open requests may not go on.
+	hard     context.Context
+	hardStop context.CancelFunc
+}
+
+// New returns a gateway that is not serving yet.
+func New(cfg Config) (*Gateway, error) {
+	boot := uint64(cfg.Now().UnixMilli())
+	g := &Gateway{cfg: cfg, boot: boot, beliefs: newBeliefs(cfg, boot), measures: measurer.New()}
+	g.hard, g.hardStop = context.WithCancel(context.Background())
+	g.pool = pooler.New(pooler.Config{
+		IDHeader: cfg.IDHeader, LocalIP: cfg.LocalIP, Now: cfg.Now,
+		Opened: func() { g.measures.Count("connections_opened") },
+	})
+	g.config = g.follow(cfg.Tables.Operator, configWait, 0, g.beliefs.configure)
+	g.servers = g.follow(cfg.Tables.Upstreams, upstreamWait, cfg.LeaveWithin/4, g.beliefs.list)
+	g.entries = g.follow(cfg.Tables.Entries, rosterPause, rosterPause, g.seat)
+	g.duty = newDuty(g)
+	gossip, err := gossiper.Listen(gossiper.Config[news]{
+		Address: cfg.PeerListen, Interval: gossipInterval, Tell: g.tell, Hear: g.hear, Now: cfg.Now, Log: cfg.Log,
+	})
+	g.gossip = gossip
+	return g, err
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (g *Gateway) Run(ctx context.Context) error {
+	gin.SetMode(gin.ReleaseMode)
+	var group run.Group
+	if err := g.serveHTTP(&group, g.cfg.Listen, g.callers(), true); err != nil {
+		return err
+	}
+	if err := g.serveHTTP(&group, g.cfg.ReadyListen, g.readiness(), false); err != nil {
+		return err
+	}
+	if g.cfg.MetricsListen != "" {
+		if err := g.serveHTTP(&group, g.cfg.MetricsListen, g.metrics(), false); err != nil {
+			return err
+		}
+	}
+	g.cfg.Log.Info().Str("event", "entry_started").Str("id", g.cfg.ID).Str("listen", g.cfg.Listen).
+		Str("failure_domain", g.cfg.FailureDomain).Uint64("boot", g.boot).Send()
+	g.addTasks(&group)
+	group.Add(func() error {
+		<-ctx.Done()
+		g.drain()
+		return nil
+	}, func(error) {})
+	err := group.Run()
+	g.cfg.Log.Info().Str("event", "entry_stopped").Str("id", g.cfg.ID).Err(err).Send()
+	return err
+}
+
+func (g *Gateway) serveHTTP(group *run.Group, address string, handler http.Handler, callers bool) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, IdleTimeout: idleTimeout}
+	group.Add(func() error {
+		return server.Serve(listener)
+	}, func(error) {
+		if !callers {
+			_ = server.Close()
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	})
+	return nil
+}
+
+// addTasks starts everything that goes on beside the requests.
+func (g *Gateway) addTasks(group *run.Group) {
+	for _, task := range []func(context.Context) error{
+		g.config.Run, g.servers.Run, g.entries.Run, g.gossip.Run, g.keepSeat, g.duty.run, g.sweep,
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		group.Add(func() error {
+			err := task(ctx)
+			<-ctx.Done()
+			return err
+		}, func(error) { cancel() })
+	}
+}
+
+// sweep lets go of what has grown old until ctx ends.
+func (g *Gateway) sweep(ctx context.Context) error {
+	for pause(ctx, sweepInterval) {
+		g.sweepPeers(g.cfg.Now())
+		limits := g.beliefs.addresses()
+		for address, most := range limits {
+			g.pool.Limit(address, most)
+		}
+		g.pool.Sweep(func(address string) bool {
+			_, listed := limits[address]
+			return listed
+		})
+	}
+	return nil
+}
+
+func (g *Gateway) readiness() http.Handler {
+	engine := gin.New()
+	engine.GET(g.cfg.ReadyPath, func(c *gin.Context) {
+		if g.stopping.Load() || !g.beliefs.knows() {
+			c.Status(http.StatusServiceUnavailable)
+			return
+		}
+		c.Status(http.StatusOK)
+	})
+	return engine
+}
+
+func (g *Gateway) metrics() http.Handler {
+	engine := gin.New()
+	engine.GET("/metrics", func(c *gin.Context) {
+		g.gauges()
+		c.String(http.StatusOK, g.measures.Text())
+	})
+	return engine
+}
+
+func (g *Gateway) gauges() {
+	now := g.cfg.Now()
+	g.measures.Gauge("requests_open", g.open.Load())
+	for name, f := range map[string]*follower.Follower{"config": g.config, "upstreams": g.servers, "entries": g.entries} {
+		if age, ever := f.Age(now); ever {
+			g.measures.Gauge("store_age_ms_"+name, age.Milliseconds())
+		}
+	}
+	b := g.beliefs
+	if r := b.resolver.Load(); r != nil {
+		g.measures.Gauge("config_version", int64(r.Version()))
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g.measures.Gauge("entries", int64(b.members()))
+	g.measures.Gauge("upstreams", int64(len(b.upstreams)))
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/ingress.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/resolver"
+)
+
+const (
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 10 * time.Second
+	// defaultPatience stands for callers that do not say how long they wait.
+	defaultPatience = 60 * time.Second
+	// defaultBodyBytes bounds bodies while no configuration says how large they
+	// may be.
+	defaultBodyBytes = 4 << 20
+	// comeBack is the mean time after which a refused caller is asked to return.
+	comeBack = time.Second
+)
+
+// The reasons of contexts that end.
+var (
+	errDeadline = errors.New("the deadline passed")
+	errGone     = errors.New("the caller has left")
+	errStopping = errors.New("the process has to stop")
+)
+
+func (g *Gateway) callers() http.Handler {
+	engine := gin.New()
+	engine.NoRoute(func(c *gin.Context) { g.serve(c.Writer, c.Request) })
+	engine.NoMethod(func(c *gin.Context) { g.serve(c.Writer, c.Request) })
+	return engine
+}
+
+// serve takes one request in and sees it to its answer.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	now := g.cfg.Now()
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c, refusal := g.accept(w, r, now)
+	if refusal == nil {
+		refusal = g.carry(r.Context(), w, c)
+	}
+	if refusal != nil {
+		g.refuse(w, c, refusal)
+	}
+	g.finish(c, refusal)
+}
+
+// accept decodes a request, finds its route and organisation and reads its
+// body. The call that it returns is never nil.
+func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*call, *judge.Refusal) {
+	c := &call{arrived: now}
+	believed := g.beliefs.resolver.Load()
+	if believed == nil {
+		return c, judge.Refuse(judge.CodeNotConfigured, judge.NotRun, "no configuration is known yet").After(g.beliefs.jitter(comeBack))
+	}
+	c.resolver = believed
+	ask, err := g.cfg.Codec.Ask(r)
+	c.ask = ask
+	if err != nil {
+		return c, judge.Refuse(judge.CodeBadRequest, judge.NotRun, err.Error())
+	}
+	if refusal := c.resolve(believed); refusal != nil {
+		return c, refusal
+	}
+	c.deadline = now.Add(c.patience())
+	if c.body, err = readBody(w, r, believed.Limits().BodyBytes, now); err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return c, judge.Refuse(judge.CodeTooLarge, judge.NotRun, "the body is too large")
+		}
+		return c, judge.Refuse(judge.CodeBadRequest, judge.NotRun, "the body can't be read")
+	}
+	return c, nil
+}
+
+// resolve finds the route and the organisation of a call.
+func (c *call) resolve(believed *resolver.Resolver) *judge.Refusal {
+	route, ok := believed.Route(c.ask.Host, c.ask.Path)
+	if !ok {
+		return judge.Refuse(judge.CodeUnknownRoute, judge.NotRun, "no route matches")
+	}
+	c.route = route
+	if route.Public || !believed.NeedsKeys() {
+		return nil
+	}
+	org, ok := believed.Organisation(c.ask.Key)
+	if !ok {
+		return judge.Refuse(judge.CodeUnauthorised, judge.NotRun, "the key is not known")
+	}
+	c.org = org
+	return nil
+}
+
+// patience is how long the call may take in all.
+func (c *call) patience() time.Duration {
+	limit := c.ask.Patience
+	if limit <= 0 {
+		limit = defaultPatience
+	}
+	if c.route.Timeout > 0 {
+		limit = min(limit, c.route.Timeout)
+	}
+	return limit
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, now time.Time) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(now.Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, err
+	}
+	return body, control.SetReadDeadline(time.Time{})
+}
+
+// refuse answers a call that was not carried out. If part of an answer has been
+// sent, the connection ends instead, so that the answer does not look whole.
+func (g *Gateway) refuse(w http.ResponseWriter, c *call, refusal *judge.Refusal) {
+	if c.answering {
+		g.finish(c, refusal)
+		panic(http.ErrAbortHandler)
+	}
+	if c.gone {
+		return
+	}
+	if promisesNotRun(refusal.Status) && refusal.Verdict != judge.NotRun {
+		g.cfg.Log.Error().Str("event", "refusal_untrue").Str("request_id", c.ask.ID).Int("status", refusal.Status).
+			Str("verdict", string(refusal.Verdict)).Send()
+		refusal.Status = http.StatusBadGateway
+	}
+	header := w.Header()
+	g.cfg.Codec.Refuse(header, c.ask.ID, time.Duration(refusal.RetryAfterMS)*time.Millisecond)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(refusal.Status)
+	if _, err := io.WriteString(w, refusal.Message+"\n"); err != nil {
+		g.cfg.Log.Debug().Str("event", "refusal_not_sent").Str("request_id", c.ask.ID).Err(err).Send()
+	}
+}
+
+// promisesNotRun reports whether callers take a status as the promise that the
+// request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// finish writes the one line of a call and counts it.
+func (g *Gateway) finish(c *call, refusal *judge.Refusal) {
+	if c.finished {
+		return
+	}
+	c.finished = true
+	now := g.cfg.Now()
+	outcome := "answered"
+	switch {
+	case c.gone:
+		outcome = "caller_left"
+	case refusal != nil:
+		outcome = string(refusal.Code)
+	}
+	g.measures.Count("requests_" + outcome)
+	g.measures.Observe("request_us", now.Sub(c.arrived).Microseconds())
+	line := g.cfg.Log.Info().Str("event", "request").Str("request_id", c.ask.ID).Str("route", c.route.Name).
+		Str("outcome", outcome).Dur("took", now.Sub(c.arrived)).Int("sends", c.sends).Int("runs", c.runs)
+	if c.org != nil {
+		line = line.Str("organisation", c.org.Name)
+	}
+	if c.resolver != nil {
+		line = line.Uint64("config", c.resolver.Version())
+	}
+	if c.upstream.ID != "" {
+		line = line.Str("upstream", c.upstream.ID).Int("status", c.status)
+	}
+	if c.first > 0 {
+		line = line.Dur("first", c.first)
+	}
+	if refusal != nil {
+		line = line.Str("verdict", string(refusal.Verdict)).Int64("retry_after_ms", refusal.RetryAfterMS).Str("reason", refusal.Message)
+	}
+	line.Send()
+}
+
+// bound returns a context that ends at the call's deadline, when its caller
+// leaves or when the process has to stop, each with its reason.
+func (g *Gateway) bound(parent context.Context, c *call) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(parent), c.deadline, errDeadline)
+	ctx, abort := context.WithCancelCause(ctx)
+	stopGone := context.AfterFunc(parent, func() { abort(errGone) })
+	stopAll := context.AfterFunc(g.hard, func() { abort(errStopping) })
+	return ctx, func() {
+		stopGone()
+		stopAll()
+		abort(nil)
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/follower"
+	"github.com/galenahitch/galenahitch/internal/keeper"
+)
+
+const (
+	// leaveRotation is how long callers may still be sent here after the entry
+	// has stopped to be ready: two missed checks a second apart, and the time of
+	// one to come.
+	leaveRotation = 3500 * time.Millisecond
+	// lastMoment is how much before the end of the grace open requests are given
+	// up and answered, so that they are not cut by the end of the process.
+	lastMoment = 900 * time.Millisecond
+	// closeTimeout bounds the closing of callers' connections.
+	closeTimeout = 400 * time.Millisecond
+	// drainPoll is the time between two looks at what is still open.
+	drainPoll = 50 * time.Millisecond
+)
+
+// drain lets callers go elsewhere and what is open come to its end.
+func (g *Gateway) drain() {
+	began := g.cfg.Now()
+	g.stopping.Store(true)
+	g.cfg.Log.Info().Str("event", "stopping").Int64("open", g.open.Load()).Send()
+	g.gossip.Send()
+	last := began.Add(g.cfg.Grace - lastMoment)
+	ctx, cancel := context.WithDeadline(context.Background(), last)
+	defer cancel()
+	g.duty.yield(ctx)
+	g.deleteSeat(ctx)
+	for pause(ctx, drainPoll) {
+		if g.open.Load() == 0 && g.cfg.Now().Sub(began) >= leaveRotation {
+			break
+		}
+	}
+	if open := g.open.Load(); open > 0 {
+		g.cfg.Log.Warn().Str("event", "requests_given_up").Int64("open", open).Send()
+	}
+	g.hardStop()
+	g.gossip.Send()
+}
+
+// follow returns a follower of a table.
+func (g *Gateway) follow(table string, wait, rest time.Duration, apply func(time.Time, []keeper.Entry)) *follower.Follower {
+	return follower.New(follower.Config{
+		Store: g.cfg.Store, Table: table, Wait: wait, Pause: rest, Grace: lapseGrace, Apply: apply, Now: g.cfg.Now, Log: g.cfg.Log,
+	})
+}
--- /dev/null
+++ b/internal/gateway/usage.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/accountant"
+)
+
+const (
+	// usageSettle is the time after the end of a window in which the entries
+	// tell their last counts of it.
+	usageSettle = time.Second
+	// usageReserve is the time before a report is due in which it is sent even
+	// if some entries were not heard since the window ended.
+	usageReserve = 3 * time.Second
+	// usageBack is the number of ended windows that a new holder looks at.
+	usageBack = 4
+	// usageKey begins the keys of agreed counts.
+	usageKey = "usage/"
+)
+
+// usageReporter reports what organisations used. The counts of a window are
+// agreed in the store before they are sent, so that every report of a window is
+// the same, whoever sends it.
+type usageReporter struct {
+	g      *Gateway
+	duty   *duty
+	agreed map[accountant.Window]accountant.Counts
+	sent   map[accountant.Window]bool
+}
+
+func newUsageReporter(g *Gateway, d *duty) *usageReporter {
+	return &usageReporter{g: g, duty: d, agreed: map[accountant.Window]accountant.Counts{}, sent: map[accountant.Window]bool{}}
+}
+
+// learn takes the agreed counts from the table of duties.
+func (u *usageReporter) learn(page keeper.Page) {
+	for _, row := range page.Entries {
+		window, ok := windowOf(row.Key)
+		if !ok {
+			continue
+		}
+		var counts accountant.Counts
+		if err := json.Unmarshal(row.Value, &counts); err != nil {
+			u.g.cfg.Log.Error().Str("event", "usage_row_invalid").Str("row", row.Key).Err(err).Send()
+			continue
+		}
+		u.agreed[window] = counts
+	}
+}
+
+func windowOf(key string) (accountant.Window, bool) {
+	number, found := strings.CutPrefix(key, usageKey)
+	if !found {
+		return 0, false
+	}
+	window, err := strconv.ParseInt(number, 10, 64)
+	return window, err == nil
+}
+
+// work reports the windows that have ended.
+func (u *usageReporter) work(ctx context.Context) {
+	if u.g.cfg.UsageWindow <= 0 {
+		return
+	}
+	now := u.g.cfg.Now()
+	b := u.g.beliefs
+	present := b.accountant.At(now)
+	for w := present - usageBack; w < present; w++ {
+		if u.sent[w] || now.Before(b.accountant.End(w).Add(usageSettle)) {
+			continue
+		}
+		if !u.allTold(now, b.accountant.End(w)) && now.Before(b.accountant.End(w).Add(u.g.cfg.UsageLate-usageReserve)) {
+			continue
+		}
+		u.report(ctx, w)
+	}
+	for w := range u.sent {
+		if w < present-2*usageWindows {
+			delete(u.sent, w)
+			delete(u.agreed, w)
+		}
+	}
+}
+
+// allTold reports whether every other entry was heard since a window ended.
+func (u *usageReporter) allTold(now, end time.Time) bool {
+	b := u.g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.heardAt.Before(end) && now.Sub(p.rowAt) < rosterSilence {
+			return false
+		}
+	}
+	return true
+}
+
+func (u *usageReporter) report(ctx context.Context, w accountant.Window) {
+	counts, ok := u.agreed[w]
+	if !ok {
+		if counts, ok = u.agree(ctx, w); !ok {
+			return
+		}
+	}
+	if len(counts) == 0 {
+		u.sent[w] = true
+		return
+	}
+	holder, fence, may := u.duty.stamp()
+	if !may {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := u.g.cfg.Cloud.Report(ctx, Usage{Window: w, Counts: counts, Holder: holder, Fence: fence})
+	if err != nil {
+		u.g.cfg.Log.Warn().Str("event", "usage_not_reported").Int64("window", w).Uint64("fence", fence).Err(err).Send()
+		return
+	}
+	u.sent[w] = true
+	u.g.measures.Count("usage_reports")
+	u.g.cfg.Log.Info().Str("event", "usage_reported").Int64("window", w).Uint64("fence", fence).Int("organisations", len(counts)).Send()
+}
+
+// agree writes the counts of a window, unless another holder has done so.
+func (u *usageReporter) agree(ctx context.Context, w accountant.Window) (accountant.Counts, bool) {
+	b := u.g.beliefs
+	b.mu.Lock()
+	counts := b.accountant.Total(w)
+	b.mu.Unlock()
+	if len(counts) == 0 {
+		return counts, true
+	}
+	value, err := json.Marshal(counts)
+	if err != nil {
+		u.g.cfg.Log.Error().Str("event", "usage_not_encoded").Int64("window", w).Err(err).Send()
+		return nil, false
+	}
+	table, key := u.g.cfg.Tables.Duties, usageKey+strconv.FormatInt(w, 10)
+	change := keeper.Commit{
+		Expect: []keeper.Entry{{Table: table, Key: key}},
+		Put:    []keeper.Entry{{Table: table, Key: key, Value: value}},
+		Delete: []keeper.Entry{{Table: table, Key: usageKey + strconv.FormatInt(w-2*usageWindows, 10)}},
+	}
+	result, err := u.g.cfg.Store.Commit(ctx, change)
+	switch {
+	case err != nil:
+		// Whether the row was written is not known, except where the store
+		// refused: the next read tells.
+		u.g.cfg.Log.Warn().Str("event", "usage_not_agreed").Int64("window", w).Err(err).Send()
+		if !errorx.IsOfType(err, keeper.Refused) {
+			if seen := u.duty.observe(ctx); seen != nil {
+				u.g.cfg.Log.Debug().Str("event", "lease_not_read").Err(seen).Send()
+			}
+		}
+		return nil, false
+	case !result.Applied:
+		u.learn(keeper.Page{Entries: result.Current})
+		counts, ok := u.agreed[w]
+		return counts, ok
+	}
+	u.agreed[w] = counts
+	return counts, true
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,125 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+)
+
+// maxDatagram bounds a message. What one Ethernet frame carries is not split
+// on the way.
+const maxDatagram = 8 << 10
+
+// Config sets a gossiper up.
+type Config[M any] struct {
+	// Address is the ip:port to listen on and to send from.
+	Address string
+	// Interval is the time between two messages.
+	Interval time.Duration
+	// Tell makes the message.
+	Tell func(now time.Time) M
+	// Hear takes a message of a peer. Calls do not overlap.
+	Hear func(now time.Time, from netip.AddrPort, message M)
+	Now  func() time.Time
+	Log  zerolog.Logger
+}
+
+// Gossiper sends and receives messages of type M.
+type Gossiper[M any] struct {
+	cfg  Config[M]
+	conn *net.UDPConn
+
+	mu    sync.Mutex
+	peers []netip.AddrPort
+}
+
+// Listen opens the socket.
+func Listen[M any](cfg Config[M]) (*Gossiper[M], error) {
+	address, err := net.ResolveUDPAddr("udp4", cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Gossiper[M]{cfg: cfg, conn: conn}, nil
+}
+
+// Peers sets where messages go. Addresses that can't be read are left out with
+// a log line.
+func (g *Gossiper[M]) Peers(addresses []string) {
+	peers := make([]netip.AddrPort, 0, len(addresses))
+	for _, address := range addresses {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			g.cfg.Log.Warn().Str("event", "peer_address_invalid").Str("address", address).Err(err).Send()
+			continue
+		}
+		peers = append(peers, parsed)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers = peers
+}
+
+// Send tells all peers at once.
+func (g *Gossiper[M]) Send() {
+	message, err := cbor.Marshal(g.cfg.Tell(g.cfg.Now()))
+	if err != nil {
+		g.cfg.Log.Error().Str("event", "gossip_not_encoded").Err(err).Send()
+		return
+	}
+	g.mu.Lock()
+	peers := g.peers
+	g.mu.Unlock()
+	for _, peer := range peers {
+		if _, err := g.conn.WriteToUDPAddrPort(message, peer); err != nil && !errors.Is(err, net.ErrClosed) {
+			g.cfg.Log.Debug().Str("event", "gossip_not_sent").Stringer("peer", peer).Err(err).Send()
+		}
+	}
+}
+
+// Run sends and receives until ctx ends, and closes the socket.
+func (g *Gossiper[M]) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() })
+	defer stop()
+	go g.sendUntil(ctx)
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			// A datagram that a peer's machine refused is reported by the next
+			// call on the socket.
+			continue
+		}
+		var message M
+		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
+			g.cfg.Log.Warn().Str("event", "gossip_invalid").Stringer("peer", from).Err(err).Send()
+			continue
+		}
+		g.cfg.Hear(g.cfg.Now(), from, message)
+	}
+}
+
+func (g *Gossiper[M]) sendUntil(ctx context.Context) {
+	ticker := time.NewTicker(g.cfg.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.Send()
+		}
+	}
+}
--- /dev/null
+++ b/internal/gossiper/gossiper_test.go
@@ -0,0 +1,60 @@
+package gossiper_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/gossiper"
+)
+
+type message struct {
+	From  string         `cbor:"1,keyasint"`
+	Spent map[string]int `cbor:"2,keyasint"`
+}
+
+func open(t *testing.T, name string, heard chan message) (*gossiper.Gossiper[message], string) {
+	t.Helper()
+	free, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := free.LocalAddr().String()
+	require.NoError(t, free.Close())
+	g, err := gossiper.Listen(gossiper.Config[message]{
+		Address: address, Interval: 10 * time.Millisecond, Now: time.Now, Log: zerolog.Nop(),
+		Tell: func(time.Time) message { return message{From: name, Spent: map[string]int{"luna": 3}} },
+		Hear: func(_ time.Time, _ netip.AddrPort, m message) {
+			select {
+			case heard <- m:
+			default:
+			}
+		},
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+	return g, address
+}
+
+func TestPeersHearEachOther(t *testing.T) {
+	heard := make(chan message, 1)
+	_, address := open(t, "a", heard)
+	b, _ := open(t, "b", make(chan message, 1))
+	// Neither a bad address nor a bad datagram keeps messages away.
+	b.Peers([]string{"nowhere", address, "127.0.0.1:1"})
+	noise, err := net.Dial("udp4", address)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, noise.Close()) }()
+	_, err = noise.Write([]byte("not a message"))
+	require.NoError(t, err)
+	require.Equal(t, message{From: "b", Spent: map[string]int{"luna": 3}}, <-heard)
+}
--- /dev/null
+++ b/internal/pooler/conn.go
@@ -0,0 +1,154 @@
+package pooler
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+const (
+	// bufferBytes holds the head of an answer and its first events.
+	bufferBytes = 4 << 10
+	// keepAliveIdle and keepAliveCount find a connection that went silent for
+	// good within about four seconds.
+	keepAliveIdle  = time.Second
+	keepAliveCount = 3
+	// unackedTimeout ends a connection whose peer acknowledges nothing.
+	unackedTimeout = 1500 * time.Millisecond
+	// maxForeign bounds the bytes of answers to other requests that are read
+	// past on one connection.
+	maxForeign = 1 << 20
+	// maxForeignAnswers bounds their number.
+	maxForeignAnswers = 3
+)
+
+// conn is one connection to an upstream.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// idleUntil is when the upstream may close the connection.
+	idleUntil time.Time
+}
+
+// NewDialer returns a dialer whose connections do not stay silent for good: a
+// peer that is gone is found by keep-alive probes and by bytes that nobody
+// acknowledges.
+func NewDialer(localIP string, timeout time.Duration) *net.Dialer {
+	dialer := &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			if err := raw.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			}); err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+	if localIP != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(localIP)}
+	}
+	return dialer
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, judge.Wrap(judge.NotRun, err, "connect to %s", address)
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+}
+
+// quiet reports whether nothing has arrived on an idle connection: neither its
+// end nor bytes that belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	if err := raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	}); err != nil {
+		return false
+	}
+	return quiet
+}
+
+// exchange sends a request and reads the head of its answer.
+func (c *conn) exchange(request Request, idHeader string) (*http.Response, error) {
+	sent, err := c.send(request)
+	if err != nil {
+		verdict := judge.MayHaveRun
+		if sent == 0 {
+			verdict = judge.NotRun
+		}
+		// An upstream that refuses a request before it has read all of it may
+		// have answered.
+		if response, readErr := c.receive(request, idHeader); readErr == nil {
+			response.Close = true
+			return response, nil
+		}
+		return nil, judge.Wrap(verdict, err, "send")
+	}
+	response, err := c.receive(request, idHeader)
+	if err != nil {
+		return nil, judge.Wrap(judge.MayHaveRun, err, "read the answer")
+	}
+	return response, nil
+}
+
+func (c *conn) send(request Request) (int, error) {
+	head := request.head()
+	buffers := net.Buffers{head}
+	if len(request.Body) > 0 {
+		buffers = append(buffers, request.Body)
+	}
+	sent, err := buffers.WriteTo(c.Conn)
+	return int(sent), err
+}
+
+// receive reads answers until one names the request.
+func (c *conn) receive(request Request, idHeader string) (*http.Response, error) {
+	for range maxForeignAnswers {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		id := response.Header.Get(idHeader)
+		if id == request.ID || id == "" && response.StatusCode >= http.StatusBadRequest {
+			return response, nil
+		}
+		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			return nil, judge.Mark(judge.MayHaveRun, "an answer without length belongs to request %q", id)
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeign)); err != nil {
+			return nil, err
+		}
+	}
+	return nil, judge.Mark(judge.MayHaveRun, "the answers belong to other requests")
+}
--- /dev/null
+++ b/internal/pooler/pooler.go
@@ -0,0 +1,272 @@
+package pooler
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection. A lost first packet is
+	// sent again after a second; an upstream that needs longer is passed over.
+	connectTimeout = 700 * time.Millisecond
+	// defaultIdle is how long an unused connection is kept if the upstream does
+	// not say.
+	defaultIdle = 4 * time.Second
+	// idleMargin is how much earlier than the upstream a connection is closed.
+	idleMargin = 500 * time.Millisecond
+)
+
+// Config sets a pool up.
+type Config struct {
+	// IDHeader is the header in which answers repeat the id of their request.
+	IDHeader string
+	// LocalIP is the address that connections leave from. Empty means any.
+	LocalIP string
+	// Opened, if set, is called for each new connection.
+	Opened func()
+	Now    func() time.Time
+}
+
+// Request is what one upstream gets.
+type Request struct {
+	ID     string
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// head renders everything before the body.
+func (r Request) head() []byte {
+	var b bytes.Buffer
+	b.Grow(512)
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	// Writing to a bytes.Buffer does not fail.
+	_ = r.Header.Write(&b)
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// Pool holds the connections to all upstreams. It is safe for concurrent use.
+type Pool struct {
+	cfg    Config
+	dialer *net.Dialer
+
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+// host holds the connections to one upstream.
+type host struct {
+	idle []*conn
+	open int
+	most int
+}
+
+// New returns an empty pool.
+func New(cfg Config) *Pool {
+	return &Pool{cfg: cfg, dialer: NewDialer(cfg.LocalIP, connectTimeout), hosts: map[string]*host{}}
+}
+
+// Limit bounds the connections to an upstream; zero means no bound.
+func (p *Pool) Limit(address string, most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.host(address).most = most
+}
+
+func (p *Pool) host(address string) *host {
+	h, ok := p.hosts[address]
+	if !ok {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	return h
+}
+
+// Answer is an upstream's answer. Its body has to be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body, or -1 if it is not known beforehand.
+	Length int64
+	body   io.ReadCloser
+	done   func(whole bool)
+	whole  bool
+	once   sync.Once
+}
+
+// Read reads the body. It returns io.EOF only at the end of a whole body.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.body.Read(b)
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. If the body was not read to its end, the connection
+// is closed, by which the upstream learns that nobody waits for the rest.
+func (a *Answer) Close() {
+	a.once.Do(func() { a.done(a.whole) })
+}
+
+// Do sends a request to an upstream and returns its answer. The end of ctx, at
+// any time before Close, ends the exchange and closes its connection.
+func (p *Pool) Do(ctx context.Context, address string, request Request) (*Answer, error) {
+	c, err := p.take(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	response, err := c.exchange(request, p.cfg.IDHeader)
+	if err != nil {
+		stop()
+		p.discard(address, c)
+		if ctx.Err() != nil {
+			return nil, judge.Wrap(judge.Of(err), context.Cause(ctx), "exchange with %s", address)
+		}
+		return nil, judge.Wrap(judge.Of(err), err, "exchange with %s", address)
+	}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body,
+		done: func(whole bool) {
+			if stop() && whole && framed && !response.Close {
+				p.keep(address, c, response.Header)
+				return
+			}
+			p.discard(address, c)
+		},
+	}, nil
+}
+
+// take returns a kept connection that is still good, or a new one.
+func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if p.cfg.Now().Before(c.idleUntil) && c.quiet() {
+			return c, nil
+		}
+		p.discard(address, c)
+	}
+	if !p.reserve(address) {
+		return nil, judge.Mark(judge.NotRun, "all connections to %s are in use", address)
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		p.release(address)
+		return nil, err
+	}
+	if p.cfg.Opened != nil {
+		p.cfg.Opened()
+	}
+	return c, nil
+}
+
+// pop takes the connection that was used last: the others may then expire.
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	if len(h.idle) == 0 {
+		return nil
+	}
+	c := h.idle[len(h.idle)-1]
+	h.idle = h.idle[:len(h.idle)-1]
+	return c
+}
+
+func (p *Pool) reserve(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	if h.most > 0 && h.open >= h.most {
+		return false
+	}
+	h.open++
+	return true
+}
+
+func (p *Pool) release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h, ok := p.hosts[address]; ok {
+		h.open--
+		if h.open <= 0 && len(h.idle) == 0 {
+			delete(p.hosts, address)
+		}
+	}
+}
+
+func (p *Pool) discard(address string, c *conn) {
+	_ = c.Close()
+	p.release(address)
+}
+
+func (p *Pool) keep(address string, c *conn, header http.Header) {
+	if c.reader.Buffered() > 0 {
+		p.discard(address, c)
+		return
+	}
+	c.idleUntil = p.cfg.Now().Add(idleTime(header) - idleMargin)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	h.idle = append(h.idle, c)
+}
+
+// idleTime returns how long the upstream keeps an unused connection.
+func idleTime(header http.Header) time.Duration {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return defaultIdle
+}
+
+// Sweep closes connections that were not used for too long, and those to
+// upstreams that are not in use any more.
+func (p *Pool) Sweep(inUse func(address string) bool) {
+	now := p.cfg.Now()
+	var old []*conn
+	p.mu.Lock()
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.Before(c.idleUntil) && inUse(address) {
+				kept = append(kept, c)
+				continue
+			}
+			old = append(old, c)
+			h.open--
+		}
+		h.idle = kept
+		if h.open <= 0 {
+			delete(p.hosts, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/pkg/accountant/accountant_test.go
@@ -0,0 +1,52 @@
+package accountant_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/pkg/accountant"
+)
+
+func fresh(self string) *accountant.Accountant {
+	return accountant.New(accountant.Config{Self: self, Window: 5 * time.Second, Keep: 4})
+}
+
+// Three processes tell each other their counts in any order, with losses and
+// repeats; one of them dies after it has told. The sum is that of what began.
+func TestTotalsSurviveLossRepeatsAndDeath(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	at := time.UnixMilli(5_000_000)
+	a, b, dead := fresh("a/1"), fresh("b/1"), fresh("dead/1")
+	var told []map[accountant.Window]accountant.Counts
+	for range 50 {
+		dead.Began(at, "luna")
+		told = append(told, dead.Own(a.At(at)))
+		b.Began(at, "sol")
+	}
+	random.Shuffle(len(told), func(i, j int) { told[i], told[j] = told[j], told[i] })
+	for _, counts := range told {
+		a.Merge("dead/1", counts)
+	}
+	a.Merge("b/1", b.Own(0))
+	a.Merge("b/1", b.Own(0))
+	for range 7 {
+		a.Began(at, "luna")
+	}
+	a.Merge("a/1", map[accountant.Window]accountant.Counts{a.At(at): {"luna": 999}})
+	require.Equal(t, accountant.Counts{"luna": 57, "sol": 50}, a.Total(a.At(at)))
+}
+
+func TestWindowsOfTheWallClock(t *testing.T) {
+	a := fresh("a/1")
+	require.Equal(t, accountant.Window(1), a.At(time.UnixMilli(9_999)))
+	require.Equal(t, accountant.Window(2), a.At(time.UnixMilli(10_000)))
+	require.Equal(t, time.UnixMilli(10_000), a.End(1).UTC().Local())
+	for w := range 10 {
+		a.Began(time.UnixMilli(int64(w)*5_000), "luna")
+	}
+	require.Empty(t, a.Total(5))
+	require.Equal(t, accountant.Counts{"luna": 1}, a.Total(6))
+}
--- /dev/null
+++ b/pkg/quoter/quoter.go
@@ -0,0 +1,135 @@
+package quoter
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+// leastWait is the shortest wait that a refusal names.
+const leastWait = time.Millisecond
+
+// Limit is an organisation's quota over all entries.
+type Limit struct {
+	// Rate is what may be spent a second; zero means no limit.
+	Rate  float64
+	Burst float64
+}
+
+// Config sets a quoter up.
+type Config struct {
+	// Reach is how long an entry counts as heard after its last message.
+	Reach time.Duration
+}
+
+// Quoter is one entry's view of what all of them spend. It is not safe for
+// concurrent use.
+type Quoter struct {
+	cfg     Config
+	members int
+	buckets map[string]*bucket
+	spent   map[string]float64
+	peers   map[string]*peer
+}
+
+type bucket struct {
+	balance float64
+	at      time.Time
+}
+
+type peer struct {
+	boot    uint64
+	heardAt time.Time
+	spent   map[string]float64
+}
+
+// New returns a quoter whose buckets are empty, since it can't know what was
+// spent before.
+func New(cfg Config) *Quoter {
+	return &Quoter{cfg: cfg, members: 1, buckets: map[string]*bucket{}, spent: map[string]float64{}, peers: map[string]*peer{}}
+}
+
+// Members sets the number of entries that may be serving, in reach or not,
+// this one included.
+func (q *Quoter) Members(n int) { q.members = max(1, n) }
+
+// Spent returns all that this entry has spent, by organisation.
+func (q *Quoter) Spent() map[string]float64 { return maps.Clone(q.spent) }
+
+// Hear takes what another entry has spent since its process booted. Messages
+// may be lost, late or doubled.
+func (q *Quoter) Hear(now time.Time, entry string, boot uint64, spent map[string]float64) {
+	p, known := q.peers[entry]
+	if known && p.boot > boot {
+		return
+	}
+	if !known {
+		p = &peer{boot: boot, spent: maps.Clone(spent)}
+		q.peers[entry] = p
+	} else if p.boot != boot {
+		p.boot, p.spent = boot, nil
+	}
+	p.heardAt = now
+	if p.spent == nil {
+		p.spent = map[string]float64{}
+	}
+	for org, total := range spent {
+		if more := total - p.spent[org]; more > 0 {
+			p.spent[org] = total
+			if b, ok := q.buckets[org]; ok {
+				b.balance -= more
+			}
+		}
+	}
+}
+
+// Share returns the part of each quota that this entry and those it hears may
+// spend.
+func (q *Quoter) Share(now time.Time) float64 {
+	heard := 1
+	for _, p := range q.peers {
+		if now.Sub(p.heardAt) <= q.cfg.Reach {
+			heard++
+		}
+	}
+	return min(1, float64(heard)/float64(q.members))
+}
+
+// Spend takes cost from an organisation's quota. If it does not allow that, it
+// returns the time after which it should. A cost above the whole burst needs a
+// full bucket.
+func (q *Quoter) Spend(now time.Time, org string, limit Limit, cost float64) (bool, time.Duration) {
+	if limit.Rate <= 0 {
+		return true, 0
+	}
+	share := q.Share(now)
+	full := limit.Burst * share
+	b, ok := q.buckets[org]
+	if !ok {
+		b = &bucket{at: now}
+		q.buckets[org] = b
+	}
+	if passed := now.Sub(b.at); passed > 0 {
+		b.balance = math.Min(full, b.balance+passed.Seconds()*limit.Rate*share)
+		b.at = now
+	}
+	need := math.Min(cost, full)
+	if b.balance < need {
+		missing := (need - b.balance) / (limit.Rate * share)
+		return false, max(leastWait, time.Duration(missing*float64(time.Second)))
+	}
+	b.balance -= cost
+	q.spent[org] += cost
+	return true, 0
+}
+
+// Refund gives back the cost of a request that no upstream got.
+func (q *Quoter) Refund(org string, cost float64) {
+	if b, ok := q.buckets[org]; ok {
+		b.balance += cost
+	}
+	q.spent[org] = math.Max(0, q.spent[org]-cost)
+}
+
+// Forget drops an entry that is known to be gone.
+func (q *Quoter) Forget(entry string) { delete(q.peers, entry) }
--- /dev/null
+++ b/pkg/quoter/quoter_test.go
@@ -0,0 +1,169 @@
+package quoter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenahitch/galenahitch/internal/seeder"
+	"github.com/galenahitch/galenahitch/pkg/quoter"
+)
+
+func TestMain(m *testing.M) { seeder.Main(m) }
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+const org = "luna"
+
+// group is a number of entries that tell each other what they spent.
+type group struct {
+	entries []*quoter.Quoter
+	boots   []uint64
+}
+
+func newGroup(n int) *group {
+	g := &group{}
+	for range n {
+		g.entries = append(g.entries, g.fresh(n))
+		g.boots = append(g.boots, 1)
+	}
+	return g
+}
+
+func (g *group) fresh(n int) *quoter.Quoter {
+	q := quoter.New(quoter.Config{Reach: 700 * time.Millisecond})
+	q.Members(n)
+	return q
+}
+
+// tell delivers each entry's spending to the others where link allows it.
+func (g *group) tell(now time.Time, link func(from, to int) bool) {
+	for from, q := range g.entries {
+		for to, other := range g.entries {
+			if from != to && link(from, to) {
+				other.Hear(now, fmt.Sprint(from), g.boots[from], q.Spent())
+			}
+		}
+	}
+}
+
+func always(int, int) bool { return true }
+
+// One organisation asks for many times its quota, at all entries or at one,
+// while messages are late and lost, entries restart and groups are cut off.
+// In each window of eight seconds no more runs than the quota allows with the
+// tenth and the slack that operators concede.
+func TestHotOrganisationStaysWithinItsQuota(t *testing.T) {
+	const (
+		step    = 100 * time.Millisecond
+		window  = 80
+		rate    = 10_000.0
+		slack   = 5_000.0
+		overage = 1.1
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(t, "entries")
+		g := newGroup(n)
+		now := start
+		cut := 0
+		var ran []float64
+		for tick := range 300 {
+			now = now.Add(step)
+			if tick%50 == 25 {
+				cut = rapid.IntRange(0, n-1).Draw(t, "cut")
+			}
+			if tick%37 == 30 {
+				i := rapid.IntRange(0, n-1).Draw(t, "restart")
+				g.entries[i] = g.fresh(n)
+				g.boots[i]++
+			}
+			spent := 0.0
+			for i, q := range g.entries {
+				if i%2 == 1 && tick%2 == 0 {
+					continue
+				}
+				for range rapid.IntRange(0, 4).Draw(t, "asks") {
+					cost := float64(rapid.IntRange(50, 400).Draw(t, "cost"))
+					if ok, wait := q.Spend(now, org, quoter.Limit{Rate: rate, Burst: rate}, cost); ok {
+						spent += cost
+					} else {
+						require.Positive(t, wait)
+					}
+				}
+			}
+			ran = append(ran, spent)
+			if tick%2 == 0 {
+				g.tell(now, func(from, to int) bool { return (from < cut) == (to < cut) })
+			}
+			total := 0.0
+			for _, s := range ran[max(0, len(ran)-window):] {
+				total += s
+			}
+			require.LessOrEqual(t, total, (rate*8+rate)*overage+slack)
+		}
+	})
+}
+
+// All callers of an organisation come to one entry and ask for nearly all of
+// its quota: nothing is refused, though the entry is one of six.
+func TestNothingWithinTheQuotaIsRefused(t *testing.T) {
+	g := newGroup(6)
+	now := start
+	g.tell(now, always)
+	_, _ = g.entries[0].Spend(now, org, quoter.Limit{Rate: 1000, Burst: 1000}, 0)
+	now = now.Add(time.Second)
+	for tick := range 500 {
+		now = now.Add(20 * time.Millisecond)
+		if tick%10 == 0 {
+			g.tell(now, always)
+		}
+		ok, _ := g.entries[0].Spend(now, org, quoter.Limit{Rate: 1000, Burst: 1000}, 19)
+		require.True(t, ok)
+	}
+}
+
+// An entry that hears nobody spends its own share.
+func TestAloneItSpendsItsShare(t *testing.T) {
+	q := quoter.New(quoter.Config{Reach: time.Second})
+	q.Members(4)
+	now := start
+	spent := 0.0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if ok, _ := q.Spend(now, org, quoter.Limit{Rate: 1000, Burst: 1000}, 10); ok {
+			spent += 10
+		}
+	}
+	require.InDelta(t, 2500, spent, 20)
+}
+
+// A request above the whole burst waits for a full bucket and is paid back.
+func TestLargeRequestsAreNotStarved(t *testing.T) {
+	q := quoter.New(quoter.Config{Reach: time.Second})
+	limit := quoter.Limit{Rate: 100, Burst: 100}
+	ok, wait := q.Spend(start, org, limit, 250)
+	require.False(t, ok)
+	require.Equal(t, time.Second, wait)
+	ok, _ = q.Spend(start.Add(wait), org, limit, 250)
+	require.True(t, ok)
+	ok, wait = q.Spend(start.Add(time.Second), org, limit, 10)
+	require.False(t, ok)
+	require.Equal(t, 1600*time.Millisecond, wait)
+}
+
+func TestRefundAndNoLimit(t *testing.T) {
+	q := quoter.New(quoter.Config{Reach: time.Second})
+	ok, _ := q.Spend(start, org, quoter.Limit{}, 1e9)
+	require.True(t, ok)
+	limit := quoter.Limit{Rate: 100, Burst: 100}
+	_, _ = q.Spend(start, org, limit, 100)
+	ok, _ = q.Spend(start.Add(time.Second), org, limit, 100)
+	require.True(t, ok)
+	q.Refund(org, 100)
+	ok, _ = q.Spend(start.Add(time.Second), org, limit, 100)
+	require.True(t, ok)
+	require.InDelta(t, 100, q.Spent()[org], 0)
+}
--- /dev/null
+++ b/pkg/resolver/resolver.go
@@ -0,0 +1,141 @@
+package resolver
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	namespace = errorx.NewNamespace("resolver")
+	// Invalid is the type of errors in a configuration.
+	Invalid = namespace.NewType("invalid")
+)
+
+// Resolver is an indexed Config. It is safe for concurrent use.
+type Resolver struct {
+	cfg         Config
+	hosts       map[string][]Route
+	keys        map[string]*Organisation
+	deployments map[string]*Deployment
+}
+
+// New indexes a configuration. It returns an error of type Invalid if a route
+// names a deployment that the configuration lacks, or lacks a part that every
+// request needs.
+func New(cfg Config) (*Resolver, error) {
+	r := &Resolver{
+		cfg:         cfg,
+		hosts:       map[string][]Route{},
+		keys:        map[string]*Organisation{},
+		deployments: map[string]*Deployment{},
+	}
+	for i := range cfg.Deployments {
+		r.deployments[cfg.Deployments[i].Name] = &cfg.Deployments[i]
+	}
+	for _, route := range cfg.Routes {
+		if err := r.check(route); err != nil {
+			return nil, err
+		}
+		r.hosts[route.Host] = append(r.hosts[route.Host], route)
+	}
+	for _, routes := range r.hosts {
+		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range cfg.Organisations {
+		for _, key := range cfg.Organisations[i].Keys {
+			r.keys[key] = &cfg.Organisations[i]
+		}
+	}
+	return r, nil
+}
+
+func (r *Resolver) check(route Route) error {
+	switch {
+	case !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/"):
+		return Invalid.New("route %s: prefix %q does not begin and end with a slash", route.Name, route.Prefix)
+	case len(route.Shares) == 0:
+		return Invalid.New("route %s has no deployment", route.Name)
+	}
+	for _, share := range route.Shares {
+		if r.deployments[share.Deployment] == nil {
+			return Invalid.New("route %s: deployment %q is not defined", route.Name, share.Deployment)
+		}
+	}
+	return nil
+}
+
+// Version returns the configuration's version.
+func (r *Resolver) Version() uint64 { return r.cfg.Version }
+
+// Limits returns what callers may send.
+func (r *Resolver) Limits() Limits { return r.cfg.Limits }
+
+// Route finds the route of a request. The host may have a port.
+func (r *Resolver) Route(host, path string) (Route, bool) {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, route := range r.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Organisation finds the holder of a key.
+func (r *Resolver) Organisation(key string) (*Organisation, bool) {
+	org, ok := r.keys[key]
+	return org, ok
+}
+
+// NeedsKeys reports whether requests have to name an organisation.
+func (r *Resolver) NeedsKeys() bool { return len(r.cfg.Organisations) > 0 }
+
+// Deployment finds a deployment by name.
+func (r *Resolver) Deployment(name string) (*Deployment, bool) {
+	d, ok := r.deployments[name]
+	return d, ok
+}
+
+// Deployments lists all deployments.
+func (r *Resolver) Deployments() []Deployment { return r.cfg.Deployments }
+
+// Organisations lists all organisations.
+func (r *Resolver) Organisations() []Organisation { return r.cfg.Organisations }
+
+// Routes lists all routes.
+func (r *Resolver) Routes() []Route { return r.cfg.Routes }
+
+// Pick chooses among a route's deployments; draw is uniform in [0, 1).
+func (r Route) Pick(draw float64) string {
+	total := 0.0
+	for _, share := range r.Shares {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Deployment
+	}
+	at := draw * total
+	for _, share := range r.Shares {
+		if at -= share.Weight; at < 0 {
+			return share.Deployment
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Deployment
+}
+
+// Cost returns what a request costs of the organisation's quota. Tokens is
+// zero for a request without token counts.
+func (o Organisation) Cost(tokens int) float64 {
+	switch {
+	case !o.CountsTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	default:
+		return float64(o.PlainTokens)
+	}
+}
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -20,7 +20,7 @@
 	// ownWeight is the weight of the own counts, taken to be every entry's,
 	// against the load that the upstream reported.
 	ownWeight = 0.3
-	// remotePenalty is added to the score of an upstream in another failure
+	// remotePenalty is, unless set otherwise, added to the score of an upstream in another failure
 	// domain, in shares of its slots.
 	remotePenalty = 0.30
 	// pricePenalty weighs an upstream's price against the dearest one, in
@@ -118,15 +118,17 @@
 // failure domains and for price. What has changed here since the last report
 // is taken to have changed at the other entries too: they saw the same report.
 func (r *Router) score(now time.Time, rec *record) float64 {
-	busy := float64(rec.inFlight)
-	if now.Sub(rec.reported) < reportLifetime {
+	busy := rec.own()
+	if now.Sub(rec.elsewhereAt) < elsewhereLifetime {
+		busy += rec.elsewhere
+	} else if now.Sub(rec.reported) < reportLifetime {
 		sharing := float64(r.sharing())
 		told := float64(rec.running) + float64(rec.inFlight-rec.ownAtReport)*sharing
 		busy = max(busy, ownWeight*float64(rec.inFlight)*sharing+(1-ownWeight)*told)
 	}
 	score := busy / float64(rec.slots())
 	if r.cfg.FailureDomain != "" && rec.FailureDomain != r.cfg.FailureDomain {
-		score += remotePenalty
+		score += *r.cfg.RemotePenalty
 	}
 	return score + pricePenalty*rec.PricePerHour
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -14,6 +14,8 @@
 const (
 	// reportLifetime is how long a load report counts.
 	reportLifetime = 5 * time.Second
+	// elsewhereLifetime is how long the other entries' own counts count.
+	elsewhereLifetime = time.Second
 	// defaultSlots stands for upstreams that do not say how much they carry.
 	defaultSlots = 8
 	// maxSubset bounds the upstreams of a deployment that one entry uses.
@@ -51,6 +53,9 @@
 	Seed uint64
 	// MaxSubset bounds the upstreams used of one deployment; 0 means 96.
 	MaxSubset int
+	// RemotePenalty is added to the score of an upstream in another failure
+	// domain, in shares of its slots; nil means 0.30.
+	RemotePenalty *float64
 }
 
 // Status is what the router knows of one upstream.
@@ -66,6 +71,9 @@
 	Upstream
 	state       charter.State
 	inFlight    int
+	weight      float64
+	elsewhere   float64
+	elsewhereAt time.Time
 	ownAtReport int
 	running     int
 	reported    time.Time
@@ -101,6 +109,10 @@
 	if r.cfg.MaxSubset == 0 {
 		r.cfg.MaxSubset = maxSubset
 	}
+	if r.cfg.RemotePenalty == nil {
+		penalty := remotePenalty
+		r.cfg.RemotePenalty = &penalty
+	}
 }
 
 // Replace takes a new VM list. Upstreams that are no longer listed are gone
@@ -270,6 +282,36 @@
 	}
 }
 
+// Weigh changes what the attempts of this entry load an upstream with beyond
+// their number, in requests: a long prompt that is being read delays all others.
+func (r *Router) Weigh(id string, change float64) {
+	if rec, ok := r.records[id]; ok {
+		rec.weight = max(0, rec.weight+change)
+	}
+}
+
+// Load returns what this entry loads each upstream with, in requests.
+func (r *Router) Load() map[string]float64 {
+	load := map[string]float64{}
+	for id, rec := range r.records {
+		if own := rec.own(); own > 0 {
+			load[id] = own
+		}
+	}
+	return load
+}
+
+// Elsewhere takes what all other entries load an upstream with, in requests.
+// While it is fresh it counts in place of the upstream's own reports.
+func (r *Router) Elsewhere(now time.Time, id string, load float64) {
+	if rec, ok := r.records[id]; ok {
+		rec.elsewhere, rec.elsewhereAt = load, now
+	}
+}
+
+// own is the load of this entry's attempts.
+func (rec *record) own() float64 { return float64(rec.inFlight) + rec.weight }
+
 // Share tells the router how many entries use the same upstreams.
 func (r *Router) Share(entries int) { r.entries = entries }
 
