--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -107,17 +107,22 @@
 	if !known {
 		return f.cfg.Store.Read(ctx, f.cfg.Table)
 	}
-	wait := f.cfg.Wait
-	if f.waiting() {
-		wait = min(wait, f.cfg.Grace/4)
-	}
-	return f.cfg.Store.Watch(ctx, f.cfg.Table, f.Version(), wait)
+	return f.cfg.Store.Watch(ctx, f.cfg.Table, f.Version(), f.wait())
 }
 
-func (f *Follower) waiting() bool {
+// wait returns how long the next call waits for changes: not at all after a
+// failure, so that the store's return is seen when it happens.
+func (f *Follower) wait() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.missing) > 0
+	switch {
+	case !f.failedAt.IsZero():
+		return 0
+	case len(f.missing) > 0:
+		return min(f.cfg.Wait, f.cfg.Grace/4)
+	default:
+		return f.cfg.Wait
+	}
 }
 
 func (f *Follower) failed(now time.Time, err error) {
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -23,6 +23,9 @@
 	// usageWindows is the number of windows of usage that are remembered. A
 	// window is due two windows after its end; the rest outlasts an outage.
 	usageWindows = 12
+	// debtShare is the part of the slack of quotas that one bucket may be in
+	// debt. The rest is for what entries spend before they hear of each other.
+	debtShare = 0.25
 	// remoteCost is what the way to another failure domain counts in the choice
 	// of an upstream, in shares of its slots: it breaks ties.
 	remoteCost = 0.03
@@ -61,7 +64,7 @@
 		log:        cfg.Log,
 		upstreams:  map[string]Upstream{},
 		router:     router.New(router.Config{EntryID: cfg.ID, FailureDomain: cfg.FailureDomain, Seed: boot, RemotePenalty: &remote}),
-		quoter:     quoter.New(quoter.Config{Reach: peerReach}),
+		quoter:     quoter.New(quoter.Config{Start: cfg.Now(), Reach: peerReach, Round: gossipInterval, Debt: cfg.Quotas.QuotaSlack * debtShare}),
 		accountant: accountant.New(accountant.Config{Self: processName(cfg.ID, boot), Window: window, Keep: usageWindows}),
 		budgets:    map[string]*retrier.Window{},
 		demand:     map[string]*demand{},
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -125,6 +125,9 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// QuotaSlack is what organisations may spend beyond their quotas in the time
+	// in which operators look at them.
+	QuotaSlack float64
 }
 
 // Config sets a gateway up. All parts are needed unless they say otherwise.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 
 	open     atomic.Int64
 	stopping atomic.Bool
+	// stoppedAt is when the process was told to stop; it is set before stopping.
+	stoppedAt time.Time
 	// hard ends when open requests may not go on.
 	hard     context.Context
 	hardStop context.CancelFunc
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -23,6 +23,8 @@
 	defaultBodyBytes = 4 << 20
 	// comeBack is the mean time after which a refused caller is asked to return.
 	comeBack = time.Second
+	// comeBackElsewhere is the same for callers that meet another entry then.
+	comeBackElsewhere = 100 * time.Millisecond
 )
 
 // The reasons of contexts that end.
@@ -75,6 +77,9 @@
 		return c, refusal
 	}
 	c.deadline = now.Add(c.patience())
+	if g.tooLate(c) {
+		return c, judge.Refuse(judge.CodeLeaving, judge.NotRun, "the process is about to end").After(g.beliefs.jitter(comeBackElsewhere))
+	}
 	if c.body, err = readBody(w, r, believed.Limits().BodyBytes, now); err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -105,7 +105,7 @@
 		b.peers[n.ID] = p
 		b.resize()
 		g.cfg.Log.Info().Str("event", "peer_found").Str("peer", n.ID).Str("address", n.Address).Int("members", b.members()).Send()
-	} else if now.Sub(p.heardAt) > peerReach {
+	} else if !p.heardAt.IsZero() && now.Sub(p.heardAt) > peerReach {
 		g.cfg.Log.Info().Str("event", "peer_back").Str("peer", n.ID).Dur("silent", now.Sub(p.heardAt)).Send()
 	}
 	moved := p.address != n.Address
@@ -207,6 +207,9 @@
 	defer b.mu.Unlock()
 	for id, p := range b.peers {
 		silent := now.Sub(p.heardAt)
+		if p.heardAt.IsZero() {
+			silent = now.Sub(p.rowAt)
+		}
 		if silent > peerReach && len(p.load) > 0 {
 			b.replaceLoad(now, p, nil)
 			g.cfg.Log.Warn().Str("event", "peer_silent").Str("peer", id).Dur("silent", silent).Send()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -13,11 +13,14 @@
 	// has stopped to be ready: two missed checks a second apart, and the time of
 	// one to come.
 	leaveRotation = 3500 * time.Millisecond
+	// lateAfter is how long after the order to stop requests are still accepted
+	// that may take longer than the process lives.
+	lateAfter = 2900 * time.Millisecond
 	// lastMoment is how much before the end of the grace open requests are given
 	// up and answered, so that they are not cut by the end of the process.
-	lastMoment = 900 * time.Millisecond
+	lastMoment = 500 * time.Millisecond
 	// closeTimeout bounds the closing of callers' connections.
-	closeTimeout = 400 * time.Millisecond
+	closeTimeout = 250 * time.Millisecond
 	// drainPoll is the time between two looks at what is still open.
 	drainPoll = 50 * time.Millisecond
 )
@@ -25,10 +28,11 @@
 // drain lets callers go elsewhere and what is open come to its end.
 func (g *Gateway) drain() {
 	began := g.cfg.Now()
+	g.stoppedAt = began
 	g.stopping.Store(true)
 	g.cfg.Log.Info().Str("event", "stopping").Int64("open", g.open.Load()).Send()
 	g.gossip.Send()
-	last := began.Add(g.cfg.Grace - lastMoment)
+	last := g.lastMoment()
 	ctx, cancel := context.WithDeadline(context.Background(), last)
 	defer cancel()
 	g.duty.yield(ctx)
@@ -45,6 +49,15 @@
 	g.gossip.Send()
 }
 
+// lastMoment is when open requests are given up.
+func (g *Gateway) lastMoment() time.Time { return g.stoppedAt.Add(g.cfg.Grace - lastMoment) }
+
+// tooLate reports whether a stopping process may not live long enough for a
+// call. Callers have been sent elsewhere for a while by then.
+func (g *Gateway) tooLate(c *call) bool {
+	return g.stopping.Load() && c.arrived.Sub(g.stoppedAt) >= lateAfter && c.deadline.After(g.lastMoment())
+}
+
 // follow returns a follower of a table.
 func (g *Gateway) follow(table string, wait, rest time.Duration, apply func(time.Time, []keeper.Entry)) *follower.Follower {
 	return follower.New(follower.Config{
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -32,6 +32,9 @@
 		FormatFieldName: func(v any) string { return fmt.Sprintf("%v=", v) },
 		FormatFieldValue: func(v any) string {
 			text := fmt.Sprint(v)
+			if raw, ok := v.([]byte); ok {
+				text = string(raw)
+			}
 			if unquoted, err := strconv.Unquote(text); err == nil {
 				text = unquoted
 			}
@@ -40,10 +43,11 @@
 			}
 			return text
 		},
-		FormatErrFieldName:  func(v any) string { return fmt.Sprintf("%v=", v) },
-		FormatErrFieldValue: func(v any) string { return strconv.Quote(strings.Trim(fmt.Sprint(v), `"`)) },
-		PartsOrder:          []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
-		FieldsOrder:         []string{"event"},
+		FormatErrFieldName:    func(v any) string { return fmt.Sprintf("%v=", v) },
+		FormatErrFieldValue:   func(v any) string { return strconv.Quote(strings.Trim(fmt.Sprint(v), `"`)) },
+		PartsOrder:            []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, "event"},
+		FieldsExclude:         []string{"event"},
+		FormatPartValueByName: func(v any, name string) string { return fmt.Sprintf("%s=%v", name, v) },
 	}
 	return zerolog.New(writer).Level(parsed).With().Timestamp().Logger(), nil
 }
--- a/pkg/quoter/quoter.go
+++ b/pkg/quoter/quoter.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// least is the balance that any request needs, so that none is admitted on top
+// of a debt.
+const least = 1e-9
+
 // leastWait is the shortest wait that a refusal names.
 const leastWait = time.Millisecond
 
@@ -18,10 +22,24 @@
 
 // Config sets a quoter up.
 type Config struct {
+	// Start is when the process began. Buckets are empty then, since what was
+	// spent before is not known.
+	Start time.Time
 	// Reach is how long an entry counts as heard after its last message.
 	Reach time.Duration
+	// Round is the time between two messages of an entry.
+	Round time.Duration
+	// Debt is how far below zero a bucket may be taken, so that large requests
+	// do not wait behind many small ones. It is paid back before anything else
+	// is admitted.
+	Debt float64
 }
 
+// rationFactor times the equal part of what is left is what one entry may spend
+// between two messages. Above one, entries with more callers than others are
+// not held up; the excess over what is left stays below what is left.
+const rationFactor = 2
+
 // Quoter is one entry's view of what all of them spend. It is not safe for
 // concurrent use.
 type Quoter struct {
@@ -35,6 +53,11 @@
 type bucket struct {
 	balance float64
 	at      time.Time
+	// ration is what this entry may spend in the round that began at roundAt,
+	// taken what it has spent of it.
+	ration  float64
+	taken   float64
+	roundAt time.Time
 }
 
 type peer struct {
@@ -43,8 +66,7 @@
 	spent   map[string]float64
 }
 
-// New returns a quoter whose buckets are empty, since it can't know what was
-// spent before.
+// New returns a quoter that has spent nothing.
 func New(cfg Config) *Quoter {
 	return &Quoter{cfg: cfg, members: 1, buckets: map[string]*bucket{}, spent: map[string]float64{}, peers: map[string]*peer{}}
 }
@@ -83,42 +105,50 @@
 	}
 }
 
-// Share returns the part of each quota that this entry and those it hears may
-// spend.
-func (q *Quoter) Share(now time.Time) float64 {
+// heard returns the number of entries that this one hears, itself included.
+func (q *Quoter) heard(now time.Time) int {
 	heard := 1
 	for _, p := range q.peers {
 		if now.Sub(p.heardAt) <= q.cfg.Reach {
 			heard++
 		}
 	}
-	return min(1, float64(heard)/float64(q.members))
+	return heard
 }
 
 // Spend takes cost from an organisation's quota. If it does not allow that, it
-// returns the time after which it should. A cost above the whole burst needs a
-// full bucket.
+// returns the time after which it should. A cost that the bucket never allows
+// needs a full one.
 func (q *Quoter) Spend(now time.Time, org string, limit Limit, cost float64) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
 	}
-	share := q.Share(now)
-	full := limit.Burst * share
+	heard := q.heard(now)
+	share := min(1, float64(heard)/float64(q.members))
+	full, debt := limit.Burst*share, q.cfg.Debt*share
 	b, ok := q.buckets[org]
 	if !ok {
-		b = &bucket{at: now}
+		b = &bucket{at: q.cfg.Start}
 		q.buckets[org] = b
 	}
 	if passed := now.Sub(b.at); passed > 0 {
 		b.balance = math.Min(full, b.balance+passed.Seconds()*limit.Rate*share)
 		b.at = now
 	}
-	need := math.Min(cost, full)
+	if b.roundAt.IsZero() || now.Sub(b.roundAt) >= q.cfg.Round {
+		b.roundAt, b.taken = now, 0
+		b.ration = rationFactor * (b.balance + debt) / float64(heard)
+	}
+	need := math.Min(math.Max(least, cost-debt), full)
 	if b.balance < need {
 		missing := (need - b.balance) / (limit.Rate * share)
 		return false, max(leastWait, time.Duration(missing*float64(time.Second)))
 	}
+	if heard > 1 && b.taken > 0 && b.taken+cost > b.ration {
+		return false, max(leastWait, q.cfg.Round-now.Sub(b.roundAt))
+	}
 	b.balance -= cost
+	b.taken += cost
 	q.spent[org] += cost
 	return true, 0
 }
@@ -127,6 +157,7 @@
 func (q *Quoter) Refund(org string, cost float64) {
 	if b, ok := q.buckets[org]; ok {
 		b.balance += cost
+		b.taken -= cost
 	}
 	q.spent[org] = math.Max(0, q.spent[org]-cost)
 }
