internal/gateway, pkg/buyer: order the fleet by measured demand

The holder of the duty sizes each fleet by prompts and running requests against the measured speed of reading prompts, with the buyer's mix that carries the demand after the loss of one domain's reclaimable VMs. The buyer's times become a setting (Pace), for VMs that start in seconds.

--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -15,8 +15,9 @@
 	Prompt   float64 `cbor:"2,keyasint"`
 	// Running is the number of requests in flight.
 	Running float64 `cbor:"3,keyasint"`
-	// FirstMS is the time to the first part of an answer.
-	FirstMS float64 `cbor:"4,keyasint"`
+	// Speed is how many tokens of a long prompt an engine that is not busy takes
+	// a second until the first event, kept prefixes included.
+	Speed float64 `cbor:"4,keyasint"`
 
 	at time.Time
 }
@@ -44,10 +45,31 @@
 	d.Prompt += float64(prompt) / demandMemory.Seconds()
 }
 
-// first counts the time to a first part.
-func (d *demand) first(took time.Duration) {
-	const weight = 0.05
-	d.FirstMS += weight * (float64(took.Milliseconds()) - d.FirstMS)
+const (
+	// longPrompt is the number of tokens from which on the reading of a prompt
+	// takes most of the time to the first event.
+	longPrompt = 2000
+	// speedQuantile is the part of the samples that are slower than Speed, and
+	// speedStep the share by which one sample moves it.
+	speedQuantile = 0.8
+	speedStep     = 0.05
+)
+
+// first counts the time to the first event of a request by stochastic
+// approximation of a quantile.
+func (d *demand) first(prompt int, took time.Duration) {
+	if prompt < longPrompt || took <= 0 {
+		return
+	}
+	sample := float64(prompt) / took.Seconds()
+	switch {
+	case d.Speed == 0:
+		d.Speed = sample
+	case sample > d.Speed:
+		d.Speed *= 1 + speedStep*speedQuantile
+	default:
+		d.Speed *= 1 - speedStep*(1-speedQuantile)
+	}
 }
 
 // demandFor returns the demand record of a deployment. The lock must be held.
@@ -75,6 +97,10 @@
 	own := b.demandFor(deployment)
 	own.decay(now)
 	total := *own
+	speeds, known := own.Speed, 0.0
+	if own.Speed > 0 {
+		known++
+	}
 	for _, p := range b.peers {
 		if now.Sub(p.heardAt) > peerReach {
 			continue
@@ -83,7 +109,13 @@
 		total.Requests += d.Requests
 		total.Prompt += d.Prompt
 		total.Running += d.Running
-		total.FirstMS = max(total.FirstMS, d.FirstMS)
+		if d.Speed > 0 {
+			speeds += d.Speed
+			known++
+		}
+	}
+	if known > 0 {
+		total.Speed = speeds / known
 	}
 	return total
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,15 +1,237 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/buyer"
+	"github.com/galenahitch/galenahitch/pkg/resolver"
+)
+
+const (
+	// plannedUse is the share of an engine's speed of reading prompts, and
+	// plannedSlots that of its slots, that the fleet is sized for. What is left
+	// carries bursts until new VMs have booted, and keeps the wait for the first
+	// token short.
+	plannedUse   = 0.5
+	plannedSlots = 0.4
+	// measureFor is how long demand is watched before the fleet is cut to it,
+	// and firstShare the part of the VMs that were there which is kept until
+	// then.
+	measureFor = 6 * time.Second
+	firstShare = 2.0 / 3
+	// fleetTick is the time between two looks at the fleet, and demandBlend the
+	// weight of the newest look at demand when it falls.
+	fleetTick   = time.Second
+	demandBlend = 0.1
+	// listLag is how long after its boot a VM may take to be listed.
+	listLag = 3 * time.Second
+)
+
+// class is a kind of VM in a failure domain.
+type class struct {
+	domain      string
+	reclaimable bool
+}
 
 // fleetManager orders VMs for the deployments whose size is ours to order.
 type fleetManager struct {
-	g    *Gateway
-	duty *duty
+	g      *Gateway
+	duty   *duty
+	lookAt time.Time
+	fleets map[string]*fleetState
+}
+
+// fleetState is what the holder of the duty remembers of one deployment.
+type fleetState struct {
+	buyer   buyer.Buyer
+	ordered map[class]order
+	needed  float64
+	seenAt  time.Time
 }
 
-func newFleetManager(g *Gateway, d *duty) *fleetManager { return &fleetManager{g: g, duty: d} }
+// order is the last order of a class that was taken.
+type order struct {
+	vms int
+	at  time.Time
+}
+
+func newFleetManager(g *Gateway, d *duty) *fleetManager {
+	return &fleetManager{g: g, duty: d, fleets: map[string]*fleetState{}}
+}
+
+// idle forgets what only a holder of the duty may act on.
+func (f *fleetManager) idle() { clear(f.fleets) }
 
-func (f *fleetManager) idle() {}
+// work orders what the fleets lack and gives back what they do not need.
+func (f *fleetManager) work(ctx context.Context) {
+	now := f.g.cfg.Now()
+	believed := f.g.beliefs.resolver.Load()
+	if !f.g.cfg.OrdersVMs || believed == nil || now.Sub(f.lookAt) < fleetTick {
+		return
+	}
+	f.lookAt = now
+	for _, d := range believed.Deployments() {
+		if d.Fleet != nil {
+			f.size(ctx, now, d)
+		}
+	}
+}
+
+func (f *fleetManager) state(d resolver.Deployment) *fleetState {
+	s, ok := f.fleets[d.Name]
+	if !ok {
+		s = &fleetState{ordered: map[class]order{}, buyer: buyer.Buyer{Pace: buyer.Pace{
+			LeastBackoff: d.Fleet.Boot / 2, MostBackoff: d.Fleet.Boot, ReclaimMemory: d.Fleet.Boot / 2, KeepSurplus: 2 * d.Fleet.Boot,
+		}}}
+		f.fleets[d.Name] = s
+	}
+	return s
+}
 
-func (f *fleetManager) work(context.Context) {}
+// size brings one deployment's fleet to what it needs.
+func (f *fleetManager) size(ctx context.Context, now time.Time, d resolver.Deployment) {
+	s := f.state(d)
+	ready := f.ready(now, d.Name)
+	total := 0
+	for _, n := range ready {
+		total += n
+	}
+	if total == 0 && len(s.ordered) == 0 {
+		return
+	}
+	needed := f.needed(now, d, s, total)
+	coming := s.coming(now, d, ready)
+	holdings := make([]buyer.Holding, 0, len(coming))
+	for c, n := range coming {
+		holdings = append(holdings, buyer.Holding{FailureDomain: c.domain, Reclaimable: c.reclaimable, VMs: n})
+	}
+	orders := s.buyer.Decide(now, needed, holdings, offers(d.Fleet), buyer.Policy{ReclaimableShare: 1, Most: d.Fleet.Most})
+	for _, o := range orders {
+		c := class{o.FailureDomain, o.Reclaimable}
+		vms := coming[c] + o.Change
+		if o.Change < 0 {
+			// Only what is ready may take the place of what is given back.
+			spare := total - needed
+			if spare <= 0 {
+				continue
+			}
+			vms = coming[c] - min(spare, -o.Change)
+			other := coming[class{o.FailureDomain, !o.Reclaimable}]
+			vms = max(vms, d.Fleet.Least-other)
+			total -= coming[c] - vms
+		}
+		if vms != coming[c] {
+			f.order(ctx, now, d, s, c, vms, ready[c])
+		}
+	}
+}
+
+func offers(fleet *resolver.Fleet) []buyer.Offer {
+	var list []buyer.Offer
+	for domain, price := range fleet.Prices {
+		list = append(list, buyer.Offer{FailureDomain: domain, PricePerHour: price})
+		if fleet.ReclaimablePrice > 0 && fleet.ReclaimablePrice < 1 {
+			list = append(list, buyer.Offer{FailureDomain: domain, Reclaimable: true, PricePerHour: price * fleet.ReclaimablePrice})
+		}
+	}
+	return list
+}
+
+// ready counts the upstreams that take work, by class.
+func (f *fleetManager) ready(now time.Time, deployment string) map[class]int {
+	b := f.g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := map[class]int{}
+	for _, u := range b.upstreams {
+		if u.Deployment == deployment && !u.Leaving && !b.router.Leaving(u.ID) {
+			count[class{u.FailureDomain, u.Reclaimable}]++
+		}
+	}
+	return count
+}
+
+// coming adds to what is ready what was ordered and may still be booting, and
+// leaves out what was given back and has not left the list yet.
+func (s *fleetState) coming(now time.Time, d resolver.Deployment, ready map[class]int) map[class]int {
+	coming := map[class]int{}
+	for c, n := range ready {
+		coming[c] = n
+	}
+	for c, o := range s.ordered {
+		if now.Sub(o.at) < d.Fleet.Boot+listLag {
+			coming[c] = o.vms
+		} else {
+			delete(s.ordered, c)
+		}
+	}
+	return coming
+}
+
+// needed returns the number of upstreams that carry the demand as planned. It
+// follows demand up at once and down slowly.
+func (f *fleetManager) needed(now time.Time, d resolver.Deployment, s *fleetState, total int) int {
+	b := f.g.beliefs
+	b.mu.Lock()
+	asked := b.totalDemand(now, d.Name)
+	b.mu.Unlock()
+	if asked.Requests > 0 && s.seenAt.IsZero() {
+		s.seenAt = now
+	}
+	if s.seenAt.IsZero() || now.Sub(s.seenAt) < measureFor {
+		if s.needed == 0 {
+			s.needed = math.Ceil(firstShare * float64(total))
+		}
+		return int(s.needed)
+	}
+	if n := engines(asked, d.Engine); n >= s.needed {
+		s.needed = n
+	} else {
+		s.needed += demandBlend * (n - s.needed)
+	}
+	f.g.measures.Gauge("fleet_needed_"+d.Name, int64(math.Ceil(s.needed)))
+	return max(1, int(math.Ceil(s.needed)))
+}
+
+// engines returns how many engines carry a demand as planned: the larger of
+// what its prompts and what its running requests ask for.
+func engines(asked demand, engine *resolver.Engine) float64 {
+	if engine == nil || engine.Slots <= 0 {
+		return 1
+	}
+	byRunning := asked.Running / (plannedSlots * float64(engine.Slots))
+	if asked.Speed <= 0 {
+		return byRunning
+	}
+	return max(byRunning, asked.Prompt/(plannedUse*asked.Speed))
+}
+
+func (f *fleetManager) order(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, c class, vms, ready int) {
+	holder, fence, may := f.duty.stamp()
+	if !may {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := f.g.cfg.Cloud.Order(ctx, FleetOrder{
+		Deployment: d.Name, FailureDomain: c.domain, Reclaimable: c.reclaimable, VMs: vms, Holder: holder, Fence: fence,
+	})
+	f.g.measures.Count("fleet_orders")
+	line := f.g.cfg.Log.Info().Str("event", "fleet_ordered").Str("deployment", d.Name).Str("failure_domain", c.domain).
+		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", ready).Float64("needed", s.needed).Uint64("fence", fence)
+	if err != nil {
+		if errorx.IsOfType(err, keeper.Refused) {
+			s.buyer.Refused(now, c.domain, c.reclaimable)
+		}
+		line.Err(err).Send()
+		return
+	}
+	s.buyer.Started(c.domain, c.reclaimable)
+	s.ordered[c] = order{vms: vms, at: now}
+	line.Send()
+}
--- a/pkg/buyer/buyer.go
+++ b/pkg/buyer/buyer.go
@@ -7,18 +7,26 @@
 	"time"
 )
 
-const (
-	// leastBackoff and mostBackoff bound the time for which a class in a
-	// domain is left out after a refused start.
-	leastBackoff = time.Minute
-	mostBackoff  = 16 * time.Minute
-	// reclaimMemory is how long a domain's reclaim counts against its class.
-	reclaimMemory = 10 * time.Minute
-	// keepSurplus is how long more than is needed is kept.
-	keepSurplus = 10 * time.Minute
-	// freeSurplus is the share above the target that is never given back.
-	freeSurplus = 0.05
-)
+// freeSurplus is the share above the target that is never given back.
+const freeSurplus = 0.05
+
+// Pace is how fast a Buyer changes its mind. It follows from how fast VMs start
+// and how long shortages last.
+type Pace struct {
+	// LeastBackoff and MostBackoff bound the time for which a class in a domain
+	// is left out after a refused start.
+	LeastBackoff time.Duration
+	MostBackoff  time.Duration
+	// ReclaimMemory is how long a domain's reclaim counts against its class.
+	ReclaimMemory time.Duration
+	// KeepSurplus is how long more than is needed is kept.
+	KeepSurplus time.Duration
+}
+
+// defaultPace suits VMs that take minutes to start.
+var defaultPace = Pace{
+	LeastBackoff: time.Minute, MostBackoff: 16 * time.Minute, ReclaimMemory: 10 * time.Minute, KeepSurplus: 10 * time.Minute,
+}
 
 // Offer is what a class of VMs costs in a failure domain.
 type Offer struct {
@@ -40,6 +48,8 @@
 	ReclaimableShare float64
 	// Slack is the share above the demand that is held in any case.
 	Slack float64
+	// Most bounds the VMs of all classes in one domain; zero means no bound.
+	Most int
 }
 
 // Order changes what is held of an offer. Change is negative to give back.
@@ -61,6 +71,9 @@
 
 // Buyer remembers refusals, reclaims and surpluses. The zero value is useful.
 type Buyer struct {
+	// Pace is that of the buyer. The zero value stands for VMs that take minutes
+	// to start.
+	Pace      Pace
 	standings map[class]standing
 	surplus   map[class]time.Time
 }
@@ -73,7 +86,7 @@
 	if now.Before(s.until) {
 		return
 	}
-	s.backoff = min(mostBackoff, max(leastBackoff, 2*s.backoff))
+	s.backoff = min(b.Pace.MostBackoff, max(b.Pace.LeastBackoff, 2*s.backoff))
 	s.until = now.Add(s.backoff)
 	b.standings[key] = s
 }
@@ -89,7 +102,7 @@
 	b.init()
 	key := class{domain, true}
 	s := b.standings[key]
-	if until := now.Add(reclaimMemory); until.After(s.until) {
+	if until := now.Add(b.Pace.ReclaimMemory); until.After(s.until) {
 		s.until = until
 	}
 	b.standings[key] = s
@@ -100,6 +113,9 @@
 		b.standings = map[class]standing{}
 		b.surplus = map[class]time.Time{}
 	}
+	if b.Pace == (Pace{}) {
+		b.Pace = defaultPace
+	}
 }
 
 func (b *Buyer) open(now time.Time, o Offer) bool {
@@ -144,7 +160,7 @@
 		return 0
 	}
 	free := int(freeSurplus * float64(target))
-	if now.Sub(since) < keepSurplus || -change <= free {
+	if now.Sub(since) < b.Pace.KeepSurplus || -change <= free {
 		return 0
 	}
 	return change + free
@@ -186,7 +202,7 @@
 			if float64(total) > p.ReclaimableShare*float64(total+rest) && total > kept {
 				continue
 			}
-			if rest > 0 && len(lasting) == 0 {
+			if rest > 0 && len(lasting) == 0 || p.Most > 0 && overfull(domains > 0, each, rest, len(lasting), p.Most) {
 				continue
 			}
 			mix, cost := price(reclaimable[:domains], each, lasting, rest)
@@ -203,6 +219,16 @@
 	return best
 }
 
+// overfull reports whether a domain would hold more VMs than it may, if all of
+// them hold as many as the fullest.
+func overfull(reclaimable bool, each, rest, lasting, most int) bool {
+	fullest := boolTimes(reclaimable, each)
+	if rest > 0 {
+		fullest += (rest + lasting - 1) / lasting
+	}
+	return fullest > most
+}
+
 func boolTimes(b bool, n int) int {
 	if b {
 		return n
