--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,8 +48,10 @@
 	exclude []string
 
 	upstream Upstream
-	status   int
-	first    time.Duration
+	// met is the load that the upstream had when it got the call.
+	met    float64
+	status int
+	first  time.Duration
 	// answering says that part of an answer has gone to the caller, last which
 	// event of a stream was the last one.
 	answering bool
@@ -212,6 +214,7 @@
 	b := g.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c.met = b.router.Busy(now, c.upstream.ID)
 	b.router.Begin(c.upstream.ID)
 	b.router.Weigh(c.upstream.ID, load)
 	d := b.demandFor(c.deployment)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -15,8 +15,8 @@
 	Prompt   float64 `cbor:"2,keyasint"`
 	// Running is the number of requests in flight.
 	Running float64 `cbor:"3,keyasint"`
-	// Speed is how many tokens of a long prompt an engine that is not busy takes
-	// a second until the first event, kept prefixes included.
+	// Speed is how many tokens of a long prompt an engine with little else to do
+	// takes a second until the first event, kept prefixes included.
 	Speed float64 `cbor:"4,keyasint"`
 
 	at time.Time
@@ -49,27 +49,23 @@
 	// longPrompt is the number of tokens from which on the reading of a prompt
 	// takes most of the time to the first event.
 	longPrompt = 2000
-	// speedQuantile is the part of the samples that are slower than Speed, and
-	// speedStep the share by which one sample moves it.
-	speedQuantile = 0.8
-	speedStep     = 0.05
+	// speedStep is the weight of one sample of Speed.
+	speedStep = 0.05
+	// idleLoad is the load below which an engine has little else to do.
+	idleLoad = 2.5
 )
 
-// first counts the time to the first event of a request by stochastic
-// approximation of a quantile.
-func (d *demand) first(prompt int, took time.Duration) {
-	if prompt < longPrompt || took <= 0 {
+// first counts the time to the first event of a request that met an engine
+// with the given load.
+func (d *demand) first(prompt int, load float64, took time.Duration) {
+	if prompt < longPrompt || load > idleLoad || took <= 0 {
 		return
 	}
 	sample := float64(prompt) / took.Seconds()
-	switch {
-	case d.Speed == 0:
+	if d.Speed == 0 {
 		d.Speed = sample
-	case sample > d.Speed:
-		d.Speed *= 1 + speedStep*speedQuantile
-	default:
-		d.Speed *= 1 - speedStep*(1-speedQuantile)
 	}
+	d.Speed += speedStep * (sample - d.Speed)
 }
 
 // demandFor returns the demand record of a deployment. The lock must be held.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -19,11 +19,14 @@
 	// token short.
 	plannedUse   = 0.5
 	plannedSlots = 0.4
-	// measureFor is how long demand is watched before the fleet is cut to it,
-	// and firstShare the part of the VMs that were there which is kept until
-	// then.
+	// measureFor is how long a new holder of the duty watches demand before it
+	// changes the fleet. While there are no callers yet it only replaces VMs by
+	// cheaper ones, down to firstShare of those that were there.
 	measureFor = 6 * time.Second
 	firstShare = 2.0 / 3
+	// listSettle is how long the number of listed VMs has to stand still before
+	// the first order.
+	listSettle = 2 * time.Second
 	// fleetTick is the time between two looks at the fleet, and demandBlend the
 	// weight of the newest look at demand when it falls.
 	fleetTick   = time.Second
@@ -51,7 +54,11 @@
 	buyer   buyer.Buyer
 	ordered map[class]order
 	needed  float64
+	// seenAt is when demand was first seen; countAt when the number of VMs
+	// changed last, while none was ordered.
 	seenAt  time.Time
+	count   int
+	countAt time.Time
 }
 
 // order is the last order of a class that was taken.
@@ -101,10 +108,10 @@
 	for _, n := range ready {
 		total += n
 	}
-	if total == 0 && len(s.ordered) == 0 {
+	needed, known := f.needed(now, d, s, total)
+	if !known {
 		return
 	}
-	needed := f.needed(now, d, s, total)
 	coming := s.coming(now, d, ready)
 	holdings := make([]buyer.Holding, 0, len(coming))
 	for c, n := range coming {
@@ -173,9 +180,9 @@
 	return coming
 }
 
-// needed returns the number of upstreams that carry the demand as planned. It
-// follows demand up at once and down slowly.
-func (f *fleetManager) needed(now time.Time, d resolver.Deployment, s *fleetState, total int) int {
+// needed returns the number of upstreams that carry the demand as planned, if
+// that is known. It follows demand up at once and down slowly.
+func (f *fleetManager) needed(now time.Time, d resolver.Deployment, s *fleetState, total int) (int, bool) {
 	b := f.g.beliefs
 	b.mu.Lock()
 	asked := b.totalDemand(now, d.Name)
@@ -183,11 +190,11 @@
 	if asked.Requests > 0 && s.seenAt.IsZero() {
 		s.seenAt = now
 	}
+	if s.seenAt.IsZero() && s.needed == 0 {
+		return s.first(now, total)
+	}
 	if s.seenAt.IsZero() || now.Sub(s.seenAt) < measureFor {
-		if s.needed == 0 {
-			s.needed = math.Ceil(firstShare * float64(total))
-		}
-		return int(s.needed)
+		return int(s.needed), s.needed > 0
 	}
 	if n := engines(asked, d.Engine); n >= s.needed {
 		s.needed = n
@@ -195,7 +202,19 @@
 		s.needed += demandBlend * (n - s.needed)
 	}
 	f.g.measures.Gauge("fleet_needed_"+d.Name, int64(math.Ceil(s.needed)))
-	return max(1, int(math.Ceil(s.needed)))
+	return max(1, int(math.Ceil(s.needed))), true
+}
+
+// first returns the number of upstreams to begin with, once all are listed.
+func (s *fleetState) first(now time.Time, total int) (int, bool) {
+	if total != s.count {
+		s.count, s.countAt = total, now
+	}
+	if total == 0 || now.Sub(s.countAt) < listSettle {
+		return 0, false
+	}
+	s.needed = math.Ceil(firstShare * float64(total))
+	return int(s.needed), true
 }
 
 // engines returns how many engines carry a demand as planned: the larger of
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -150,7 +150,7 @@
 func (g *Gateway) heardFirst(c *call, took time.Duration) {
 	g.beliefs.mu.Lock()
 	defer g.beliefs.mu.Unlock()
-	g.beliefs.demandFor(c.deployment).first(c.ask.PromptTokens, took)
+	g.beliefs.demandFor(c.deployment).first(c.ask.PromptTokens, c.met, took)
 }
 
 // began counts a call that an upstream has begun to run.
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -118,19 +118,33 @@
 // failure domains and for price. What has changed here since the last report
 // is taken to have changed at the other entries too: they saw the same report.
 func (r *Router) score(now time.Time, rec *record) float64 {
+	score := r.busy(now, rec) / float64(rec.slots())
+	if r.cfg.FailureDomain != "" && rec.FailureDomain != r.cfg.FailureDomain {
+		score += *r.cfg.RemotePenalty
+	}
+	return score + pricePenalty*rec.PricePerHour
+}
+
+// Busy returns the load that an upstream is thought to have, in requests.
+func (r *Router) Busy(now time.Time, id string) float64 {
+	rec, ok := r.records[id]
+	if !ok {
+		return 0
+	}
+	return r.busy(now, rec)
+}
+
+func (r *Router) busy(now time.Time, rec *record) float64 {
 	busy := rec.own()
 	if now.Sub(rec.elsewhereAt) < elsewhereLifetime {
-		busy += rec.elsewhere
-	} else if now.Sub(rec.reported) < reportLifetime {
+		return busy + rec.elsewhere
+	}
+	if now.Sub(rec.reported) < reportLifetime {
 		sharing := float64(r.sharing())
 		told := float64(rec.running) + float64(rec.inFlight-rec.ownAtReport)*sharing
 		busy = max(busy, ownWeight*float64(rec.inFlight)*sharing+(1-ownWeight)*told)
 	}
-	score := busy / float64(rec.slots())
-	if r.cfg.FailureDomain != "" && rec.FailureDomain != r.cfg.FailureDomain {
-		score += *r.cfg.RemotePenalty
-	}
-	return score + pricePenalty*rec.PricePerHour
+	return busy
 }
 
 func (r *Router) sharing() int { return max(1, r.entries) }
