internal/gateway: plan engines for four fifths of their speed

The measured speed includes the wait behind other prompts, so half of it is more room than bursts need.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -17,7 +17,7 @@
 	// plannedSlots that of its slots, that the fleet is sized for. What is left
 	// carries bursts until new VMs have booted, and keeps the wait for the first
 	// token short.
-	plannedUse   = 0.5
+	plannedUse   = 0.8
 	plannedSlots = 0.4
 	// measureFor is how long a new holder of the duty watches demand before it
 	// changes the fleet. While there are no callers yet it only replaces VMs by
