internal/gateway, internal/follower: hand duties over at once, drop single rows at once

A stopping holder gives the lease back, every entry follows demand, and running requests ask for at most half more engines than prompts do.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -21,6 +21,9 @@
 	// away is how long calls must have failed for the store to count as having
 	// been away.
 	away = time.Second
+	// lapseShare is the part of a table that has to be missing after the store
+	// was away for the rows to be kept for the grace.
+	lapseShare = 0.5
 )
 
 // Config sets a follower up.
@@ -181,6 +184,10 @@
 	return append(changed, f.expired(now)...), true
 }
 
+// lapsed reports whether so many rows are missing that their writers can't all
+// be gone: they lapsed while the store was away.
+func (f *Follower) lapsed() bool { return len(f.missing) > int(lapseShare*float64(len(f.rows))) }
+
 // returned notes the end of a time in which calls failed.
 func (f *Follower) returned(now time.Time) {
 	if f.failedAt.IsZero() {
@@ -209,8 +216,9 @@
 
 func (f *Follower) expired(now time.Time) []keeper.Entry {
 	var gone []keeper.Entry
+	lapsed := f.lapsed()
 	for key, until := range f.missing {
-		if !now.Before(until) {
+		if !lapsed || !now.Before(until) {
 			delete(f.missing, key)
 			delete(f.rows, key)
 			gone = append(gone, keeper.Entry{Table: f.cfg.Table, Key: key, Deleted: true})
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -12,11 +12,11 @@
 const (
 	// dutyTick is the time between two looks at the lease and the duties.
 	dutyTick = 500 * time.Millisecond
-	// leaseFactor times the shortest time between two holders is how long a
-	// lease lasts after its last renewal.
-	leaseFactor = 2
+	// leaseExtra is how much longer a lease lasts after its last renewal than
+	// the shortest time in which a holder may come back after another.
+	leaseExtra = time.Second
 	// leaseMargin is how much earlier a holder stops to act.
-	leaseMargin = 1500 * time.Millisecond
+	leaseMargin = time.Second
 	// callTimeout bounds a call to the cloud. A call that is sent at the last
 	// moment of the lease has ended before anybody else may act.
 	callTimeout = time.Second
@@ -41,7 +41,7 @@
 
 func newDuty(g *Gateway) *duty {
 	d := &duty{g: g}
-	lifetime := leaseFactor * g.cfg.Lease
+	lifetime := g.cfg.Lease + leaseExtra
 	d.lease = leaser.New(leaser.Config{Holder: processName(g.cfg.ID, g.boot), Lifetime: lifetime, Margin: leaseMargin})
 	d.usage = newUsageReporter(g, d)
 	d.fleet = newFleetManager(g, d)
@@ -73,6 +73,7 @@
 			continue
 		}
 		d.contend(ctx)
+		d.fleet.watch()
 		if !d.holds() {
 			d.fleet.idle()
 			continue
@@ -114,6 +115,9 @@
 	g.beliefs.mu.Lock()
 	sentAt := g.cfg.Now()
 	want, ok := d.lease.Want(sentAt)
+	if d.lease.Free() && sentAt.Sub(g.startedAt) >= g.cfg.Lease {
+		want, ok = d.lease.Claim(), true
+	}
 	version := d.lease.Version()
 	held := d.lease.Holds(sentAt)
 	g.beliefs.mu.Unlock()
@@ -171,11 +175,26 @@
 	return nil
 }
 
-// yield ends what the holder does before the process stops. The lease itself
-// runs out: whoever follows must not act sooner.
+// yield lets another entry act at once when the process stops. This one does
+// not act again: an entry that has just begun waits as if the lease were held.
 func (d *duty) yield(ctx context.Context) {
 	if d.g.cfg.Cloud == nil || !d.holds() {
 		return
 	}
 	d.usage.work(ctx)
+	g := d.g
+	g.beliefs.mu.Lock()
+	free, version := leaser.Lease{Fence: d.lease.Fence()}, d.lease.Version()
+	g.beliefs.mu.Unlock()
+	free.Nonce = processName(g.cfg.ID, uint64(g.cfg.Now().UnixNano()))
+	value, err := json.Marshal(free)
+	if err != nil {
+		g.cfg.Log.Error().Str("event", "lease_not_encoded").Err(err).Send()
+		return
+	}
+	row := keeper.Entry{Table: g.cfg.Tables.Duties, Key: leaseKey, Value: value}
+	result, err := g.cfg.Store.Commit(ctx, keeper.Commit{
+		Expect: []keeper.Entry{{Table: row.Table, Key: row.Key, Version: version}}, Put: []keeper.Entry{row},
+	})
+	g.cfg.Log.Info().Str("event", "duty_released").Uint64("fence", free.Fence).Bool("written", err == nil && result.Applied).Err(err).Send()
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -19,14 +19,17 @@
 	// token short.
 	plannedUse   = 0.8
 	plannedSlots = 0.4
-	// measureFor is how long a new holder of the duty watches demand before it
-	// changes the fleet. While there are no callers yet it only replaces VMs by
-	// cheaper ones, down to firstShare of those that were there.
+	// measureFor is how long an entry watches demand before it may change the
+	// fleet. While there are no callers yet it only replaces VMs by cheaper ones,
+	// down to firstShare of those that were there.
 	measureFor = 6 * time.Second
 	firstShare = 2.0 / 3
 	// listSettle is how long the number of listed VMs has to stand still before
 	// the first order.
 	listSettle = 2 * time.Second
+	// queueFactor bounds how many more engines running requests may ask for than
+	// prompts do: when engines are overloaded most of what runs only waits.
+	queueFactor = 1.5
 	// fleetTick is the time between two looks at the fleet, and demandBlend the
 	// weight of the newest look at demand when it falls.
 	fleetTick   = time.Second
@@ -46,14 +49,18 @@
 	g      *Gateway
 	duty   *duty
 	lookAt time.Time
-	fleets map[string]*fleetState
+	// watchedAt is when demand was looked at last.
+	watchedAt time.Time
+	fleets    map[string]*fleetState
 }
 
 // fleetState is what the holder of the duty remembers of one deployment.
 type fleetState struct {
 	buyer   buyer.Buyer
 	ordered map[class]order
-	needed  float64
+	// needed is what the fleet began with, measured what demand asks for.
+	needed   float64
+	measured float64
 	// seenAt is when demand was first seen; countAt when the number of VMs
 	// changed last, while none was ordered.
 	seenAt  time.Time
@@ -71,8 +78,49 @@
 	return &fleetManager{g: g, duty: d, fleets: map[string]*fleetState{}}
 }
 
-// idle forgets what only a holder of the duty may act on.
-func (f *fleetManager) idle() { clear(f.fleets) }
+// idle forgets what was ordered: another holder may have ordered since.
+func (f *fleetManager) idle() {
+	for _, s := range f.fleets {
+		clear(s.ordered)
+	}
+}
+
+// watch follows the demand of each fleet. Entries that do not hold the duty do
+// so too, so that they can act as soon as they do.
+func (f *fleetManager) watch() {
+	now := f.g.cfg.Now()
+	believed := f.g.beliefs.resolver.Load()
+	if !f.g.cfg.OrdersVMs || believed == nil || now.Sub(f.watchedAt) < fleetTick {
+		return
+	}
+	f.watchedAt = now
+	for _, d := range believed.Deployments() {
+		if d.Fleet != nil {
+			f.measure(now, d, f.state(d))
+		}
+	}
+}
+
+// measure follows a deployment's demand up at once and down slowly.
+func (f *fleetManager) measure(now time.Time, d resolver.Deployment, s *fleetState) {
+	b := f.g.beliefs
+	b.mu.Lock()
+	asked := b.totalDemand(now, d.Name)
+	b.mu.Unlock()
+	if asked.Requests <= 0 {
+		return
+	}
+	if s.seenAt.IsZero() {
+		s.seenAt = now
+	}
+	n := engines(asked, d.Engine)
+	if n >= s.measured {
+		s.measured = n
+	} else {
+		s.measured += demandBlend * (n - s.measured)
+	}
+	f.g.measures.Gauge("fleet_needed_"+d.Name, int64(math.Ceil(s.measured)))
+}
 
 // work orders what the fleets lack and gives back what they do not need.
 func (f *fleetManager) work(ctx context.Context) {
@@ -108,7 +156,7 @@
 	for _, n := range ready {
 		total += n
 	}
-	needed, known := f.needed(now, d, s, total)
+	needed, known := s.wanted(now, total)
 	if !known {
 		return
 	}
@@ -180,29 +228,19 @@
 	return coming
 }
 
-// needed returns the number of upstreams that carry the demand as planned, if
-// that is known. It follows demand up at once and down slowly.
-func (f *fleetManager) needed(now time.Time, d resolver.Deployment, s *fleetState, total int) (int, bool) {
-	b := f.g.beliefs
-	b.mu.Lock()
-	asked := b.totalDemand(now, d.Name)
-	b.mu.Unlock()
-	if asked.Requests > 0 && s.seenAt.IsZero() {
-		s.seenAt = now
-	}
-	if s.seenAt.IsZero() && s.needed == 0 {
+// wanted returns the number of upstreams that carry the demand as planned, if
+// that is known.
+func (s *fleetState) wanted(now time.Time, total int) (int, bool) {
+	switch {
+	case !s.seenAt.IsZero() && now.Sub(s.seenAt) >= measureFor:
+		return max(1, int(math.Ceil(s.measured))), true
+	case s.needed > 0:
+		return int(s.needed), true
+	case s.seenAt.IsZero():
 		return s.first(now, total)
+	default:
+		return 0, false
 	}
-	if s.seenAt.IsZero() || now.Sub(s.seenAt) < measureFor {
-		return int(s.needed), s.needed > 0
-	}
-	if n := engines(asked, d.Engine); n >= s.needed {
-		s.needed = n
-	} else {
-		s.needed += demandBlend * (n - s.needed)
-	}
-	f.g.measures.Gauge("fleet_needed_"+d.Name, int64(math.Ceil(s.needed)))
-	return max(1, int(math.Ceil(s.needed))), true
 }
 
 // first returns the number of upstreams to begin with, once all are listed.
@@ -227,7 +265,8 @@
 	if asked.Speed <= 0 {
 		return byRunning
 	}
-	return max(byRunning, asked.Prompt/(plannedUse*asked.Speed))
+	byPrompt := asked.Prompt / (plannedUse * asked.Speed)
+	return max(byPrompt, min(byRunning, queueFactor*byPrompt))
 }
 
 func (f *fleetManager) order(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, c class, vms, ready int) {
@@ -242,7 +281,7 @@
 	})
 	f.g.measures.Count("fleet_orders")
 	line := f.g.cfg.Log.Info().Str("event", "fleet_ordered").Str("deployment", d.Name).Str("failure_domain", c.domain).
-		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", ready).Float64("needed", s.needed).Uint64("fence", fence)
+		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", ready).Float64("needed", s.measured).Uint64("fence", fence)
 	if err != nil {
 		if errorx.IsOfType(err, keeper.Refused) {
 			s.buyer.Refused(now, c.domain, c.reclaimable)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,16 +36,17 @@
 
 // Gateway is one entry process. New makes one; Run serves until it is stopped.
 type Gateway struct {
-	cfg      Config
-	boot     uint64
-	beliefs  *beliefs
-	pool     *pooler.Pool
-	gossip   *gossiper.Gossiper[news]
-	measures *measurer.Measures
-	entries  *follower.Follower
-	config   *follower.Follower
-	servers  *follower.Follower
-	duty     *duty
+	cfg       Config
+	boot      uint64
+	startedAt time.Time
+	beliefs   *beliefs
+	pool      *pooler.Pool
+	gossip    *gossiper.Gossiper[news]
+	measures  *measurer.Measures
+	entries   *follower.Follower
+	config    *follower.Follower
+	servers   *follower.Follower
+	duty      *duty
 
 	open     atomic.Int64
 	stopping atomic.Bool
@@ -58,8 +59,9 @@
 
 // New returns a gateway that is not serving yet.
 func New(cfg Config) (*Gateway, error) {
-	boot := uint64(cfg.Now().UnixMilli())
-	g := &Gateway{cfg: cfg, boot: boot, beliefs: newBeliefs(cfg, boot), measures: measurer.New()}
+	now := cfg.Now()
+	boot := uint64(now.UnixMilli())
+	g := &Gateway{cfg: cfg, boot: boot, startedAt: now, beliefs: newBeliefs(cfg, boot), measures: measurer.New()}
 	g.hard, g.hardStop = context.WithCancel(context.Background())
 	g.pool = pooler.New(pooler.Config{
 		IDHeader: cfg.IDHeader, LocalIP: cfg.LocalIP, Now: cfg.Now,
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -66,6 +66,13 @@
 	return Lease{Holder: l.cfg.Holder, Fence: l.lease.Fence + 1}, true
 }
 
+// Free reports whether the last holder has given the lease back.
+func (l *Leaser) Free() bool { return l.observed && l.version != 0 && l.lease.Holder == "" }
+
+// Claim returns the row that takes over a lease that is free. The caller knows
+// that this node has not held it within a lifetime. Nonce is left to it.
+func (l *Leaser) Claim() Lease { return Lease{Holder: l.cfg.Holder, Fence: l.lease.Fence + 1} }
+
 // Won records a write that took effect. SentAt is the time before the write
 // was sent; the lease counts from it.
 func (l *Leaser) Won(sentAt time.Time, version uint64, lease Lease) {
--- a/pkg/leaser/leaser_test.go
+++ b/pkg/leaser/leaser_test.go
@@ -85,3 +85,21 @@
 		}
 	})
 }
+
+// A lease that was given back can be claimed before it has run out, with a
+// higher fence; one that is held can't.
+func TestClaimOfAFreeLease(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	l := leaser.New(leaser.Config{Holder: "b", Lifetime: 4 * time.Second, Margin: time.Second})
+	require.False(t, l.Free())
+	l.Observe(now, 7, leaser.Lease{Holder: "a", Fence: 3})
+	require.False(t, l.Free())
+	l.Observe(now, 8, leaser.Lease{Fence: 3})
+	require.True(t, l.Free())
+	_, wants := l.Want(now)
+	require.False(t, wants)
+	require.Equal(t, leaser.Lease{Holder: "b", Fence: 4}, l.Claim())
+	l.Won(now, 9, l.Claim())
+	require.True(t, l.Holds(now))
+	require.False(t, l.Free())
+}
