internal/gateway, pkg/buyer, pkg/router: scarce VMs, cut domains, silent upstreams

Change: refused classes are replaced in the same look, and the fleet outlasts two domains while starts are refused; domains none of whose entries is heard are the last choice; a silent upstream is left where the route and the budget allow. Quotas go to urgent requests first.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -49,6 +49,7 @@
 	budgets    map[string]*retrier.Window
 	demand     map[string]*demand
 	peers      map[string]*peer
+	failedAt   map[string]time.Time
 	elsewhere  map[string]float64
 	random     *rand.Rand
 }
@@ -69,6 +70,7 @@
 		budgets:    map[string]*retrier.Window{},
 		demand:     map[string]*demand{},
 		peers:      map[string]*peer{},
+		failedAt:   map[string]time.Time{},
 		elsewhere:  map[string]float64{},
 		random:     rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -20,6 +20,9 @@
 	// mostSends bounds the upstreams that get one request, those that refuse it
 	// included.
 	mostSends = 4
+	// leastReserve is the share of a quota's burst that the least urgent requests
+	// leave to others.
+	leastReserve = 0.5
 	// promptUnit is the number of prompt tokens whose reading delays an engine's
 	// other requests as much as one more running request does.
 	promptUnit = 1500.0
@@ -116,7 +119,7 @@
 		return nil
 	}
 	c.cost = c.org.Cost(c.ask.PromptTokens + c.ask.AnswerTokens)
-	ok, wait := b.quoter.Spend(now, c.org.Name, quoter.Limit{Rate: c.org.Rate, Burst: c.org.Burst}, c.cost)
+	ok, wait := b.quoter.Spend(now, c.org.Name, quoter.Limit{Rate: c.org.Rate, Burst: c.org.Burst}, quoter.Ask{Cost: c.cost, Reserve: c.resolver.Rank(c.route) * leastReserve})
 	if ok {
 		return nil
 	}
@@ -162,6 +165,8 @@
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, u Upstream) *failure {
 	now := g.cfg.Now()
 	c.upstream = u
+	ctx, watch := g.watch(ctx, c)
+	defer watch.stop()
 	load := float64(c.ask.PromptTokens) / promptUnit
 	g.enter(now, c, load)
 	eased := false
@@ -189,7 +194,7 @@
 	})
 	if err != nil {
 		verdict := judge.Of(err)
-		return &failure{verdict: verdict, unsent: verdict == judge.NotRun, cause: err}
+		return &failure{verdict: verdict, unsent: verdict == judge.NotRun, paid: watch.paid.Load(), cause: err}
 	}
 	defer answer.Close()
 	reply := g.cfg.Codec.Reply(answer.Status, answer.Header)
@@ -199,7 +204,11 @@
 			cause: judge.Mark(judge.NotRun, "the upstream refused it with status %d", answer.Status),
 		}
 	}
-	return g.relay(ctx, w, c, &relayed{answer: answer, reply: reply, sentAt: now, ease: ease})
+	f := g.relay(ctx, w, c, &relayed{answer: answer, reply: reply, sentAt: now, ease: ease, watch: watch})
+	if f != nil {
+		f.paid = f.paid || watch.paid.Load()
+	}
+	return f
 }
 
 // after is the last event that the caller has.
@@ -256,6 +265,7 @@
 	case c.gone || f.busy || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		// Neither a caller that leaves nor a full queue is the upstream's fault.
 	case f.unsent:
+		b.failedAt[u.FailureDomain] = now
 		b.router.Suspect(u.ID, now.Add(unreachableRest))
 	default:
 		b.router.Fail(now, u.ID)
@@ -274,30 +284,22 @@
 	if f.verdict != judge.NotRun && (!c.route.Retryable() || c.runs >= c.route.Attempts) {
 		return false
 	}
-	return f.unsent || f.paid || g.pay(c)
+	return f.unsent || f.paid || g.pay(c.deployment)
 }
 
 // mayRepeat reports whether a call that has run once more may run again, and
 // takes that from the budget.
 func (g *Gateway) mayRepeat(c *call) bool {
-	if c.sends >= mostSends || !c.route.Retryable() || c.runs+1 >= c.route.Attempts {
-		return false
-	}
-	b := g.beliefs
-	now := g.cfg.Now()
-	b.mu.Lock()
-	others := b.router.Open(now, router.Ask{Deployment: c.deployment, Exclude: append(slices.Clone(c.exclude), c.upstream.ID)})
-	b.mu.Unlock()
-	return len(others) > 0 && g.pay(c)
+	return c.mayMove() && g.others(c.deployment, append(slices.Clone(c.exclude), c.upstream.ID)) && g.pay(c.deployment)
 }
 
-// pay takes a retry from the deployment's budget.
-func (g *Gateway) pay(c *call) bool {
+// pay takes a retry from a deployment's budget.
+func (g *Gateway) pay(deployment string) bool {
 	b := g.beliefs
 	now := g.cfg.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w, ok := b.budgets[c.deployment]
+	w, ok := b.budgets[deployment]
 	return ok && w.Take(now)
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -34,6 +34,13 @@
 	// weight of the newest look at demand when it falls.
 	fleetTick   = time.Second
 	demandBlend = 0.1
+	// scarceFor is for how many boot times after a refused order the fleet
+	// outlasts scarceLosses domains.
+	scarceFor    = 2
+	scarceLosses = 2
+	// orderRounds bounds the decisions of one look: all classes of a kind may be
+	// refused one after the other.
+	orderRounds = 4
 	// listLag is how long after its boot a VM may take to be listed.
 	listLag = 3 * time.Second
 )
@@ -56,8 +63,10 @@
 
 // fleetState is what the holder of the duty remembers of one deployment.
 type fleetState struct {
-	buyer   buyer.Buyer
-	ordered map[class]order
+	buyer buyer.Buyer
+	// refusedAt is when an order was last refused.
+	refusedAt time.Time
+	ordered   map[class]order
 	// needed is what the fleet began with, measured what demand asks for.
 	needed   float64
 	measured float64
@@ -160,12 +169,25 @@
 	if !known {
 		return
 	}
+	// A refused class leaves the offers, so the next round orders others in its
+	// place at once.
+	for range orderRounds {
+		if !f.round(ctx, now, d, s, ready, total, needed) {
+			return
+		}
+	}
+}
+
+// round orders what one decision asks for. It reports whether an order was
+// refused.
+func (f *fleetManager) round(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, ready map[class]int, total, needed int) bool {
+	refused := false
 	coming := s.coming(now, d, ready)
 	holdings := make([]buyer.Holding, 0, len(coming))
 	for c, n := range coming {
 		holdings = append(holdings, buyer.Holding{FailureDomain: c.domain, Reclaimable: c.reclaimable, VMs: n})
 	}
-	orders := s.buyer.Decide(now, needed, holdings, offers(d.Fleet), buyer.Policy{ReclaimableShare: 1, Most: d.Fleet.Most})
+	orders := s.buyer.Decide(now, needed, holdings, offers(d.Fleet), buyer.Policy{ReclaimableShare: 1, Losses: s.losses(now, d), Most: d.Fleet.Most})
 	for _, o := range orders {
 		c := class{o.FailureDomain, o.Reclaimable}
 		vms := coming[c] + o.Change
@@ -181,9 +203,10 @@
 			total -= coming[c] - vms
 		}
 		if vms != coming[c] {
-			f.order(ctx, now, d, s, c, vms, ready[c])
+			refused = !f.order(ctx, now, d, s, c, vms, ready[c]) || refused
 		}
 	}
+	return refused
 }
 
 func offers(fleet *resolver.Fleet) []buyer.Offer {
@@ -269,10 +292,20 @@
 	return max(byPrompt, min(byRunning, queueFactor*byPrompt))
 }
 
-func (f *fleetManager) order(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, c class, vms, ready int) {
+// losses returns the number of domains whose reclaimable VMs the fleet is made
+// to outlast. Where none are to be had, what goes next can't be replaced either.
+func (s *fleetState) losses(now time.Time, d resolver.Deployment) int {
+	if !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < scarceFor*d.Fleet.Boot {
+		return scarceLosses
+	}
+	return 1
+}
+
+// order sends one order. It returns false if there are none to be had.
+func (f *fleetManager) order(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, c class, vms, ready int) bool {
 	holder, fence, may := f.duty.stamp()
 	if !may {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -283,13 +316,16 @@
 	line := f.g.cfg.Log.Info().Str("event", "fleet_ordered").Str("deployment", d.Name).Str("failure_domain", c.domain).
 		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", ready).Float64("needed", s.measured).Uint64("fence", fence)
 	if err != nil {
-		if errorx.IsOfType(err, keeper.Refused) {
+		line.Err(err).Send()
+		none := errorx.IsOfType(err, keeper.Refused)
+		if none {
 			s.buyer.Refused(now, c.domain, c.reclaimable)
+			s.refusedAt = now
 		}
-		line.Err(err).Send()
-		return
+		return !none
 	}
 	s.buyer.Started(c.domain, c.reclaimable)
 	s.ordered[c] = order{vms: vms, at: now}
 	line.Send()
+	return true
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -36,6 +36,7 @@
 	Usage    map[accountant.Window]accountant.Counts `cbor:"6,keyasint,omitempty"`
 	Load     map[string]float64                      `cbor:"7,keyasint,omitempty"`
 	Demand   map[string]demand                       `cbor:"8,keyasint,omitempty"`
+	Domain   string                                  `cbor:"10,keyasint,omitempty"`
 	Duty     bool                                    `cbor:"9,keyasint,omitempty"`
 }
 
@@ -48,6 +49,7 @@
 	load    map[string]float64
 	demand  map[string]demand
 	duty    bool
+	domain  string
 }
 
 // place is an entry's row in the table of entries.
@@ -72,8 +74,9 @@
 	b := g.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.router.Detour(b.detours(now))
 	n := news{
-		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Stopping: g.stopping.Load(),
+		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Stopping: g.stopping.Load(), Domain: g.cfg.FailureDomain,
 		Spent: b.quoter.Spent(), Load: b.router.Load(), Demand: b.ownDemand(now), Duty: g.holdsDuty(now),
 	}
 	if g.cfg.UsageWindow > 0 {
@@ -109,7 +112,7 @@
 		g.cfg.Log.Info().Str("event", "peer_back").Str("peer", n.ID).Dur("silent", now.Sub(p.heardAt)).Send()
 	}
 	moved := p.address != n.Address
-	p.boot, p.address, p.heardAt, p.duty, p.demand = n.Boot, n.Address, now, n.Duty, n.Demand
+	p.boot, p.address, p.domain, p.heardAt, p.duty, p.demand = n.Boot, n.Address, n.Domain, now, n.Duty, n.Demand
 	b.accountant.Merge(processName(n.ID, n.Boot), n.Usage)
 	b.quoter.Hear(now, n.ID, n.Boot, n.Spent)
 	b.replaceLoad(now, p, n.Load)
@@ -188,6 +191,38 @@
 	g.gossip.Peers(b.peerAddresses())
 }
 
+const (
+	// silentDetour is the cost, in shares of an upstream's slots, of the way to
+	// a failure domain none of whose entries is heard; cutDetour that of one where
+	// connections fail too.
+	silentDetour = 0.5
+	cutDetour    = 4
+	// failureMemory is how long a failed connection to a domain counts.
+	failureMemory = 3 * time.Second
+)
+
+// detours returns the failure domains that seem to be cut off from this entry
+// with what the way to their upstreams costs. The lock must be held.
+func (b *beliefs) detours(now time.Time) map[string]float64 {
+	heard := map[string]bool{}
+	for _, p := range b.peers {
+		if p.domain != "" && p.domain != b.cfg.FailureDomain {
+			heard[p.domain] = heard[p.domain] || now.Sub(p.heardAt) <= peerReach
+		}
+	}
+	costs := map[string]float64{}
+	for domain, reached := range heard {
+		switch {
+		case reached:
+		case now.Sub(b.failedAt[domain]) < failureMemory:
+			costs[domain] = cutDetour
+		default:
+			costs[domain] = silentDetour
+		}
+	}
+	return costs
+}
+
 // forget drops an entry that is gone. The lock must be held.
 func (g *Gateway) forget(now time.Time, id, why string) {
 	b := g.beliefs
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -25,6 +25,7 @@
 	answer *pooler.Answer
 	reply  Reply
 	sentAt time.Time
+	watch  *watch
 	// ease tells the choice of upstreams that the prompt has been read.
 	ease func()
 }
@@ -88,6 +89,7 @@
 	chunk := make([]byte, readBytes)
 	for {
 		n, err := r.answer.Read(chunk)
+		r.watch.progress()
 		pending = append(pending, chunk[:n]...)
 		whole, rest := splitEvents(pending)
 		if err == io.EOF {
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+const (
+	// firstFactor times a route's target is how long an upstream may be silent
+	// before its first byte, and gapFactor times the route's longest good pause
+	// how long between two events, before the request goes to another one.
+	firstFactor = 3
+	gapFactor   = 3
+	// leastSilence bounds both from below: no network is that slow.
+	leastSilence = 500 * time.Millisecond
+)
+
+var errSilent = errors.New("the upstream is silent")
+
+// watch ends an attempt on an upstream that has been silent for too long, where
+// another may take the request over.
+type watch struct {
+	timer *time.Timer
+	limit time.Duration
+	end   context.CancelCauseFunc
+	// paid says that the retry was taken from the budget.
+	paid atomic.Bool
+}
+
+// watch returns a context for one attempt of a call, which ends when its
+// upstream is silent for too long.
+func (g *Gateway) watch(ctx context.Context, c *call) (context.Context, *watch) {
+	ctx, end := context.WithCancelCause(ctx)
+	w := &watch{end: end}
+	if !c.mayMove() {
+		return ctx, w
+	}
+	deployment := c.deployment
+	exclude := append(slices.Clone(c.exclude), c.upstream.ID)
+	w.limit = max(leastSilence, gapFactor*c.route.Gap)
+	w.timer = time.AfterFunc(max(leastSilence, firstFactor*c.route.Target), func() {
+		if g.others(deployment, exclude) && g.pay(deployment) {
+			w.paid.Store(true)
+			end(errSilent)
+		}
+	})
+	return ctx, w
+}
+
+// mayMove reports whether a call that has run once more may go on elsewhere.
+func (c *call) mayMove() bool {
+	return c.sends < mostSends && c.route.Retryable() && c.runs+1 < c.route.Attempts
+}
+
+// others reports whether a deployment has an upstream beyond those excluded.
+func (g *Gateway) others(deployment string, exclude []string) bool {
+	g.beliefs.mu.Lock()
+	defer g.beliefs.mu.Unlock()
+	return len(g.beliefs.router.Open(g.cfg.Now(), router.Ask{Deployment: deployment, Exclude: exclude})) > 0
+}
+
+// progress notes that bytes have arrived.
+func (w *watch) progress() {
+	if w.timer != nil && !w.paid.Load() {
+		w.timer.Reset(w.limit)
+	}
+}
+
+func (w *watch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.end(nil)
+}
--- a/pkg/buyer/buyer.go
+++ b/pkg/buyer/buyer.go
@@ -48,6 +48,9 @@
 	ReclaimableShare float64
 	// Slack is the share above the demand that is held in any case.
 	Slack float64
+	// Losses is the number of domains whose reclaimable VMs may go before others
+	// can be started; zero stands for one.
+	Losses int
 	// Most bounds the VMs of all classes in one domain; zero means no bound.
 	Most int
 }
@@ -189,15 +192,15 @@
 	byPrice := func(a, b Offer) int { return cmp.Compare(a.PricePerHour, b.PricePerHour) }
 	slices.SortStableFunc(reclaimable, byPrice)
 	slices.SortStableFunc(lasting, byPrice)
-	kept, keptMost := notOffered(have, offers)
+	held := notOffered(have, offers)
 	best, bestCost := map[class]int{}, math.Inf(1)
 	for domains := 0; domains <= len(reclaimable); domains++ {
 		for each := 0; each <= needed; each++ {
 			if domains == 0 && each > 0 || domains > 0 && each == 0 {
 				continue
 			}
-			total := domains*each + kept
-			surviving := total - max(keptMost, boolTimes(domains > 0, each))
+			total, kept, lost := loss(held, domains, each, max(1, p.Losses))
+			surviving := total - lost
 			rest := max(0, needed-surviving)
 			if float64(total) > p.ReclaimableShare*float64(total+rest) && total > kept {
 				continue
@@ -240,16 +243,39 @@
 	return slices.ContainsFunc(offers, func(o Offer) bool { return o.FailureDomain == key.domain && o.Reclaimable == key.reclaimable })
 }
 
-// notOffered counts the reclaimable VMs held in domains that are left out, and
-// the most of them in one domain.
-func notOffered(have map[class]int, offers []Offer) (total, most int) {
+// notOffered returns the numbers of reclaimable VMs held in domains that are
+// left out, the largest first.
+func notOffered(have map[class]int, offers []Offer) []int {
+	var held []int
 	for key, n := range have {
 		if key.reclaimable && !offered(key, offers) {
-			total += n
-			most = max(most, n)
+			held = append(held, n)
 		}
 	}
-	return total, most
+	slices.SortFunc(held, func(a, b int) int { return b - a })
+	return held
+}
+
+// loss returns the number of all reclaimable VMs, that of those held in domains
+// that are left out, and how many go with the fullest domains.
+func loss(held []int, domains, each, losses int) (total, kept, lost int) {
+	total = domains * each
+	full := domains
+	for _, n := range held {
+		total += n
+		kept += n
+	}
+	for range losses {
+		switch {
+		case full > 0 && (len(held) == 0 || each >= held[0]):
+			lost += each
+			full--
+		case len(held) > 0:
+			lost += held[0]
+			held = held[1:]
+		}
+	}
+	return total, kept, lost
 }
 
 // price spreads the lasting VMs over their domains and adds up the costs.
--- a/pkg/buyer/buyer_test.go
+++ b/pkg/buyer/buyer_test.go
@@ -93,3 +93,37 @@
 	}
 	require.Equal(t, 50, gave)
 }
+
+// Where nothing can be started soon, the fleet is made to outlast the
+// reclaimable VMs of two domains, those that it holds already included.
+func TestOutlastsTwoDomainsWhereStartsAreRefused(t *testing.T) {
+	var b buyer.Buyer
+	held := []buyer.Holding{}
+	for d := range 4 {
+		held = append(held, buyer.Holding{FailureDomain: fmt.Sprint(d), Reclaimable: true, VMs: 4})
+		b.Refused(start, fmt.Sprint(d), true)
+	}
+	started := func(losses int) int {
+		total := 0
+		for _, o := range b.Decide(start, 10, held, offers(4), buyer.Policy{ReclaimableShare: 1, Losses: losses}) {
+			require.False(t, o.Reclaimable)
+			total += o.Change
+		}
+		return total
+	}
+	require.Zero(t, started(1), "12 of 16 remain")
+	require.Equal(t, 2, started(2), "8 of 16 remain")
+}
+
+// A domain holds no more VMs of both classes than it may.
+func TestStaysWithinTheMostOfADomain(t *testing.T) {
+	var b buyer.Buyer
+	byDomain := map[string]int{}
+	for _, o := range b.Decide(start, 20, nil, offers(4), buyer.Policy{ReclaimableShare: 1, Most: 7}) {
+		byDomain[o.FailureDomain] += o.Change
+	}
+	for domain, n := range byDomain {
+		require.LessOrEqual(t, n, 7, domain)
+	}
+	require.NotEmpty(t, byDomain)
+}
--- a/pkg/quoter/quoter.go
+++ b/pkg/quoter/quoter.go
@@ -20,6 +20,18 @@
 	Burst float64
 }
 
+// Ask is one request for a part of a quota.
+type Ask struct {
+	Cost float64
+	// Reserve is the share of the burst that is left to more urgent requests.
+	// Requests that cost next to nothing do not heed it.
+	Reserve float64
+}
+
+// reserveFrom is the share of the burst from which on a cost heeds the whole
+// reserve.
+const reserveFrom = 0.01
+
 // Config sets a quoter up.
 type Config struct {
 	// Start is when the process began. Buckets are empty then, since what was
@@ -119,7 +131,8 @@
 // Spend takes cost from an organisation's quota. If it does not allow that, it
 // returns the time after which it should. A cost that the bucket never allows
 // needs a full one.
-func (q *Quoter) Spend(now time.Time, org string, limit Limit, cost float64) (bool, time.Duration) {
+func (q *Quoter) Spend(now time.Time, org string, limit Limit, ask Ask) (bool, time.Duration) {
+	cost := ask.Cost
 	if limit.Rate <= 0 {
 		return true, 0
 	}
@@ -139,7 +152,8 @@
 		b.roundAt, b.taken = now, 0
 		b.ration = rationFactor * (b.balance + debt) / float64(heard)
 	}
-	need := math.Min(math.Max(least, cost-debt), full)
+	reserve := ask.Reserve * full * math.Min(1, cost/(reserveFrom*math.Max(1, full)))
+	need := math.Min(math.Max(least, cost-debt)+reserve, full)
 	if b.balance < need {
 		missing := (need - b.balance) / (limit.Rate * share)
 		return false, max(leastWait, time.Duration(missing*float64(time.Second)))
--- a/pkg/quoter/quoter_test.go
+++ b/pkg/quoter/quoter_test.go
@@ -90,7 +90,7 @@
 				}
 				for range rapid.IntRange(0, 6).Draw(t, "asks") {
 					cost := float64(rapid.SampledFrom([]int{50, 200, 600, 600, 4000}).Draw(t, "cost"))
-					if ok, wait := q.Spend(now, org, quoter.Limit{Rate: rate, Burst: rate}, cost); ok {
+					if ok, wait := q.Spend(now, org, quoter.Limit{Rate: rate, Burst: rate}, quoter.Ask{Cost: cost}); ok {
 						spent += cost
 					} else {
 						require.Positive(t, wait)
@@ -122,7 +122,7 @@
 		if tick%10 == 0 {
 			g.tell(now, always)
 		}
-		ok, _ := g.entries[0].Spend(now, org, quoter.Limit{Rate: 100_000, Burst: 100_000}, 1900)
+		ok, _ := g.entries[0].Spend(now, org, quoter.Limit{Rate: 100_000, Burst: 100_000}, quoter.Ask{Cost: 1900})
 		require.True(t, ok)
 	}
 }
@@ -135,7 +135,7 @@
 	spent := 0.0
 	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
-		if ok, _ := q.Spend(now, org, quoter.Limit{Rate: 1000, Burst: 1000}, 10); ok {
+		if ok, _ := q.Spend(now, org, quoter.Limit{Rate: 1000, Burst: 1000}, quoter.Ask{Cost: 10}); ok {
 			spent += 10
 		}
 	}
@@ -146,12 +146,12 @@
 func TestLargeRequestsAreNotStarved(t *testing.T) {
 	q := quoter.New(quoter.Config{Start: start, Reach: time.Second})
 	limit := quoter.Limit{Rate: 100, Burst: 100}
-	ok, wait := q.Spend(start, org, limit, 250)
+	ok, wait := q.Spend(start, org, limit, quoter.Ask{Cost: 250})
 	require.False(t, ok)
 	require.Equal(t, time.Second, wait)
-	ok, _ = q.Spend(start.Add(wait), org, limit, 250)
+	ok, _ = q.Spend(start.Add(wait), org, limit, quoter.Ask{Cost: 250})
 	require.True(t, ok)
-	ok, wait = q.Spend(start.Add(time.Second), org, limit, 10)
+	ok, wait = q.Spend(start.Add(time.Second), org, limit, quoter.Ask{Cost: 10})
 	require.False(t, ok)
 	require.Equal(t, 1600*time.Millisecond, wait)
 }
@@ -166,8 +166,8 @@
 	for tick := range 1000 {
 		now = now.Add(20 * time.Millisecond)
 		if tick%7 > 0 {
-			_, _ = q.Spend(now, org, limit, 10)
-		} else if ok, _ := q.Spend(now, org, limit, 200); ok {
+			_, _ = q.Spend(now, org, limit, quoter.Ask{Cost: 10})
+		} else if ok, _ := q.Spend(now, org, limit, quoter.Ask{Cost: 200}); ok {
 			large++
 		}
 	}
@@ -175,16 +175,36 @@
 	require.LessOrEqual(t, q.Spent()[org], 20*100.0+300)
 }
 
+// A quota far below what is asked goes to the urgent requests first; others get
+// what these leave, and cheap ones pass all the same.
+func TestUrgentRequestsComeFirst(t *testing.T) {
+	q := quoter.New(quoter.Config{Start: start, Reach: time.Second, Debt: 100})
+	limit := quoter.Limit{Rate: 1000, Burst: 1000}
+	passed := map[float64]int{}
+	now := start
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		for _, ask := range []quoter.Ask{{Cost: 40, Reserve: 0.5}, {Cost: 0.1, Reserve: 0.5}, {Cost: 8}} {
+			if ok, _ := q.Spend(now, org, limit, ask); ok {
+				passed[ask.Cost]++
+			}
+		}
+	}
+	require.Equal(t, 2000, passed[8], "urgent")
+	require.Equal(t, 2000, passed[0.1], "cheap")
+	require.InDelta(t, 100, passed[40], 20, "of the 120 that the rest of the quota holds")
+}
+
 func TestRefundAndNoLimit(t *testing.T) {
 	q := quoter.New(quoter.Config{Start: start, Reach: time.Second})
-	ok, _ := q.Spend(start, org, quoter.Limit{}, 1e9)
+	ok, _ := q.Spend(start, org, quoter.Limit{}, quoter.Ask{Cost: 1e9})
 	require.True(t, ok)
 	limit := quoter.Limit{Rate: 100, Burst: 100}
-	_, _ = q.Spend(start, org, limit, 100)
-	ok, _ = q.Spend(start.Add(time.Second), org, limit, 100)
+	_, _ = q.Spend(start, org, limit, quoter.Ask{Cost: 100})
+	ok, _ = q.Spend(start.Add(time.Second), org, limit, quoter.Ask{Cost: 100})
 	require.True(t, ok)
 	q.Refund(org, 100)
-	ok, _ = q.Spend(start.Add(time.Second), org, limit, 100)
+	ok, _ = q.Spend(start.Add(time.Second), org, limit, quoter.Ask{Cost: 100})
 	require.True(t, ok)
 	require.InDelta(t, 100, q.Spent()[org], 0)
 }
--- a/pkg/resolver/resolver.go
+++ b/pkg/resolver/resolver.go
@@ -19,6 +19,8 @@
 	hosts       map[string][]Route
 	keys        map[string]*Organisation
 	deployments map[string]*Deployment
+	// lowest and highest are the bounds of the routes' priorities.
+	lowest, highest int
 }
 
 // New indexes a configuration. It returns an error of type Invalid if a route
@@ -39,6 +41,10 @@
 			return nil, err
 		}
 		r.hosts[route.Host] = append(r.hosts[route.Host], route)
+		if len(r.hosts) == 1 && len(r.hosts[route.Host]) == 1 {
+			r.lowest, r.highest = route.Priority, route.Priority
+		}
+		r.lowest, r.highest = min(r.lowest, route.Priority), max(r.highest, route.Priority)
 	}
 	for _, routes := range r.hosts {
 		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -109,6 +115,16 @@
 // Routes lists all routes.
 func (r *Resolver) Routes() []Route { return r.cfg.Routes }
 
+// Rank returns how a route compares in urgency with the others, from 0 for the
+// most urgent to 1 for the least.
+func (r *Resolver) Rank(route Route) float64 {
+	lowest, highest := r.lowest, r.highest
+	if highest <= lowest {
+		return 0
+	}
+	return float64(route.Priority-lowest) / float64(highest-lowest)
+}
+
 // Pick chooses among a route's deployments; draw is uniform in [0, 1).
 func (r Route) Pick(draw float64) string {
 	total := 0.0
--- a/pkg/resolver/resolver_test.go
+++ b/pkg/resolver/resolver_test.go
@@ -73,3 +73,16 @@
 	require.Equal(t, "b", r.Pick(0.9))
 	require.Equal(t, "b", r.Pick(0.999))
 }
+
+func TestRankFollowsPriorities(t *testing.T) {
+	routes := []resolver.Route{route("a", "a.example", "/a/"), route("b", "a.example", "/b/"), route("c", "b.example", "/c/")}
+	routes[0].Priority, routes[1].Priority, routes[2].Priority = 4, 2, 3
+	r, err := resolver.New(config(routes...))
+	require.NoError(t, err)
+	require.InDelta(t, 1, r.Rank(routes[0]), 0)
+	require.InDelta(t, 0, r.Rank(routes[1]), 0)
+	require.InDelta(t, 0.5, r.Rank(routes[2]), 0)
+	same, err := resolver.New(config(routes[1]))
+	require.NoError(t, err)
+	require.InDelta(t, 0, same.Rank(routes[1]), 0)
+}
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -122,7 +122,7 @@
 	if r.cfg.FailureDomain != "" && rec.FailureDomain != r.cfg.FailureDomain {
 		score += *r.cfg.RemotePenalty
 	}
-	return score + pricePenalty*rec.PricePerHour
+	return score + r.detours[rec.FailureDomain] + pricePenalty*rec.PricePerHour
 }
 
 // Busy returns the load that an upstream is thought to have, in requests.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -89,6 +89,7 @@
 	random  *rand.Rand
 	records map[string]*record
 	groups  map[string][]*record
+	detours map[string]float64
 	entries int
 }
 
@@ -312,6 +313,10 @@
 // own is the load of this entry's attempts.
 func (rec *record) own() float64 { return float64(rec.inFlight) + rec.weight }
 
+// Detour sets what the way to upstreams of failure domains costs, in shares of
+// their slots, beyond the usual. It replaces what was set before.
+func (r *Router) Detour(costs map[string]float64) { r.detours = costs }
+
 // Share tells the router how many entries use the same upstreams.
 func (r *Router) Share(entries int) { r.entries = entries }
 
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -126,3 +126,39 @@
 	require.True(t, ok, "when all are suspects, one of them is better than none")
 	require.Equal(t, 16, r.Capacity(start.Add(time.Minute), "d"))
 }
+
+// A failure domain that can't be reached gets requests only when nothing else
+// has room, those with a prefix that belongs there included.
+func TestDetourKeepsRequestsFromADomain(t *testing.T) {
+	r := router.New(router.Config{EntryID: "e", Seed: 1})
+	r.Replace(start, fleet(8))
+	r.Detour(map[string]float64{"z1": 4})
+	for prefix := range 200 {
+		u, ok := r.Pick(start, router.Ask{Deployment: "d", Prefix: uint64(prefix)})
+		require.True(t, ok)
+		require.NotEqual(t, "z1", u.FailureDomain)
+		r.Begin(u.ID)
+		r.End(u.ID)
+	}
+	r.Replace(start, fleet(8)[1:2])
+	u, ok := r.Pick(start, router.Ask{Deployment: "d"})
+	require.True(t, ok)
+	require.Equal(t, "z1", u.FailureDomain)
+	r.Detour(nil)
+}
+
+// What other entries load an upstream with counts like this entry's own.
+func TestElsewhereAndWeightCount(t *testing.T) {
+	r := router.New(router.Config{Seed: 1})
+	r.Replace(start, fleet(2))
+	r.Elsewhere(start, "u0", 3)
+	r.Weigh("u1", 2)
+	require.InDelta(t, 3, r.Busy(start, "u0"), 0)
+	require.InDelta(t, 2, r.Busy(start, "u1"), 0)
+	u, _ := r.Pick(start, router.Ask{Deployment: "d"})
+	require.Equal(t, "u1", u.ID)
+	require.Equal(t, map[string]float64{"u1": 2}, r.Load())
+	require.Zero(t, r.Busy(start.Add(time.Minute), "u0"), "it is too old")
+	r.Weigh("u1", -5)
+	require.Zero(t, r.Busy(start, "u1"))
+}
