--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,159 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/follower"
+	"github.com/galenahitch/galenahitch/internal/keeper"
+)
+
+// step is one answer of a scripted store, and how long it takes.
+type step struct {
+	after time.Duration
+	page  keeper.Page
+	err   error
+	// read and waits say what call the step expects.
+	read  bool
+	waits time.Duration
+}
+
+// script is a store that answers from a list and moves the clock.
+type script struct {
+	t     *testing.T
+	steps []step
+	now   time.Time
+	done  context.CancelFunc
+
+	mu   sync.Mutex
+	seen map[string]string
+	log  []string
+}
+
+func (s *script) next(read bool, wait time.Duration) (keeper.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.steps) == 0 {
+		s.done()
+		return keeper.Page{}, errors.New("the script has ended")
+	}
+	at := s.steps[0]
+	s.steps = s.steps[1:]
+	require.Equal(s.t, at.read, read, "%d steps left", len(s.steps))
+	require.Equal(s.t, at.waits, wait, "%d steps left", len(s.steps))
+	s.now = s.now.Add(at.after)
+	return at.page, at.err
+}
+
+func (s *script) Read(context.Context, string) (keeper.Page, error) { return s.next(true, 0) }
+
+func (s *script) Watch(_ context.Context, _ string, _ uint64, wait time.Duration) (keeper.Page, error) {
+	return s.next(false, wait)
+}
+
+func (s *script) Commit(context.Context, keeper.Commit) (keeper.CommitResult, error) {
+	return keeper.CommitResult{}, errors.New("not part of the script")
+}
+
+func (s *script) apply(_ time.Time, changed []keeper.Entry) {
+	for _, e := range changed {
+		if e.Deleted {
+			delete(s.seen, e.Key)
+			s.log = append(s.log, "-"+e.Key)
+			continue
+		}
+		s.seen[e.Key] = string(e.Value)
+		s.log = append(s.log, "+"+e.Key)
+	}
+}
+
+func (s *script) clock() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
+}
+
+const (
+	wait  = 5 * time.Second
+	grace = 2400 * time.Millisecond
+	// probing is the wait of calls while rows are missing.
+	probing = grace / 4
+)
+
+func play(t *testing.T, steps ...step) *script {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &script{t: t, steps: steps, now: time.UnixMilli(1_700_000_000_000), done: cancel, seen: map[string]string{}}
+	f := follower.New(follower.Config{
+		Store: s, Table: "servers", Wait: wait, Grace: grace, Apply: s.apply, Now: s.clock, Log: zerolog.Nop(),
+	})
+	_, ever := f.Age(s.now)
+	require.False(t, ever)
+	require.NoError(t, f.Run(ctx))
+	return s
+}
+
+func row(key string, version uint64) keeper.Entry {
+	return keeper.Entry{Table: "servers", Key: key, Value: []byte(key), Version: version}
+}
+
+func dropped(key string, version uint64) keeper.Entry {
+	return keeper.Entry{Table: "servers", Key: key, Version: version, Deleted: true}
+}
+
+func whole(version uint64, rows ...keeper.Entry) step {
+	return step{read: true, page: keeper.Page{Version: version, Entries: rows}}
+}
+
+func changes(version uint64, rows ...keeper.Entry) step {
+	return step{waits: wait, page: keeper.Page{Version: version, Entries: rows}}
+}
+
+var errDown = keeper.Unreachable.New("down")
+
+func TestFollowsChangesAndDropsAtOnce(t *testing.T) {
+	s := play(t, whole(5, row("a", 3), row("b", 5)), changes(6, row("c", 6)), changes(8, dropped("a", 7), row("b", 8)))
+	require.Equal(t, []string{"b", "c"}, slices.Sorted(maps.Keys(s.seen)))
+	require.Equal(t, []string{"+a", "+b", "+c", "-a", "+b"}, s.log)
+}
+
+// History that is gone is read again; rows that went meanwhile are dropped, and
+// an answer that is older than the copy changes nothing.
+func TestReadsAgainAfterLostHistory(t *testing.T) {
+	gone := step{waits: wait, err: keeper.Compacted.New("gone")}
+	s := play(t, whole(5, row("a", 3), row("b", 5), row("c", 5)), gone, whole(4, row("a", 3)), whole(9, row("b", 5), row("c", 5), row("d", 9)))
+	require.Equal(t, []string{"b", "c", "d"}, slices.Sorted(maps.Keys(s.seen)))
+}
+
+// Most rows lapsed while the store was away. They are kept until their writers
+// have had time to write them again; what is missing then is gone.
+func TestLapsedRowsAreKeptForTheGrace(t *testing.T) {
+	s := play(t,
+		whole(5, row("a", 1), row("b", 2), row("c", 3)),
+		step{waits: wait, err: errDown}, step{after: 4 * time.Second, err: errDown},
+		step{page: keeper.Page{Version: 8, Entries: []keeper.Entry{dropped("a", 6), dropped("b", 7), dropped("c", 8)}}},
+		step{waits: probing, after: time.Second, page: keeper.Page{Version: 9, Entries: []keeper.Entry{row("a", 9)}}},
+		step{waits: probing, after: time.Second, page: keeper.Page{Version: 9}},
+		step{waits: probing, after: time.Second, page: keeper.Page{Version: 9}},
+	)
+	require.Equal(t, []string{"+a", "+b", "+c", "+a", "-b", "-c"}, s.log)
+}
+
+// One row of many that is dropped after the store was away from this entry is
+// gone at once: its writer left.
+func TestSingleRowIsDroppedAfterTheStoreWasAway(t *testing.T) {
+	s := play(t,
+		whole(5, row("a", 1), row("b", 2), row("c", 3)),
+		step{waits: wait, err: errDown}, step{after: 4 * time.Second, err: errDown},
+		step{page: keeper.Page{Version: 6, Entries: []keeper.Entry{dropped("a", 6)}}},
+	)
+	require.Equal(t, []string{"b", "c"}, slices.Sorted(maps.Keys(s.seen)))
+}
--- /dev/null
+++ b/internal/pooler/pooler_test.go
@@ -0,0 +1,221 @@
+package pooler_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/pooler"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+const idHeader = "X-Id"
+
+// upstream answers the n-th request of each connection with the n-th text.
+// CLOSE ends the connection, RESET does so with a reset.
+func upstream(t *testing.T, connections ...[]string) (address string, accepted func() int) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	count := make(chan int, 1)
+	count <- 0
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			n := <-count
+			count <- n + 1
+			if n < len(connections) {
+				go serve(conn, connections[n])
+			}
+		}
+	}()
+	return listener.Addr().String(), func() int {
+		n := <-count
+		count <- n
+		return n
+	}
+}
+
+func serve(conn net.Conn, answers []string) {
+	reader := bufio.NewReader(conn)
+	for _, answer := range answers {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			break
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			break
+		}
+		text, reset := strings.CutSuffix(answer, "RESET")
+		text, closes := strings.CutSuffix(text, "CLOSE")
+		if _, err := io.WriteString(conn, text); err != nil {
+			break
+		}
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		if reset || closes {
+			_ = conn.Close()
+			return
+		}
+	}
+	// A connection whose answers are used up stays open and silent.
+	_, _ = io.Copy(io.Discard, reader)
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
+
+func newPool() *pooler.Pool { return pooler.New(pooler.Config{IDHeader: idHeader, Now: time.Now}) }
+
+func request(id string) pooler.Request {
+	return pooler.Request{ID: id, Method: http.MethodPost, Target: "/a//b?c=%2f", Host: "h.example", Header: http.Header{idHeader: {id}}, Body: []byte("body")}
+}
+
+// ask returns the body of the answer, or the error of either step.
+func ask(t *testing.T, p *pooler.Pool, address, id string) (string, error) {
+	t.Helper()
+	a, err := p.Do(context.Background(), address, request(id))
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	address, accepted := upstream(t, []string{answer("1", "one"), answer("2", "two"), answer("3", "three")})
+	p := newPool()
+	for id, want := range map[string]string{"1": "one"} {
+		got, err := ask(t, p, address, id)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	got, err := ask(t, p, address, "2")
+	require.NoError(t, err)
+	require.Equal(t, "two", got)
+	require.Equal(t, 1, accepted())
+}
+
+// Each case is what one upstream does wrong, and what the next request on a new
+// connection must still get.
+func TestForeignAndBrokenAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		first []string
+		want  string
+		err   bool
+		conns int
+	}{
+		"a late answer before the own one": {first: []string{answer("0", "old") + answer("1", "one")}, want: "one", conns: 1},
+		"an extra answer after it":         {first: []string{answer("1", "one") + answer("1", "twice")}, want: "one", conns: 2},
+		"bytes after it":                   {first: []string{answer("1", "one") + "garbage"}, want: "one", conns: 2},
+		"a cut answer":                     {first: []string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\noneCLOSE"}, err: true, conns: 2},
+		"a cut chunk":                      {first: []string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\noneCLOSE"}, err: true, conns: 2},
+		"no answer at all":                 {first: []string{"RESET"}, err: true, conns: 2},
+		"no http":                          {first: []string{"garbage\r\n\r\n"}, err: true, conns: 2},
+		"an answer without id":             {first: []string{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneCLOSE"}, err: true, conns: 2},
+		"an answer that ends with its connection": {
+			first: []string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\noneCLOSE"}, want: "one", conns: 2,
+		},
+		"one whose connection is reset": {first: []string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\noneRESET"}, err: true, conns: 2},
+		"one that closes":               {first: []string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\nContent-Length: 3\r\n\r\none"}, want: "one", conns: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, accepted := upstream(t, append(c.first, answer("2", "two")), []string{answer("2", "two")})
+			p := newPool()
+			got, err := ask(t, p, address, "1")
+			if c.err {
+				require.Error(t, err)
+			} else {
+				require.NoError(t, err)
+				require.Equal(t, c.want, got)
+			}
+			got, err = ask(t, p, address, "2")
+			require.NoError(t, err)
+			require.Equal(t, "two", got)
+			require.Equal(t, c.conns, accepted())
+		})
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	p := newPool()
+	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	nobody := free.Addr().String()
+	require.NoError(t, free.Close())
+	_, err = ask(t, p, nobody, "1")
+	require.Equal(t, judge.NotRun, judge.Of(err))
+	address, _ := upstream(t, []string{"RESET"})
+	_, err = ask(t, p, address, "1")
+	require.Equal(t, judge.MayHaveRun, judge.Of(err))
+}
+
+// The end of a request's context closes its connection, by which the upstream
+// learns that nobody waits.
+func TestCancelClosesTheConnection(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	closed := make(chan error, 1)
+	arrived := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			closed <- err
+			return
+		}
+		reader := bufio.NewReader(conn)
+		r, err := http.ReadRequest(reader)
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		close(arrived)
+		if err == nil {
+			_, err = reader.ReadByte()
+		}
+		closed <- err
+	}()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	left := errors.New("the caller has left")
+	go func() {
+		<-arrived
+		cancel(left)
+	}()
+	_, err = newPool().Do(ctx, listener.Addr().String(), request("1"))
+	require.Error(t, err)
+	require.Equal(t, judge.MayHaveRun, judge.Of(err))
+	require.Error(t, <-closed)
+}
+
+func TestLimitBoundsConnections(t *testing.T) {
+	address, accepted := upstream(t, []string{answer("1", "one")}, []string{answer("2", "two")})
+	p := newPool()
+	p.Limit(address, 1)
+	held, err := p.Do(context.Background(), address, request("1"))
+	require.NoError(t, err)
+	_, err = ask(t, p, address, "2")
+	require.Equal(t, judge.NotRun, judge.Of(err))
+	held.Close()
+	got, err := ask(t, p, address, "2")
+	require.NoError(t, err)
+	require.Equal(t, "two", got)
+	require.Equal(t, 2, accepted())
+	p.Sweep(func(string) bool { return false })
+}
