--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -81,6 +81,9 @@
 	for ctx.Err() == nil {
 		page, err := f.call(ctx, known)
 		now := f.cfg.Now()
+		if ctx.Err() != nil {
+			break
+		}
 		if err != nil {
 			if errorx.IsOfType(err, keeper.Compacted) {
 				known = false
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -136,7 +136,8 @@
 // Most rows lapsed while the store was away. They are kept until their writers
 // have had time to write them again; what is missing then is gone.
 func TestLapsedRowsAreKeptForTheGrace(t *testing.T) {
-	s := play(t,
+	s := play(
+		t,
 		whole(5, row("a", 1), row("b", 2), row("c", 3)),
 		step{waits: wait, err: errDown}, step{after: 4 * time.Second, err: errDown},
 		step{page: keeper.Page{Version: 8, Entries: []keeper.Entry{dropped("a", 6), dropped("b", 7), dropped("c", 8)}}},
@@ -150,7 +151,8 @@
 // One row of many that is dropped after the store was away from this entry is
 // gone at once: its writer left.
 func TestSingleRowIsDroppedAfterTheStoreWasAway(t *testing.T) {
-	s := play(t,
+	s := play(
+		t,
 		whole(5, row("a", 1), row("b", 2), row("c", 3)),
 		step{waits: wait, err: errDown}, step{after: 4 * time.Second, err: errDown},
 		step{page: keeper.Page{Version: 6, Entries: []keeper.Entry{dropped("a", 6)}}},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -256,9 +256,9 @@
 	}
 }
 
-// keepSeat writes this entry's row until ctx ends, and deletes it then.
+// keepSeat writes this entry's row until ctx ends or the process stops.
 func (g *Gateway) keepSeat(ctx context.Context) error {
-	for sequence := 1; ctx.Err() == nil; sequence++ {
+	for sequence := 1; ctx.Err() == nil && !g.stopping.Load(); sequence++ {
 		wait := rosterRefresh
 		if err := g.writeSeat(ctx, sequence); err != nil {
 			g.cfg.Log.Warn().Str("event", "entry_row_not_written").Err(err).Send()
