--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -25,7 +25,7 @@
 	measureFor = 6 * time.Second
 	firstShare = 2.0 / 3
 	// listSettle is how long the number of listed VMs has to stand still before
-	// the first order.
+	// VMs are given back while there are no callers yet.
 	listSettle = 2 * time.Second
 	// queueFactor bounds how many more engines running requests may ask for than
 	// prompts do: when engines are overloaded most of what runs only waits.
@@ -70,11 +70,11 @@
 	// needed is what the fleet began with, measured what demand asks for.
 	needed   float64
 	measured float64
-	// seenAt is when demand was first seen; countAt when the number of VMs
-	// changed last, while none was ordered.
-	seenAt  time.Time
-	count   int
-	countAt time.Time
+	// seenAt is when demand was first seen; most is the largest number of
+	// on-demand VMs listed before, and mostAt when it was reached.
+	seenAt time.Time
+	most   int
+	mostAt time.Time
 }
 
 // order is the last order of a class that was taken.
@@ -150,7 +150,7 @@
 	s, ok := f.fleets[d.Name]
 	if !ok {
 		s = &fleetState{ordered: map[class]order{}, buyer: buyer.Buyer{Pace: buyer.Pace{
-			LeastBackoff: d.Fleet.Boot / 2, MostBackoff: d.Fleet.Boot, ReclaimMemory: d.Fleet.Boot / 2, KeepSurplus: 2 * d.Fleet.Boot,
+			LeastBackoff: d.Fleet.Boot / 2, MostBackoff: d.Fleet.Boot, ReclaimMemory: d.Fleet.Boot / 2, KeepSurplus: d.Fleet.Boot,
 		}}}
 		f.fleets[d.Name] = s
 	}
@@ -165,7 +165,13 @@
 	for _, n := range ready {
 		total += n
 	}
-	needed, known := s.wanted(now, total)
+	lasting := 0
+	for c, n := range ready {
+		if !c.reclaimable {
+			lasting += n
+		}
+	}
+	needed, known := s.wanted(now, lasting)
 	if !known {
 		return
 	}
@@ -194,7 +200,7 @@
 		if o.Change < 0 {
 			// Only what is ready may take the place of what is given back.
 			spare := total - needed
-			if spare <= 0 {
+			if spare <= 0 || !s.settled(now) {
 				continue
 			}
 			vms = coming[c] - min(spare, -o.Change)
@@ -252,30 +258,23 @@
 }
 
 // wanted returns the number of upstreams that carry the demand as planned, if
-// that is known.
-func (s *fleetState) wanted(now time.Time, total int) (int, bool) {
+// that is known. Lasting is the number of on-demand VMs, which is what a fleet
+// begins with.
+func (s *fleetState) wanted(now time.Time, lasting int) (int, bool) {
 	switch {
 	case !s.seenAt.IsZero() && now.Sub(s.seenAt) >= measureFor:
 		return max(1, int(math.Ceil(s.measured))), true
-	case s.needed > 0:
-		return int(s.needed), true
-	case s.seenAt.IsZero():
-		return s.first(now, total)
-	default:
-		return 0, false
+	case s.seenAt.IsZero() && lasting > s.most:
+		s.most, s.mostAt = lasting, now
+		s.needed = math.Ceil(firstShare * float64(lasting))
 	}
+	return int(s.needed), s.needed > 0
 }
 
-// first returns the number of upstreams to begin with, once all are listed.
-func (s *fleetState) first(now time.Time, total int) (int, bool) {
-	if total != s.count {
-		s.count, s.countAt = total, now
-	}
-	if total == 0 || now.Sub(s.countAt) < listSettle {
-		return 0, false
-	}
-	s.needed = math.Ceil(firstShare * float64(total))
-	return int(s.needed), true
+// settled reports whether VMs may be given back: all that there are have been
+// listed.
+func (s *fleetState) settled(now time.Time) bool {
+	return !s.seenAt.IsZero() || now.Sub(s.mostAt) >= listSettle
 }
 
 // engines returns how many engines carry a demand as planned: the larger of
