--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -51,6 +51,7 @@
 	peers      map[string]*peer
 	failedAt   map[string]time.Time
 	elsewhere  map[string]float64
+	prompts    prompts
 	random     *rand.Rand
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -145,8 +145,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ask := router.Ask{Deployment: c.deployment, Exclude: c.exclude}
-	if c.ask.Prefix != "" {
-		ask.Prefix = xxhash.Sum64String(c.ask.Prefix)
+	if shared := b.prompts.shared(c.ask.Parts); shared != "" {
+		ask.Prefix = xxhash.Sum64String(shared)
 	}
 	picked, ok := b.router.Pick(now, ask)
 	if !ok {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -13,6 +13,12 @@
 	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
+// Part is a part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
 // Ask is a caller's request without its body.
 type Ask struct {
 	ID     string
@@ -30,8 +36,9 @@
 	// model.
 	PromptTokens int
 	AnswerTokens int
-	// Prefix is the id of the prompt's last shared part, empty if there is none.
-	Prefix string
+	// Parts are those of the prompt, in order. Requests share them; the last one
+	// may be the request's own.
+	Parts []Part
 	// After is the id of the last event that the caller has of a stream that it
 	// goes on with, empty for a new one.
 	After string
