--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -50,9 +50,11 @@
 	demand     map[string]*demand
 	peers      map[string]*peer
 	failedAt   map[string]time.Time
-	elsewhere  map[string]float64
-	prompts    prompts
-	random     *rand.Rand
+	// cut holds the failure domains that are out of reach for now.
+	cut       map[string]bool
+	elsewhere map[string]float64
+	prompts   prompts
+	random    *rand.Rand
 }
 
 func newBeliefs(cfg Config, boot uint64) *beliefs {
@@ -72,6 +74,7 @@
 		demand:     map[string]*demand{},
 		peers:      map[string]*peer{},
 		failedAt:   map[string]time.Time{},
+		cut:        map[string]bool{},
 		elsewhere:  map[string]float64{},
 		random:     rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
 	}
--- /dev/null
+++ b/internal/gateway/beliefs_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+func tellFrom(g *Gateway, now time.Time, id, domain string, load map[string]float64) {
+	g.hear(now, netip.AddrPort{}, news{ID: id, Boot: 1, Address: "127.0.0.1:1", Domain: domain, Load: load})
+}
+
+// A domain is cut off when none of its entries is heard and a connection to it
+// has failed; one of either alone makes it less liked. It is back with the first
+// message.
+func TestCutDomainsAreLeftAlone(t *testing.T) {
+	g, c := newGateway(t, nil)
+	b := g.beliefs
+	for _, id := range []string{"b1", "b2"} {
+		tellFrom(g, c.now, id, "b", nil)
+	}
+	tellFrom(g, c.now, "c1", "c", nil)
+	require.Empty(t, b.detours(c.now))
+	b.failedAt["b"] = c.now
+	require.Empty(t, b.detours(c.now), "its entries are heard")
+	c.advance(time.Second)
+	tellFrom(g, c.now, "c1", "c", nil)
+	require.Equal(t, map[string]float64{"b": cutDetour}, b.detours(c.now))
+	require.True(t, b.cut["b"])
+	c.advance(failureMemory)
+	require.Equal(t, map[string]float64{"b": silentDetour, "c": silentDetour}, b.detours(c.now), "b may be tried again")
+	tellFrom(g, c.now, "b2", "b", nil)
+	require.Equal(t, map[string]float64{"c": silentDetour}, b.detours(c.now))
+	require.Empty(t, b.cut)
+}
+
+// Where only a cut domain is left, a call is refused at once and not sent into
+// the silence.
+func TestCallsAreNotSentIntoACut(t *testing.T) {
+	g, c := newGateway(t, nil)
+	b := g.beliefs
+	u := Upstream{Name: "u", Upstream: router.Upstream{ID: "u.1", Deployment: "model", FailureDomain: "b", Slots: 8}}
+	b.upstreams["u"] = u
+	b.relist(c.now)
+	waiting := &call{deployment: "model"}
+	got, ok := g.choose(waiting)
+	require.True(t, ok)
+	require.Equal(t, u, got)
+	tellFrom(g, c.now, "b1", "b", nil)
+	b.failedAt["b"] = c.now
+	c.advance(time.Second)
+	b.router.Detour(b.detours(c.now))
+	_, ok = g.choose(waiting)
+	require.False(t, ok)
+}
+
+// What others load upstreams with is replaced by their newest message, and
+// forgotten with them.
+func TestLoadOfOthersIsReplaced(t *testing.T) {
+	g, c := newGateway(t, nil)
+	b := g.beliefs
+	b.upstreams["u"] = Upstream{Name: "u", Upstream: router.Upstream{ID: "u.1", Deployment: "model", Slots: 8}}
+	b.relist(c.now)
+	tellFrom(g, c.now, "b1", "b", map[string]float64{"u.1": 3})
+	tellFrom(g, c.now, "c1", "c", map[string]float64{"u.1": 2})
+	tellFrom(g, c.now, "b1", "b", map[string]float64{"u.1": 1})
+	require.InDelta(t, 3, b.router.Busy(c.now, "u.1"), 0)
+	require.Equal(t, 3, b.members())
+	c.advance(2 * time.Second)
+	tellFrom(g, c.now, "c1", "c", map[string]float64{"u.1": 2})
+	g.sweepPeers(c.now)
+	require.InDelta(t, 2, b.router.Busy(c.now, "u.1"), 0)
+	require.Equal(t, 3, b.members(), "a silent entry may still be serving")
+}
+
+// A message of an earlier process of an entry changes nothing.
+func TestOldProcessesAreNotHeard(t *testing.T) {
+	g, c := newGateway(t, nil)
+	g.hear(c.now, netip.AddrPort{}, news{ID: "b1", Boot: 5, Address: "127.0.0.1:1", Load: map[string]float64{"u": 1}})
+	g.hear(c.now, netip.AddrPort{}, news{ID: "b1", Boot: 4, Address: "127.0.0.1:2", Load: map[string]float64{"u": 9}})
+	require.Equal(t, "127.0.0.1:1", g.beliefs.peers["b1"].address)
+	g.hear(c.now, netip.AddrPort{}, news{ID: "e1", Boot: 9})
+	require.Len(t, g.beliefs.peers, 1, "not itself")
+}
+
+// The speed of an engine is measured on long prompts that met little else.
+func TestSpeedIsMeasuredWithoutQueues(t *testing.T) {
+	var d demand
+	d.first(100, 0, time.Millisecond)
+	d.first(10_000, idleLoad+1, 10*time.Second)
+	require.Zero(t, d.Speed)
+	for range 200 {
+		d.first(10_000, 1, 250*time.Millisecond)
+		d.first(10_000, 20, 10*time.Second)
+	}
+	require.InDelta(t, 40_000, d.Speed, 1)
+}
+
+func TestDemandFades(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	var d demand
+	for range 600 {
+		now = now.Add(20 * time.Millisecond)
+		d.ask(now, 1000)
+	}
+	require.InDelta(t, 50, d.Requests, 1)
+	require.InDelta(t, 50_000, d.Prompt, 1000)
+	d.decay(now.Add(demandMemory))
+	require.InDelta(t, 50/2.718, d.Requests, 1)
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -149,7 +149,8 @@
 		ask.Prefix = xxhash.Sum64String(shared)
 	}
 	picked, ok := b.router.Pick(now, ask)
-	if !ok {
+	if !ok || b.cut[picked.FailureDomain] {
+		// A domain that is cut off is picked only where no other is left.
 		return Upstream{}, false
 	}
 	for _, u := range b.upstreams {
--- /dev/null
+++ b/internal/gateway/events_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestSplitEvents(t *testing.T) {
+	for stream, want := range map[string]string{
+		"": "", "id: 1\n": "", "id: 1\n\n": "id: 1\n\n", "id: 1\n\nid: 2\nda": "id: 1\n\n", "\n\nx": "\n\n",
+		"id: 1\r\n\r\nid": "id: 1\r\n\r\n", "a\n\nb\r\n\r\nc": "a\n\nb\r\n\r\n",
+	} {
+		whole, rest := splitEvents([]byte(stream))
+		require.Equal(t, want, string(whole), "%q", stream)
+		require.Equal(t, stream, string(whole)+string(rest))
+	}
+}
+
+// A stream is cut anywhere, in any pieces, and goes on at another upstream that
+// begins with events the caller has. The caller gets each event once, in order.
+func TestResumedStreamsAreWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		events := rapid.IntRange(1, 20).Draw(t, "events")
+		text := func(from int) []byte {
+			var all []byte
+			for i := from; i <= events; i++ {
+				all = append(all, "id: "+string(rune('0'+i/10))+string(rune('0'+i%10))+"\ndata: x\n\n"...)
+			}
+			return all
+		}
+		c := &call{}
+		var got []byte
+		for from := 1; from <= events; {
+			rest := text(from)
+			if rapid.Bool().Draw(t, "breaks") && from < events {
+				rest = rest[:rapid.IntRange(0, len(rest)-1).Draw(t, "at")]
+			} else {
+				from = events + 1
+			}
+			var pending []byte
+			for len(rest) > 0 {
+				n := rapid.IntRange(1, len(rest)).Draw(t, "read")
+				pending = append(pending, rest[:n]...)
+				rest = rest[n:]
+				whole, left := splitEvents(pending)
+				got = append(got, c.unseen(whole)...)
+				pending = append([]byte{}, left...)
+			}
+			if from <= events {
+				from = rapid.IntRange(1, max(1, len(got)/len("id: 01\ndata: x\n\n")+1)).Draw(t, "resumes")
+			}
+		}
+		require.Equal(t, string(text(1)), string(got))
+	})
+}
+
+func TestEventsWithoutNumbers(t *testing.T) {
+	c := &call{}
+	require.Equal(t, ": ping\n\ndata: x\n\n", string(c.unseen([]byte(": ping\n\ndata: x\n\n"))))
+	require.Empty(t, c.last)
+	require.Equal(t, "id: a\n\n", string(c.unseen([]byte("id: a\n\nid: a\n\n"))))
+	require.Equal(t, "a", c.last)
+}
--- /dev/null
+++ b/internal/gateway/fixture_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/logger"
+	"github.com/galenahitch/galenahitch/internal/seeder"
+	"github.com/galenahitch/galenahitch/pkg/leaser"
+	"github.com/galenahitch/galenahitch/pkg/resolver"
+)
+
+func TestMain(m *testing.M) { seeder.Main(m) }
+
+// clock is a time that tests move.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+// noStore is a store that nothing reaches.
+type noStore struct{}
+
+var errNoStore = errors.New("no store")
+
+func (noStore) Read(context.Context, string) (keeper.Page, error) { return keeper.Page{}, errNoStore }
+
+func (noStore) Watch(context.Context, string, uint64, time.Duration) (keeper.Page, error) {
+	return keeper.Page{}, errNoStore
+}
+
+func (noStore) Commit(context.Context, keeper.Commit) (keeper.CommitResult, error) {
+	return keeper.CommitResult{}, errNoStore
+}
+
+var domains = []string{"a", "b", "c", "d"}
+
+// newGateway returns a gateway that does not run, with a configuration of one
+// model deployment whose fleet is ours to order.
+func newGateway(t *testing.T, cloud Cloud) (*Gateway, *clock) {
+	t.Helper()
+	c := &clock{now: time.UnixMilli(1_700_000_000_000)}
+	g, err := New(Config{
+		ID: "e1", FailureDomain: "a", Domains: domains, PeerListen: "127.0.0.1:0",
+		Store: noStore{}, Cloud: cloud, OrdersVMs: true, Lease: 3 * time.Second, Grace: 8 * time.Second,
+		LeaveWithin: 2 * time.Second, UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second,
+		Quotas: Quotas{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
+		Log:    testLog(t), Now: c.read,
+	})
+	require.NoError(t, err)
+	prices := map[string]float64{}
+	for _, d := range domains {
+		prices[d] = 1
+	}
+	g.beliefs.adopt(c.now, resolver.Config{
+		Version: 1,
+		Routes: []resolver.Route{{
+			Name: "chat", Host: "h", Prefix: "/", Kind: resolver.Streaming, Resume: true, Attempts: 2,
+			Target: 500 * time.Millisecond, Gap: 400 * time.Millisecond, Shares: []resolver.Share{{Deployment: "model"}},
+		}},
+		Deployments: []resolver.Deployment{{
+			Name: "model", Engine: &resolver.Engine{Slots: 32},
+			Fleet: &resolver.Fleet{Least: 1, Most: 10, Boot: 4 * time.Second, ReclaimablePrice: 0.22, Prices: prices},
+		}},
+	})
+	return g, c
+}
+
+// testLog writes to the test's own log, which is shown when it fails.
+func testLog(t *testing.T) zerolog.Logger {
+	t.Helper()
+	log, err := logger.New(zerolog.TestWriter{T: t}, "info")
+	require.NoError(t, err)
+	return log
+}
+
+// holdDuty makes the gateway the holder of the duty for good.
+func holdDuty(g *Gateway, now time.Time) {
+	g.duty.lease = leaser.New(leaser.Config{Holder: "e1", Lifetime: 24 * time.Hour})
+	g.duty.lease.Won(now, 1, leaser.Lease{Holder: "e1", Fence: 1})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -211,11 +211,13 @@
 		}
 	}
 	costs := map[string]float64{}
+	clear(b.cut)
 	for domain, reached := range heard {
 		switch {
 		case reached:
 		case now.Sub(b.failedAt[domain]) < failureMemory:
 			costs[domain] = cutDetour
+			b.cut[domain] = true
 		default:
 			costs[domain] = silentDetour
 		}
