pkg/router: fewer requests to upstreams that fail more than others

Cause: an upstream that fails two of five is rarely seen to fail three times in a row, and a health check that is good hides it. The share of failed attempts, beyond what the others fail, now adds to an upstream's score and fades.

--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -69,14 +69,39 @@
 	return rec.state == "live"
 }
 
+const (
+	// faultMargin is how much more of its attempts an upstream may fail than the
+	// others do on average before it gets fewer.
+	faultMargin = 0.15
+	// faultPenalty turns the share of failures beyond that into shares of slots.
+	faultPenalty = 3.0
+)
+
+// suspicion returns the penalty of each upstream for failing more than others.
+func (r *Router) suspicion(now time.Time, open []*record) func(*record) float64 {
+	total := 0.0
+	for _, rec := range open {
+		total += rec.faultShare(now)
+	}
+	if total == 0 || len(open) == 1 {
+		return func(*record) float64 { return 0 }
+	}
+	return func(rec *record) float64 {
+		own := rec.faultShare(now)
+		others := (total - own) / float64(len(open)-1)
+		return faultPenalty * max(0, own-others-faultMargin)
+	}
+}
+
 // least returns the upstream with the lowest score; a random start breaks ties.
 func (r *Router) least(now time.Time, open []*record) *record {
+	suspicion := r.suspicion(now, open)
 	start := r.random.IntN(len(open))
 	best := open[start]
-	bestScore := r.score(now, best)
+	bestScore := r.score(now, best) + suspicion(best)
 	for i := 1; i < len(open); i++ {
 		rec := open[(start+i)%len(open)]
-		if score := r.score(now, rec); score < bestScore {
+		if score := r.score(now, rec) + suspicion(rec); score < bestScore {
 			best, bestScore = rec, score
 		}
 	}
@@ -91,12 +116,13 @@
 		total += r.score(now, rec)
 	}
 	mean := total / float64(len(open))
+	suspicion := r.suspicion(now, open)
 	var best *record
 	var bestRank uint64
 	for _, rec := range open {
 		bound := min(prefixBound*mean+prefixSlack, max(0, 1-prefixSpare/float64(rec.slots())))
 		rank := mix(ask.Prefix ^ xxhash.Sum64String(rec.ID))
-		if r.score(now, rec) <= bound && (best == nil || rank > bestRank) {
+		if r.score(now, rec)+suspicion(rec) <= bound && (best == nil || rank > bestRank) {
 			best, bestRank = rec, rank
 		}
 	}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -79,6 +80,8 @@
 	reported    time.Time
 	suspectTill time.Time
 	failures    int
+	faults      float64
+	faultsAt    time.Time
 	goneAt      time.Time
 	listed      bool
 }
@@ -242,6 +245,7 @@
 	if !ok {
 		return
 	}
+	rec.judge(now, 1)
 	rec.failures++
 	if over := rec.failures - failuresInRow; over >= 0 {
 		r.Suspect(id, now.Add(min(mostRest, leastRest<<min(over, 10))))
@@ -252,9 +256,33 @@
 func (r *Router) Succeed(id string) {
 	if rec, ok := r.records[id]; ok {
 		rec.failures = 0
+		rec.faults *= 1 - faultStep
 	}
 }
 
+const (
+	// faultStep is the weight of one outcome in an upstream's share of failures.
+	faultStep = 0.05
+	// faultMemory is the time in which that share fades without outcomes, so that
+	// an upstream that is passed over is tried again.
+	faultMemory = 5 * time.Second
+)
+
+// judge takes an outcome into the share of failures: 1 for a failure.
+func (rec *record) judge(now time.Time, outcome float64) {
+	rec.faults = rec.faultShare(now)
+	rec.faultsAt = now
+	rec.faults += faultStep * (outcome - rec.faults)
+}
+
+// faultShare returns the share of attempts that failed lately.
+func (rec *record) faultShare(now time.Time) float64 {
+	if rec.faults == 0 {
+		return 0
+	}
+	return rec.faults * math.Exp(-max(0, now.Sub(rec.faultsAt)).Seconds()/faultMemory.Seconds())
+}
+
 // Report takes an upstream's own load report.
 func (r *Router) Report(now time.Time, id string, running, slots int) {
 	rec, ok := r.records[id]
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -162,3 +163,41 @@
 	r.Weigh("u1", -5)
 	require.Zero(t, r.Busy(start, "u1"))
 }
+
+// One of four upstreams fails two of five attempts, its health check being good,
+// while all of them fail one of ten. It gets a small part of the requests, is
+// still tried, and gets its part again once it is well.
+func TestGreyUpstreamGetsFewRequests(t *testing.T) {
+	r := router.New(router.Config{EntryID: "e", Seed: 1})
+	r.Replace(start, fleet(4))
+	random := rand.New(rand.NewPCG(1, 1))
+	now := start
+	serve := func(n int, grey float64) float64 {
+		got := 0
+		for range n {
+			now = now.Add(25 * time.Millisecond)
+			u, ok := r.Pick(now, router.Ask{Deployment: "d"})
+			require.True(t, ok)
+			r.Begin(u.ID)
+			r.End(u.ID)
+			chance := 0.1
+			if u.ID == "u0" {
+				got++
+				chance = max(chance, grey)
+			}
+			if random.Float64() < chance {
+				r.Fail(now, u.ID)
+			} else {
+				r.Succeed(u.ID)
+			}
+		}
+		return float64(got) / float64(n)
+	}
+	require.InDelta(t, 0.25, serve(400, 0), 0.06)
+	serve(100, 0.4)
+	part := serve(800, 0.4)
+	require.Less(t, part, 0.12)
+	require.Positive(t, part)
+	serve(400, 0)
+	require.InDelta(t, 0.25, serve(800, 0), 0.06)
+}
