--- /dev/null
+++ b/internal/gateway/size_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/pkg/accountant"
+)
+
+// A message of an entry that uses 22 upstreams for 5 organisations fits one
+// Ethernet frame.
+func TestNewsFitsOneFrame(t *testing.T) {
+	const frame = 1400
+	n := news{ID: "front-varna-a-1", Boot: 1, Address: "10.100.200.111:7600", Domain: "varna-a", Spent: map[string]float64{}, Usage: map[accountant.Window]accountant.Counts{}, Load: map[string]float64{}, Demand: map[string]demand{}}
+	for i := range 22 {
+		n.Load[fmt.Sprintf("i-%010x.mmud2t75", i)] = 1.37
+	}
+	for i := range 5 {
+		n.Spent[fmt.Sprintf("kale63%d", i)] = 1e6 + 0.5
+	}
+	for w := range 3 {
+		counts := accountant.Counts{}
+		for i := range 5 {
+			counts[fmt.Sprintf("kale63%d", i)] = 412
+		}
+		n.Usage[accountant.Window(353445120+w)] = counts
+	}
+	for i := range 2 {
+		n.Demand[fmt.Sprintf("huvo11%d", i)] = demand{Requests: 1.5, Prompt: 1.5, Speed: 1.5, Running: 3}
+	}
+	encoded, err := cbor.Marshal(n)
+	require.NoError(t, err)
+	t.Logf("%d bytes", len(encoded))
+	require.LessOrEqual(t, len(encoded), frame)
+}
