internal/gateway: take the time of day from most entries

Cause: with clock_step on two of five machines requests were counted in the wrong windows and the holder reported windows too early; a process that started with its clock set back was taken for an old one and not heard.

--- a/internal/gateway/beliefs_test.go
+++ b/internal/gateway/beliefs_test.go
@@ -112,3 +112,30 @@
 	d.decay(now.Add(demandMemory))
 	require.InDelta(t, 50/2.718, d.Requests, 1)
 }
+
+// Two of five clocks are set wrong, this entry's own among them or not. The time
+// of day that counts is that of the others.
+func TestTimeOfDayIsThatOfMostEntries(t *testing.T) {
+	g, c := newGateway(t, nil)
+	b := g.beliefs
+	for i, ahead := range []int64{3000, 2999, 3001, 7000} {
+		g.hear(c.now, netip.AddrPort{}, news{ID: string(rune('a' + i)), Boot: 1, Address: "127.0.0.1:1", ClockMS: c.now.UnixMilli() + ahead})
+	}
+	require.Equal(t, c.now.Add(3*time.Second), b.trueTime(c.now), "this one and the last are wrong")
+	for i, ahead := range []int64{2, -2000, 3, -1} {
+		g.hear(c.now, netip.AddrPort{}, news{ID: string(rune('a' + i)), Boot: 1, Address: "127.0.0.1:1", ClockMS: c.now.UnixMilli() + ahead})
+	}
+	require.Equal(t, c.now, b.trueTime(c.now))
+	c.advance(time.Minute)
+	require.Equal(t, c.now, b.trueTime(c.now), "alone it has only its own")
+}
+
+// A process whose clock was set back before its start is heard once the one
+// before it is silent.
+func TestRestartWithAClockSetBack(t *testing.T) {
+	g, c := newGateway(t, nil)
+	g.hear(c.now, netip.AddrPort{}, news{ID: "b1", Boot: 9, Address: "127.0.0.1:1"})
+	c.advance(2 * time.Second)
+	g.hear(c.now, netip.AddrPort{}, news{ID: "b1", Boot: 5, Address: "127.0.0.1:2"})
+	require.Equal(t, "127.0.0.1:2", g.beliefs.peers["b1"].address)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +22,9 @@
 	rosterRefresh = 10 * time.Second
 	rosterPause   = 5 * time.Second
 	rosterSilence = 25 * time.Second
+	// clockSlack is how far clocks may differ without being corrected: it is more
+	// than the way of a message takes.
+	clockSlack = 100 * time.Millisecond
 	// rosterRetry is the wait after a row could not be written.
 	rosterRetry = 500 * time.Millisecond
 )
@@ -37,6 +41,7 @@
 	Load     map[string]float64                      `cbor:"7,keyasint,omitempty"`
 	Demand   map[string]demand                       `cbor:"8,keyasint,omitempty"`
 	Domain   string                                  `cbor:"10,keyasint,omitempty"`
+	ClockMS  int64                                   `cbor:"11,keyasint"`
 	Duty     bool                                    `cbor:"9,keyasint,omitempty"`
 }
 
@@ -50,6 +55,8 @@
 	demand  map[string]demand
 	duty    bool
 	domain  string
+	// ahead is how far the entry's time of day is ahead of this one's.
+	ahead time.Duration
 }
 
 // place is an entry's row in the table of entries.
@@ -65,6 +72,27 @@
 // processName names one start of an entry's process.
 func processName(id string, boot uint64) string { return id + "/" + strconv.FormatUint(boot, 36) }
 
+// trueTime returns the time of day that most entries agree on: the median of
+// those in reach, so that a clock that was set wrong does no harm. The lock must
+// be held.
+func (b *beliefs) trueTime(now time.Time) time.Time {
+	ahead := []time.Duration{0}
+	for _, p := range b.peers {
+		if now.Sub(p.heardAt) <= peerReach {
+			ahead = append(ahead, p.ahead)
+		}
+	}
+	slices.Sort(ahead)
+	middle := ahead[len(ahead)/2]
+	if len(ahead)%2 == 0 && middle.Abs() > ahead[len(ahead)/2-1].Abs() {
+		middle = ahead[len(ahead)/2-1]
+	}
+	if middle.Abs() < clockSlack {
+		return now
+	}
+	return now.Add(middle)
+}
+
 // members counts the entries that may be serving, this one included. The lock
 // must be held.
 func (b *beliefs) members() int { return 1 + len(b.peers) }
@@ -76,11 +104,11 @@
 	defer b.mu.Unlock()
 	b.router.Detour(b.detours(now))
 	n := news{
-		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Stopping: g.stopping.Load(), Domain: g.cfg.FailureDomain,
+		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Stopping: g.stopping.Load(), ClockMS: now.UnixMilli(), Domain: g.cfg.FailureDomain,
 		Spent: b.quoter.Spent(), Load: b.router.Load(), Demand: b.ownDemand(now), Duty: g.holdsDuty(now),
 	}
 	if g.cfg.UsageWindow > 0 {
-		n.Usage = b.accountant.Own(b.accountant.At(now) - 2)
+		n.Usage = b.accountant.Own(b.accountant.At(b.trueTime(now)) - 2)
 	}
 	return n
 }
@@ -94,7 +122,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, known := b.peers[n.ID]
-	if known && p.boot > n.Boot {
+	if known && p.boot > n.Boot && now.Sub(p.heardAt) <= peerReach {
 		return
 	}
 	if n.Stopping {
@@ -113,6 +141,7 @@
 	}
 	moved := p.address != n.Address
 	p.boot, p.address, p.domain, p.heardAt, p.duty, p.demand = n.Boot, n.Address, n.Domain, now, n.Duty, n.Demand
+	p.ahead = time.Duration(n.ClockMS-now.UnixMilli()) * time.Millisecond
 	b.accountant.Merge(processName(n.ID, n.Boot), n.Usage)
 	b.quoter.Hear(now, n.ID, n.Boot, n.Spent)
 	b.replaceLoad(now, p, n.Load)
@@ -277,7 +306,7 @@
 	own := place{Address: g.cfg.PeerListen, Boot: g.boot, Sequence: sequence}
 	if g.cfg.UsageWindow > 0 {
 		g.beliefs.mu.Lock()
-		own.Usage = g.beliefs.accountant.Own(g.beliefs.accountant.At(g.cfg.Now()) - usageBack)
+		own.Usage = g.beliefs.accountant.Own(g.beliefs.accountant.At(g.beliefs.trueTime(g.cfg.Now())) - usageBack)
 		g.beliefs.mu.Unlock()
 	}
 	value, err := json.Marshal(own)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -163,7 +163,7 @@
 	c.begun = true
 	g.beliefs.mu.Lock()
 	defer g.beliefs.mu.Unlock()
-	g.beliefs.accountant.Began(at, c.org.Name)
+	g.beliefs.accountant.Began(g.beliefs.trueTime(at), c.org.Name)
 }
 
 // well records an answer that was passed on whole.
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -70,14 +70,18 @@
 	if u.g.cfg.UsageWindow <= 0 {
 		return
 	}
-	now := u.g.cfg.Now()
 	b := u.g.beliefs
+	b.mu.Lock()
+	own := u.g.cfg.Now()
+	now := b.trueTime(own)
+	b.mu.Unlock()
+	ahead := now.Sub(own)
 	present := b.accountant.At(now)
 	for w := present - usageBack; w < present; w++ {
 		if u.sent[w] || now.Before(b.accountant.End(w).Add(usageSettle)) {
 			continue
 		}
-		if !u.allTold(now, b.accountant.End(w)) && now.Before(b.accountant.End(w).Add(u.g.cfg.UsageLate-usageReserve)) {
+		if !u.allTold(own, b.accountant.End(w).Add(-ahead)) && now.Before(b.accountant.End(w).Add(u.g.cfg.UsageLate-usageReserve)) {
 			continue
 		}
 		u.report(ctx, w)
@@ -90,7 +94,8 @@
 	}
 }
 
-// allTold reports whether every other entry was heard since a window ended.
+// allTold reports whether every other entry was heard since a window ended, both
+// times on this entry's own clock.
 func (u *usageReporter) allTold(now, end time.Time) bool {
 	b := u.g.beliefs
 	b.mu.Lock()
--- a/pkg/quoter/quoter.go
+++ b/pkg/quoter/quoter.go
@@ -94,7 +94,9 @@
 // may be lost, late or doubled.
 func (q *Quoter) Hear(now time.Time, entry string, boot uint64, spent map[string]float64) {
 	p, known := q.peers[entry]
-	if known && p.boot > boot {
+	if known && p.boot > boot && now.Sub(p.heardAt) <= q.cfg.Reach {
+		// It is an old message. From an entry that was silent it would be that of
+		// a new process whose clock was set back.
 		return
 	}
 	if !known {
