--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 )
 
 const (
@@ -91,7 +92,7 @@
 			} else {
 				f.failed(now, err)
 			}
-			if !pause(ctx, backoff/2+rand.N(backoff)) {
+			if !waiter.Pause(ctx, backoff/2+rand.N(backoff)) {
 				break
 			}
 			backoff = min(mostBackoff, 2*backoff)
@@ -99,7 +100,7 @@
 		}
 		backoff = leastBackoff
 		known = f.take(now, page, !known) && page.Version > 0
-		if !pause(ctx, f.cfg.Pause) {
+		if !waiter.Pause(ctx, f.cfg.Pause) {
 			break
 		}
 	}
@@ -229,14 +230,3 @@
 	}
 	return gone
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -23,6 +23,9 @@
 	// leastReserve is the share of a quota's burst that the least urgent requests
 	// leave to others.
 	leastReserve = 0.5
+	// leastSpread is the shortest time over which callers that a quota refused are
+	// asked to return.
+	leastSpread = 50 * time.Millisecond
 	// promptUnit is the number of prompt tokens whose reading delays an engine's
 	// other requests as much as one more running request does.
 	promptUnit = 1500.0
@@ -119,13 +122,15 @@
 		return nil
 	}
 	c.cost = c.org.Cost(c.ask.PromptTokens + c.ask.AnswerTokens)
-	ok, wait := b.quoter.Spend(now, c.org.Name, quoter.Limit{Rate: c.org.Rate, Burst: c.org.Burst}, quoter.Ask{Cost: c.cost, Reserve: c.resolver.Rank(c.route) * leastReserve})
+	limit := quoter.Limit{Rate: c.org.Rate, Burst: c.org.Burst}
+	ok, wait := b.quoter.Spend(now, c.org.Name, limit, quoter.Ask{Cost: c.cost, Reserve: c.resolver.Rank(c.route) * leastReserve})
 	if ok {
 		return nil
 	}
 	c.cost = 0
 	refusal := judge.Refuse(judge.CodeOverloaded, judge.NotRun, "the quota of "+c.org.Name+" is used up")
-	return refusal.After(wait + time.Duration(b.random.Int64N(int64(comeBack))))
+	spread := max(leastSpread, b.quoter.Spread(now, c.org.Name, limit))
+	return refusal.After(wait + time.Duration(b.random.Int64N(int64(spread))))
 }
 
 // settle gives back what a call that no upstream ran has cost.
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/leaser"
 )
 
@@ -37,6 +39,9 @@
 	lease *leaser.Leaser
 	usage *usageReporter
 	fleet *fleetManager
+	// acting is held while the duty is contended for or acted on: a process that
+	// stops does so beside the usual round.
+	acting sync.Mutex
 }
 
 func newDuty(g *Gateway) *duty {
@@ -68,22 +73,27 @@
 	if d.g.cfg.Cloud == nil {
 		return nil
 	}
-	for pause(ctx, d.g.beliefs.jitter(dutyTick)) {
-		if d.g.stopping.Load() {
-			continue
-		}
-		d.contend(ctx)
-		d.fleet.watch()
-		if !d.holds() {
-			d.fleet.idle()
-			continue
+	for waiter.Pause(ctx, d.g.beliefs.jitter(dutyTick)) {
+		if !d.g.stopping.Load() {
+			d.round(ctx)
 		}
-		d.usage.work(ctx)
-		d.fleet.work(ctx)
 	}
 	return nil
 }
 
+func (d *duty) round(ctx context.Context) {
+	d.acting.Lock()
+	defer d.acting.Unlock()
+	d.contend(ctx)
+	d.fleet.watch()
+	if !d.holds() {
+		d.fleet.idle()
+		return
+	}
+	d.usage.work(ctx)
+	d.fleet.work(ctx)
+}
+
 func (d *duty) holds() bool {
 	d.g.beliefs.mu.Lock()
 	defer d.g.beliefs.mu.Unlock()
@@ -124,16 +134,7 @@
 	if !ok {
 		return
 	}
-	want.Nonce = processName(g.cfg.ID, uint64(sentAt.UnixNano()))
-	value, err := json.Marshal(want)
-	if err != nil {
-		g.cfg.Log.Error().Str("event", "lease_not_encoded").Err(err).Send()
-		return
-	}
-	row := keeper.Entry{Table: g.cfg.Tables.Duties, Key: leaseKey, Value: value}
-	result, err := g.cfg.Store.Commit(ctx, keeper.Commit{
-		Expect: []keeper.Entry{{Table: row.Table, Key: row.Key, Version: version}}, Put: []keeper.Entry{row},
-	})
+	result, err := d.writeLease(ctx, want, version)
 	if err != nil || !result.Applied {
 		// The next look reads the row, which tells what became of the write.
 		if seen := d.observe(ctx); seen != nil {
@@ -149,6 +150,18 @@
 	}
 }
 
+// writeLease writes the lease's row if it is at a version.
+func (d *duty) writeLease(ctx context.Context, lease leaser.Lease, version uint64) (keeper.CommitResult, error) {
+	lease.Nonce = processName(d.g.cfg.ID, uint64(d.g.cfg.Now().UnixNano()))
+	value, err := json.Marshal(lease)
+	if err != nil {
+		return keeper.CommitResult{}, keeper.Refused.Wrap(err, "encode the lease")
+	}
+	row := keeper.Entry{Table: d.g.cfg.Tables.Duties, Key: leaseKey, Value: value}
+	expect := keeper.Entry{Table: row.Table, Key: row.Key, Version: version}
+	return d.g.cfg.Store.Commit(ctx, keeper.Commit{Expect: []keeper.Entry{expect}, Put: []keeper.Entry{row}})
+}
+
 // observe reads the lease's row.
 func (d *duty) observe(ctx context.Context) error {
 	g := d.g
@@ -178,6 +191,8 @@
 // yield lets another entry act at once when the process stops. This one does
 // not act again: an entry that has just begun waits as if the lease were held.
 func (d *duty) yield(ctx context.Context) {
+	d.acting.Lock()
+	defer d.acting.Unlock()
 	if d.g.cfg.Cloud == nil || !d.holds() {
 		return
 	}
@@ -186,15 +201,6 @@
 	g.beliefs.mu.Lock()
 	free, version := leaser.Lease{Fence: d.lease.Fence()}, d.lease.Version()
 	g.beliefs.mu.Unlock()
-	free.Nonce = processName(g.cfg.ID, uint64(g.cfg.Now().UnixNano()))
-	value, err := json.Marshal(free)
-	if err != nil {
-		g.cfg.Log.Error().Str("event", "lease_not_encoded").Err(err).Send()
-		return
-	}
-	row := keeper.Entry{Table: g.cfg.Tables.Duties, Key: leaseKey, Value: value}
-	result, err := g.cfg.Store.Commit(ctx, keeper.Commit{
-		Expect: []keeper.Entry{{Table: row.Table, Key: row.Key, Version: version}}, Put: []keeper.Entry{row},
-	})
+	result, err := d.writeLease(ctx, free, version)
 	g.cfg.Log.Info().Str("event", "duty_released").Uint64("fence", free.Fence).Bool("written", err == nil && result.Applied).Err(err).Send()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/galenahitch/galenahitch/internal/gossiper"
 	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/pooler"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 )
 
 const (
@@ -144,7 +145,7 @@
 
 // sweep lets go of what has grown old until ctx ends.
 func (g *Gateway) sweep(ctx context.Context) error {
-	for pause(ctx, sweepInterval) {
+	for waiter.Pause(ctx, sweepInterval) {
 		g.sweepPeers(g.cfg.Now())
 		limits := g.beliefs.addresses()
 		for address, most := range limits {
@@ -196,14 +197,3 @@
 	g.measures.Gauge("entries", int64(b.members()))
 	g.measures.Gauge("upstreams", int64(len(b.upstreams)))
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenahitch/galenahitch/internal/follower"
 	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 )
 
 const (
@@ -37,7 +38,7 @@
 	defer cancel()
 	g.duty.yield(ctx)
 	g.deleteSeat(ctx)
-	for pause(ctx, drainPoll) {
+	for waiter.Pause(ctx, drainPoll) {
 		if g.open.Load() == 0 && g.cfg.Now().Sub(began) >= leaveRotation {
 			break
 		}
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
 	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/claimer"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 )
@@ -120,7 +121,7 @@
 	}
 	decision := s.afterCall(ctx, call, target, err)
 	if judge.Of(err) == judge.NotRun {
-		if decision.Retry && pauseFor(ctx, decision.Backoff) {
+		if decision.Retry && waiter.Pause(ctx, decision.Backoff) {
 			return dispatcher.Reply{}, nil, true
 		}
 		s.settle(h, judge.NotRun, dispatcher.Reply{})
@@ -147,7 +148,7 @@
 		case err != nil || !progress.Known:
 			return judge.Refuse(judge.CodeUpstreamFailed, judge.MayHaveRun, "the upstream that got it can't say what became of it")
 		}
-		if !pauseFor(ctx, askPause) {
+		if !waiter.Pause(ctx, askPause) {
 			return judge.Refuse(judge.CodeInProgress, judge.MayHaveRun, "it is still running").After(s.jitter(time.Second))
 		}
 	}
@@ -185,7 +186,7 @@
 // to have its outcome recorded.
 func (s *Server) awaitOutcome(ctx context.Context, call *callState) (claimer.Claim, bool) {
 	for range outcomeLooks {
-		if !pauseFor(ctx, outcomeLook) {
+		if !waiter.Pause(ctx, outcomeLook) {
 			break
 		}
 		row, err := s.cfg.Table.Get(ctx, claimer.Key(call.org.Name, call.key))
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 	"github.com/galenahitch/galenahitch/pkg/leaser"
 	"github.com/galenahitch/galenahitch/pkg/mover"
@@ -49,7 +50,7 @@
 			if s.keepLease(ctx, d) {
 				work(ctx)
 			}
-			if !pauseFor(ctx, s.dutyPause(d)) {
+			if !waiter.Pause(ctx, s.dutyPause(d)) {
 				return nil
 			}
 		}
--- a/internal/server/outcomes.go
+++ b/internal/server/outcomes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/claimer"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 )
@@ -84,7 +85,7 @@
 			continue
 		}
 		s.outcomes.giveBack(batch)
-		if !pauseFor(ctx, outcomePause) {
+		if !waiter.Pause(ctx, outcomePause) {
 			return nil
 		}
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 )
 
 // Server is one entry process. New makes one; Run serves until it is stopped.
@@ -163,7 +164,7 @@
 func (s *Server) bootstrapUntilKnown(ctx context.Context) error {
 	for s.state.generation() == 0 || !s.knowsVMs() {
 		s.bootstrap(ctx)
-		if !pauseFor(ctx, leastPoll) {
+		if !waiter.Pause(ctx, leastPoll) {
 			break
 		}
 	}
@@ -203,7 +204,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.StopGrace)
 	defer cancel()
 	for len(s.runs.open()) > 0 || s.busy() || s.outcomes.len() > 0 {
-		if !pauseFor(ctx, drainPoll) {
+		if !waiter.Pause(ctx, drainPoll) {
 			break
 		}
 	}
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -8,6 +8,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/claimer"
 	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
@@ -120,23 +121,12 @@
 		if !decision.Retry {
 			return dispatcher.Reply{}, judge.Refuse(decision.Code, judge.Of(err), err.Error()).After(decision.RetryAfter)
 		}
-		if !pauseFor(ctx, decision.Backoff) {
+		if !waiter.Pause(ctx, decision.Backoff) {
 			return dispatcher.Reply{}, judge.Refuse(judge.CodeDeadline, judge.Of(err), "the deadline passed").After(decision.Backoff)
 		}
 	}
 }
 
-func pauseFor(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Server) chooseCall(call *callState) (dispatcher.Target, string, bool) {
 	now := s.now()
 	s.state.mu.Lock()
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -8,6 +8,7 @@
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
 	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/internal/messenger"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/planner"
 	"github.com/galenahitch/galenahitch/pkg/recorder"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -35,7 +36,7 @@
 func (s *Server) poll(ctx context.Context, interval func() time.Duration, task func(context.Context)) error {
 	for {
 		task(ctx)
-		if !pauseFor(ctx, s.jitter(interval())) {
+		if !waiter.Pause(ctx, s.jitter(interval())) {
 			return nil
 		}
 	}
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
+	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 )
@@ -158,7 +159,7 @@
 		case s.now().Sub(began) >= quickFailure:
 			return silent
 		}
-		pauseFor(ctx, probePause)
+		waiter.Pause(ctx, probePause)
 	}
 	return silent
 }
--- a/pkg/quoter/quoter.go
+++ b/pkg/quoter/quoter.go
@@ -70,6 +70,41 @@
 	ration  float64
 	taken   float64
 	roundAt time.Time
+	// refused is the cost of what was refused lately, as of refusedAt.
+	refused   float64
+	refusedAt time.Time
+}
+
+const (
+	// returnMemory is the time over which refused requests are taken to return.
+	returnMemory = time.Second
+	// mostSpread bounds the time over which they are asked to.
+	mostSpread = 2 * time.Second
+)
+
+// turnAway counts a refused request.
+func (b *bucket) turnAway(now time.Time, cost float64) {
+	b.refused = b.returning(now) + cost
+	b.refusedAt = now
+}
+
+// returning is the cost of what is expected to come back.
+func (b *bucket) returning(now time.Time) float64 {
+	if b.refused == 0 {
+		return 0
+	}
+	return b.refused * math.Exp(-now.Sub(b.refusedAt).Seconds()/returnMemory.Seconds())
+}
+
+// Spread returns the time in which an organisation's quota would admit all that
+// was refused lately: returns that are spread over it meet an open quota.
+func (q *Quoter) Spread(now time.Time, org string, limit Limit) time.Duration {
+	b, ok := q.buckets[org]
+	if !ok || limit.Rate <= 0 {
+		return 0
+	}
+	share := min(1, float64(q.heard(now))/float64(q.members))
+	return min(mostSpread, time.Duration(b.returning(now)/(limit.Rate*share)*float64(time.Second)))
 }
 
 type peer struct {
@@ -157,10 +192,12 @@
 	reserve := ask.Reserve * full * math.Min(1, cost/(reserveFrom*math.Max(1, full)))
 	need := math.Min(math.Max(least, cost-debt)+reserve, full)
 	if b.balance < need {
+		b.turnAway(now, cost)
 		missing := (need - b.balance) / (limit.Rate * share)
 		return false, max(leastWait, time.Duration(missing*float64(time.Second)))
 	}
 	if heard > 1 && b.taken > 0 && b.taken+cost > b.ration {
+		b.turnAway(now, cost)
 		return false, max(leastWait, q.cfg.Round-now.Sub(b.roundAt))
 	}
 	b.balance -= cost
--- a/pkg/quoter/quoter_test.go
+++ b/pkg/quoter/quoter_test.go
@@ -208,3 +208,24 @@
 	require.True(t, ok)
 	require.InDelta(t, 100, q.Spent()[org], 0)
 }
+
+// Returns of refused requests are spread over the time that the quota needs for
+// all of them: a few come back soon, a crowd over seconds.
+func TestReturnsAreSpreadOverWhatTheQuotaAdmits(t *testing.T) {
+	q := quoter.New(quoter.Config{Start: start, Reach: time.Second})
+	limit := quoter.Limit{Rate: 100, Burst: 100}
+	require.Zero(t, q.Spread(start, org, limit))
+	refuse := func(n int) {
+		for range n {
+			ok, _ := q.Spend(start, org, limit, quoter.Ask{Cost: 10})
+			require.False(t, ok)
+		}
+	}
+	refuse(2)
+	require.Equal(t, 200*time.Millisecond, q.Spread(start, org, limit))
+	refuse(8)
+	require.Equal(t, time.Second, q.Spread(start, org, limit))
+	refuse(1000)
+	require.Equal(t, 2*time.Second, q.Spread(start, org, limit))
+	require.Less(t, q.Spread(start.Add(20*time.Second), org, limit), time.Millisecond)
+}
