internal/gateway: promise nothing on an answer that is not known to be the upstream's

A 503 without seal went to the caller as it was, and so as the promise that the request had not run. TestRefusalsAreTrueAndAtOnce fails before.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,8 +33,8 @@
 // relay passes an answer on. It returns nil once the caller has all of it.
 func (g *Gateway) relay(ctx context.Context, w http.ResponseWriter, c *call, r *relayed) *failure {
 	answer := r.answer
-	if answer.Status < 300 && !r.reply.Genuine {
-		return broken(ctx, judge.Mark(judge.MayHaveRun, "the answer bears no seal"))
+	if !r.reply.Genuine && (answer.Status < http.StatusMultipleChoices || promisesNotRun(answer.Status)) {
+		return broken(ctx, judge.Mark(judge.MayHaveRun, "the answer with status %d is not known to be the upstream's", answer.Status))
 	}
 	if answer.Status >= http.StatusInternalServerError && !c.answering && g.mayRepeat(c) {
 		return &failure{verdict: judge.Ran, paid: true, cause: judge.Mark(judge.Ran, "the upstream answered with status %d", answer.Status)}
