internal/gateway, internal/pooler: an upstream whose connections are used up is well

Read in the diff: an entry at its own bound of connections took the upstream for unreachable and its domain for cut off; a large answer that broke off half way was asked for again though its first part had gone; a caller that had left was written a 404.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -72,7 +72,8 @@
 	verdict judge.Verdict
 	// unsent says that the upstream got nothing of the request.
 	unsent bool
-	// busy says that the upstream is well but takes no more.
+	// busy says that the upstream may be well but takes no more, or not from this
+	// entry.
 	busy bool
 	// elsewhere says that the address is now that of another upstream.
 	elsewhere bool
@@ -200,7 +201,7 @@
 	})
 	if err != nil {
 		verdict := judge.Of(err)
-		return &failure{verdict: verdict, unsent: verdict == judge.NotRun, paid: watch.paid.Load(), cause: err}
+		return &failure{verdict: verdict, unsent: verdict == judge.NotRun, paid: watch.paid.Load(), busy: pooler.IsFull(err), cause: err}
 	}
 	defer answer.Close()
 	reply := g.cfg.Codec.Reply(answer.Status, answer.Header)
@@ -284,7 +285,7 @@
 
 // again decides whether another upstream may get the call.
 func (g *Gateway) again(c *call, f *failure) bool {
-	if c.sends >= mostSends {
+	if c.sends >= mostSends || c.answering && c.route.Kind != resolver.Streaming {
 		return false
 	}
 	if f.verdict != judge.NotRun && (!c.route.Retryable() || c.runs >= c.route.Attempts) {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -139,15 +139,13 @@
 }
 
 // refuse answers a call that was not carried out. If part of an answer has been
-// sent, the connection ends instead, so that the answer does not look whole.
+// sent, or the caller has left, the connection ends instead, so that the answer
+// does not look whole.
 func (g *Gateway) refuse(w http.ResponseWriter, c *call, refusal *judge.Refusal) {
-	if c.answering {
+	if c.answering || c.gone {
 		g.finish(c, refusal)
 		panic(http.ErrAbortHandler)
 	}
-	if c.gone {
-		return
-	}
 	if promisesNotRun(refusal.Status) && refusal.Verdict != judge.NotRun {
 		g.cfg.Log.Error().Str("event", "refusal_untrue").Str("request_id", c.ask.ID).Int("status", refusal.Status).
 			Str("verdict", string(refusal.Verdict)).Send()
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -25,6 +26,12 @@
 	idleMargin = 500 * time.Millisecond
 )
 
+var errFull = judge.Mark(judge.NotRun, "all connections to the upstream are in use")
+
+// IsFull reports whether an error of Do says that the upstream's connections are
+// all in use. The upstream was not asked.
+func IsFull(err error) bool { return errors.Is(err, errFull) }
+
 // Config sets a pool up.
 type Config struct {
 	// IDHeader is the header in which answers repeat the id of their request.
@@ -168,7 +175,7 @@
 		p.discard(address, c)
 	}
 	if !p.reserve(address) {
-		return nil, judge.Mark(judge.NotRun, "all connections to %s are in use", address)
+		return nil, errFull
 	}
 	c, err := p.dial(ctx, address)
 	if err != nil {
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -212,6 +212,7 @@
 	require.NoError(t, err)
 	_, err = ask(t, p, address, "2")
 	require.Equal(t, judge.NotRun, judge.Of(err))
+	require.True(t, pooler.IsFull(err))
 	held.Close()
 	got, err := ask(t, p, address, "2")
 	require.NoError(t, err)
