--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -9,9 +9,11 @@
 // keeper.Store, so nothing here knows the names on the wire.
 //
 // How the parts fit: ingress.go takes requests in and refuses; call.go brings
-// one through attempts; relay.go passes answers on; beliefs.go holds what is
-// known; peers.go exchanges it with other entries; duties.go, usage.go and
-// fleet.go act for all entries under a lease; stop.go ends a process without
+// one through attempts, watch.go leaves upstreams that are silent; relay.go and
+// events.go pass answers on. beliefs.go holds what is known; peers.go exchanges
+// it with other entries, roster.go keeps their list, reach.go says who is out of
+// reach; demand.go and prompts.go measure what callers ask. duties.go, usage.go
+// and fleet.go act for all entries under a lease; stop.go ends a process without
 // cutting a request.
 //
 //	g, err := gateway.New(gateway.Config{...})
