--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -179,9 +181,9 @@
 		changed = append(changed, e)
 	}
 	if whole {
-		for key, old := range f.rows {
+		for _, key := range slices.Sorted(maps.Keys(f.rows)) {
 			if !seen[key] {
-				changed = append(changed, f.drop(now, keeper.Entry{Table: old.Table, Key: key, Deleted: true})...)
+				changed = append(changed, f.drop(now, keeper.Entry{Table: f.cfg.Table, Key: key, Deleted: true})...)
 			}
 		}
 	}
@@ -221,7 +223,8 @@
 func (f *Follower) expired(now time.Time) []keeper.Entry {
 	var gone []keeper.Entry
 	lapsed := f.lapsed()
-	for key, until := range f.missing {
+	for _, key := range slices.Sorted(maps.Keys(f.missing)) {
+		until := f.missing[key]
 		if !lapsed || !now.Before(until) {
 			delete(f.missing, key)
 			delete(f.rows, key)
