--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -192,6 +192,9 @@
 		case <-ticker.C:
 		}
 		progress, err := s.cfg.Upstreams.Progress(ctx, target, call.id, call.attempts)
+		// The next look is a whole interval after this one, however long it took:
+		// an answer on its way has that time to arrive.
+		ticker.Reset(callStall)
 		if err == nil && progress.Known && !progress.Done {
 			hopeless = 0
 			continue
