--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -141,9 +141,7 @@
 type Config struct {
 	ID            string
 	FailureDomain string
-	// Domains lists all failure domains.
-	Domains []string
-	Listen  string
+	Listen        string
 	// ReadyListen is where readiness is asked for, at ReadyPath.
 	ReadyListen string
 	ReadyPath   string
--- a/pkg/resolver/resolver.go
+++ b/pkg/resolver/resolver.go
@@ -109,12 +109,6 @@
 // Deployments lists all deployments.
 func (r *Resolver) Deployments() []Deployment { return r.cfg.Deployments }
 
-// Organisations lists all organisations.
-func (r *Resolver) Organisations() []Organisation { return r.cfg.Organisations }
-
-// Routes lists all routes.
-func (r *Resolver) Routes() []Route { return r.cfg.Routes }
-
 // Rank returns how a route compares in urgency with the others, from 0 for the
 // most urgent to 1 for the least.
 func (r *Resolver) Rank(route Route) float64 {
