internal/server: end a stream as silent only when parts are missing at two looks

Cause: one look that found parts made and not yet read ended the attempt. Ruled out: the timer's length; any length is too short for a starved process. The test fails before.

--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -14,7 +14,7 @@
 // watchdog ends an attempt whose connection has gone silent. Silence alone
 // proves nothing: it asks the upstream on a new connection, and ends the
 // attempt only if the upstream can't be asked, has forgotten the attempt or
-// has made parts that did not arrive.
+// has made parts that have not arrived a whole look later.
 type watchdog struct {
 	s       *Server
 	r       *request
@@ -30,8 +30,14 @@
 	stall   time.Duration
 	stopped bool
 	reason  error
+	// missed is the offset at which the upstream was found to have made more
+	// than had arrived, or noneMissed.
+	missed int
 }
 
+// noneMissed says that no part is known to be missing.
+const noneMissed = -1
+
 const (
 	// gapGain is the weight of the newest gap between parts in the mean.
 	gapGain = 0.2
@@ -42,7 +48,7 @@
 )
 
 func (s *Server) watchdog(ctx context.Context, r *request, target dispatcher.Target, number, from int) *watchdog {
-	w := &watchdog{s: s, r: r, target: target, number: number, from: from, offset: from}
+	w := &watchdog{s: s, r: r, target: target, number: number, from: from, offset: from, missed: noneMissed}
 	r.mu.Lock()
 	w.cancel = r.interval
 	r.mu.Unlock()
@@ -92,6 +98,11 @@
 		w.s.suspect(w.target.ID)
 	case !progress.Known:
 		w.reason = judge.Mark(judge.MayHaveRun, "%s knows nothing of the request", w.target.ID)
+	case (w.from+progress.Tokens > w.offset || progress.Done) && w.missed != offset:
+		// The parts may be on their way, or read late by a busy entry.
+		w.missed = offset
+		w.timer.Reset(w.stall)
+		return
 	case w.from+progress.Tokens > w.offset || progress.Done:
 		w.reason = judge.Mark(judge.MayHaveRun, "the connection to %s went silent", w.target.ID)
 		w.s.metrics.Count("silent_connections")
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -36,6 +36,36 @@
 	require.Equal(t, isolator.Suspect, s.standing(7))
 }
 
+// made is an upstream that has made a number of parts of any attempt.
+type made struct {
+	dispatcher.Upstreams
+	parts int
+}
+
+func (m *made) Progress(context.Context, dispatcher.Target, string, int) (dispatcher.Progress, error) {
+	return dispatcher.Progress{Known: true, Tokens: m.parts}, nil
+}
+
+// An entry that is slow to read what has arrived does not take the connection
+// for silent. One that gets nothing between two looks does.
+func TestPartsReadLateAreNotSilence(t *testing.T) {
+	upstream := &made{parts: 5}
+	s := testServer(t, "e1", nil, upstream)
+	ended := false
+	r := &request{id: "a", interval: func() { ended = true }}
+	w := s.watchdog(context.Background(), r, dispatcher.Target{ID: "u0"}, 1, 0)
+	defer w.stop()
+	w.bark(context.Background())
+	require.False(t, ended, "the parts may be on their way")
+	w.progress(s.now(), 5)
+	upstream.parts = 9
+	w.bark(context.Background())
+	require.False(t, ended, "parts have arrived since")
+	w.bark(context.Background())
+	require.True(t, ended)
+	require.ErrorContains(t, w.explain(nil), "went silent")
+}
+
 // The first request that finds a death names all that were in flight, later
 // ones only themselves.
 func TestOneFindingOfADeathNamesAll(t *testing.T) {
