--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/pkg/accountant"
+	"github.com/galenahitch/galenahitch/pkg/aggregator"
 	"github.com/galenahitch/galenahitch/pkg/quoter"
 	"github.com/galenahitch/galenahitch/pkg/resolver"
 	"github.com/galenahitch/galenahitch/pkg/retrier"
@@ -39,9 +40,11 @@
 	log      zerolog.Logger
 	resolver atomic.Pointer[resolver.Resolver]
 
-	mu         sync.Mutex
-	configAt   time.Time
+	mu       sync.Mutex
+	configAt time.Time
+	// upstreams are by the keys of their rows, byID by their own ids.
 	upstreams  map[string]Upstream
+	byID       map[string]Upstream
 	listedAt   time.Time
 	router     *router.Router
 	quoter     *quoter.Quoter
@@ -51,10 +54,24 @@
 	peers      map[string]*peer
 	failedAt   map[string]time.Time
 	// cut holds the failure domains that are out of reach for now.
-	cut       map[string]bool
-	elsewhere map[string]float64
-	prompts   prompts
-	random    *rand.Rand
+	cut     map[string]bool
+	prompts prompts
+	// aggregator, heard and elsewhere are what other entries told: counters, the
+	// newest news by group, and load in loadUnits by upstreamKey.
+	aggregator *aggregator.Aggregator
+	heard      map[string]heard
+	elsewhere  map[uint32]int
+	byKey      map[uint32]string
+	// plan says who tells whom, round counts messages.
+	plan  aggregator.Plan
+	round int
+	// near and far are the counters of other entries of the group and of other
+	// groups since the process began; passed are the parts of near by entry.
+	near   aggregator.Totals
+	far    aggregator.Totals
+	passed map[string]aggregator.Totals
+	ledger map[string]ledgerEntry
+	random *rand.Rand
 }
 
 func newBeliefs(cfg Config, boot uint64) *beliefs {
@@ -67,15 +84,24 @@
 		cfg:        cfg,
 		log:        cfg.Log,
 		upstreams:  map[string]Upstream{},
+		byID:       map[string]Upstream{},
 		router:     router.New(router.Config{EntryID: cfg.ID, FailureDomain: cfg.FailureDomain, Seed: boot, RemotePenalty: &remote}),
 		quoter:     quoter.New(quoter.Config{Start: cfg.Now(), Reach: peerReach, Round: gossipInterval, Debt: cfg.Quotas.QuotaSlack * debtShare}),
 		accountant: accountant.New(accountant.Config{Self: processName(cfg.ID, boot), Window: window, Keep: usageWindows}),
 		budgets:    map[string]*retrier.Window{},
 		demand:     map[string]*demand{},
 		peers:      map[string]*peer{},
+		aggregator: aggregator.New(peerReach),
+		heard:      map[string]heard{},
+		elsewhere:  map[uint32]int{},
+		byKey:      map[uint32]string{},
+		plan:       aggregator.Arrange(aggregator.Member{ID: cfg.ID, Domain: cfg.FailureDomain}, nil),
+		near:       aggregator.Totals{},
+		far:        aggregator.Totals{},
+		passed:     map[string]aggregator.Totals{},
+		ledger:     map[string]ledgerEntry{},
 		failedAt:   map[string]time.Time{},
 		cut:        map[string]bool{},
-		elsewhere:  map[string]float64{},
 		random:     rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
 	}
 }
@@ -160,8 +186,12 @@
 // relist gives the router the upstreams as they are.
 func (b *beliefs) relist(now time.Time) {
 	listed := make([]router.Upstream, 0, len(b.upstreams))
+	clear(b.byKey)
+	clear(b.byID)
 	for _, u := range b.upstreams {
 		listed = append(listed, u.Upstream)
+		b.byKey[upstreamKey(u.ID)] = u.ID
+		b.byID[u.ID] = u
 	}
 	b.router.Replace(now, listed)
 	for _, u := range b.upstreams {
--- a/internal/gateway/beliefs_test.go
+++ b/internal/gateway/beliefs_test.go
@@ -11,7 +11,11 @@
 )
 
 func tellFrom(g *Gateway, now time.Time, id, domain string, load map[string]float64) {
-	g.hear(now, netip.AddrPort{}, news{ID: id, Boot: 1, Address: "127.0.0.1:1", Domain: domain, Load: load})
+	told := map[uint32]uint32{}
+	for upstream, requests := range load {
+		told[upstreamKey(upstream)] = units(requests)
+	}
+	g.hear(now, netip.AddrPort{}, news{ID: id, Boot: 1, Group: id, Address: "127.0.0.1:1", Domain: domain, Load: told})
 }
 
 // A domain is cut off when none of its entries is heard and a connection to it
@@ -80,8 +84,8 @@
 // A message of an earlier process of an entry changes nothing.
 func TestOldProcessesAreNotHeard(t *testing.T) {
 	g, c := newGateway(t, nil)
-	g.hear(c.now, netip.AddrPort{}, news{ID: "b1", Boot: 5, Address: "127.0.0.1:1", Load: map[string]float64{"u": 1}})
-	g.hear(c.now, netip.AddrPort{}, news{ID: "b1", Boot: 4, Address: "127.0.0.1:2", Load: map[string]float64{"u": 9}})
+	g.hear(c.now, netip.AddrPort{}, news{ID: "b1", Boot: 5, Address: "127.0.0.1:1", Load: map[uint32]uint32{1: 4}})
+	g.hear(c.now, netip.AddrPort{}, news{ID: "b1", Boot: 4, Address: "127.0.0.1:2", Load: map[uint32]uint32{1: 36}})
 	require.Equal(t, "127.0.0.1:1", g.beliefs.peers["b1"].address)
 	g.hear(c.now, netip.AddrPort{}, news{ID: "e1", Boot: 9})
 	require.Len(t, g.beliefs.peers, 1, "not itself")
@@ -119,11 +123,11 @@
 	g, c := newGateway(t, nil)
 	b := g.beliefs
 	for i, ahead := range []int64{3000, 2999, 3001, 7000} {
-		g.hear(c.now, netip.AddrPort{}, news{ID: string(rune('a' + i)), Boot: 1, Address: "127.0.0.1:1", ClockMS: c.now.UnixMilli() + ahead})
+		g.hear(c.now, netip.AddrPort{}, news{ID: string(rune('a' + i)), Group: string(rune('a' + i)), Boot: 1, Address: "127.0.0.1:1", ClockMS: c.now.UnixMilli() + ahead})
 	}
 	require.Equal(t, c.now.Add(3*time.Second), b.trueTime(c.now), "this one and the last are wrong")
 	for i, ahead := range []int64{2, -2000, 3, -1} {
-		g.hear(c.now, netip.AddrPort{}, news{ID: string(rune('a' + i)), Boot: 1, Address: "127.0.0.1:1", ClockMS: c.now.UnixMilli() + ahead})
+		g.hear(c.now, netip.AddrPort{}, news{ID: string(rune('a' + i)), Group: string(rune('a' + i)), Boot: 1, Address: "127.0.0.1:1", ClockMS: c.now.UnixMilli() + ahead})
 	}
 	require.Equal(t, c.now, b.trueTime(c.now))
 	c.advance(time.Minute)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -159,12 +159,8 @@
 		// A domain that is cut off is picked only where no other is left.
 		return Upstream{}, false
 	}
-	for _, u := range b.upstreams {
-		if u.ID == picked.ID {
-			return u, true
-		}
-	}
-	return Upstream{}, false
+	u, ok := b.byID[picked.ID]
+	return u, ok
 }
 
 // attempt sends a call to an upstream and relays the answer. It returns nil
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -149,6 +149,9 @@
 	MetricsListen string
 	PeerListen    string
 	LocalIP       string
+	// Capacity is the processor time that the entry may use, in cores. The
+	// largest entries of a failure domain pass on news.
+	Capacity float64
 
 	Store   keeper.Store
 	Tables  Tables
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -18,6 +18,8 @@
 	// Speed is how many tokens of a long prompt an engine with little else to do
 	// takes a second until the first event, kept prefixes included.
 	Speed float64 `cbor:"4,keyasint"`
+	// Measured is the number of entries whose Speed this is the mean of.
+	Measured int `cbor:"5,keyasint,omitempty"`
 
 	at time.Time
 }
@@ -63,7 +65,7 @@
 	}
 	sample := float64(prompt) / took.Seconds()
 	if d.Speed == 0 {
-		d.Speed = sample
+		d.Speed, d.Measured = sample, 1
 	}
 	d.Speed += speedStep * (sample - d.Speed)
 }
@@ -93,25 +95,30 @@
 	own := b.demandFor(deployment)
 	own.decay(now)
 	total := *own
-	speeds, known := own.Speed, 0.0
-	if own.Speed > 0 {
-		known++
-	}
-	for _, p := range b.peers {
-		if now.Sub(p.heardAt) > peerReach {
-			continue
-		}
-		d := p.demand[deployment]
-		total.Requests += d.Requests
-		total.Prompt += d.Prompt
-		total.Running += d.Running
-		if d.Speed > 0 {
-			speeds += d.Speed
-			known++
+	for _, h := range b.heard {
+		if now.Sub(h.at) <= peerReach {
+			total = total.plus(h.news.Demand[deployment])
 		}
 	}
-	if known > 0 {
-		total.Speed = speeds / known
-	}
 	return total
 }
+
+// plus adds up demands. Speed is that of the mean entry that has measured one.
+func (d demand) plus(other demand) demand {
+	if both := d.Measured + other.Measured; both > 0 {
+		d.Speed = (d.Speed*float64(d.Measured) + other.Speed*float64(other.Measured)) / float64(both)
+		d.Measured = both
+	}
+	d.Requests += other.Requests
+	d.Prompt += other.Prompt
+	d.Running += other.Running
+	return d
+}
+
+// minus takes one demand out of a sum that holds it. The speed stays.
+func (d demand) minus(other demand) demand {
+	d.Requests = max(0, d.Requests-other.Requests)
+	d.Prompt = max(0, d.Prompt-other.Prompt)
+	d.Running = max(0, d.Running-other.Running)
+	return d
+}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -60,12 +60,7 @@
 func (b *beliefs) heldElsewhere(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, p := range b.peers {
-		if p.duty && now.Sub(p.heardAt) <= peerReach {
-			return true
-		}
-	}
-	return false
+	return b.holder(now) != ""
 }
 
 // run keeps the lease, or waits for it, and does what its holder has to do.
--- /dev/null
+++ b/internal/gateway/exchange_test.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenahitch/galenahitch/pkg/quoter"
+)
+
+// crowd is many entries that exchange news without a network.
+type crowd struct {
+	clock   *clock
+	entries []*Gateway
+	at      map[string]int
+	// dead entries neither tell nor hear; cut says whether a message is lost.
+	dead map[int]bool
+	cut  func(from, to int) bool
+	// sent counts messages, bytes what the last round of each entry carried.
+	sent map[int]int
+}
+
+const crowdDomains = 5
+
+func newCrowd(t *testing.T, n int) *crowd {
+	t.Helper()
+	c := &crowd{at: map[string]int{}, dead: map[int]bool{}, sent: map[int]int{}, cut: func(int, int) bool { return false }}
+	for i := range n {
+		g, clock := newGateway(t, nil)
+		if c.clock == nil {
+			c.clock = clock
+		}
+		g.cfg.ID, g.cfg.FailureDomain = fmt.Sprint("e", i), fmt.Sprint("d", i%crowdDomains)
+		g.cfg.PeerListen = fmt.Sprintf("10.0.%d.%d:7600", i/250, i%250+1)
+		g.cfg.Capacity = 0.2
+		if i < 2*crowdDomains {
+			g.cfg.Capacity = 0.8
+		}
+		g.cfg.Now = c.clock.read
+		b := g.beliefs
+		b.cfg = g.cfg
+		b.accountant = newBeliefs(g.cfg, g.boot).accountant
+		c.entries = append(c.entries, g)
+		c.at[g.cfg.PeerListen] = i
+	}
+	for i, g := range c.entries {
+		for j, other := range c.entries {
+			if i != j {
+				g.beliefs.peers[other.cfg.ID] = &peer{
+					address: other.cfg.PeerListen, domain: other.cfg.FailureDomain, capacity: other.cfg.Capacity, rowAt: c.clock.now,
+				}
+			}
+		}
+		g.beliefs.resize(c.clock.now)
+	}
+	return c
+}
+
+// round has each entry tell once, and passes the time to the next round.
+func (c *crowd) round() {
+	for i, g := range c.entries {
+		if c.dead[i] {
+			continue
+		}
+		c.sent[i] = 0
+		for _, parcel := range g.tell(c.clock.now) {
+			for _, to := range parcel.To {
+				c.sent[i]++
+				j := c.at[to]
+				if !c.dead[j] && !c.cut(i, j) {
+					c.entries[j].hear(c.clock.now, netip.AddrPort{}, parcel.Message)
+				}
+			}
+		}
+	}
+	c.clock.advance(gossipInterval)
+}
+
+func (c *crowd) rounds(n int) {
+	for range n {
+		c.round()
+	}
+}
+
+// heardBy returns how many entries an entry hears, itself included.
+func (c *crowd) heardBy(i int) int {
+	return 1 + c.entries[i].beliefs.aggregator.Entries(c.clock.now)
+}
+
+// Of 81 entries each hears all others through two relays; what one spends is
+// known everywhere three rounds later, and no entry but a relay sends more than
+// two messages a round.
+func TestManyEntriesHearEachOtherThroughRelays(t *testing.T) {
+	c := newCrowd(t, 81)
+	c.rounds(6)
+	limit := quoter.Limit{Rate: 1e6, Burst: 1e6}
+	for _, g := range c.entries {
+		_, _ = g.beliefs.quoter.Spend(c.clock.now, "luna", limit, quoter.Ask{})
+	}
+	spender := c.entries[77].beliefs
+	ok, _ := spender.quoter.Spend(c.clock.now, "luna", limit, quoter.Ask{Cost: 5000})
+	require.True(t, ok)
+	spender.router.Begin("u.1")
+	c.rounds(4)
+	for i, g := range c.entries {
+		require.Equal(t, 81, c.heardBy(i), "entry %d", i)
+		if i != 77 {
+			total := g.beliefs.near[spentPrefix+"luna"] + g.beliefs.far[spentPrefix+"luna"]
+			if g.beliefs.plan.Relay {
+				require.InDelta(t, 5000, total, 0, "relay %d", i)
+			} else {
+				require.LessOrEqual(t, c.sent[i], 2)
+			}
+		}
+	}
+}
+
+// Both relays of a domain die, then their successors; a domain is cut off and
+// comes back. Those that can reach each other hear each other within seconds.
+func TestNewsOutlivesItsRelays(t *testing.T) {
+	c := newCrowd(t, 60)
+	c.rounds(6)
+	for wave := range 3 {
+		for i, g := range c.entries {
+			if !c.dead[i] && i%crowdDomains == 0 && g.beliefs.plan.Relay {
+				c.dead[i] = true
+			}
+		}
+		c.rounds(20)
+		living := len(c.entries) - len(c.dead)
+		for i := range c.entries {
+			if !c.dead[i] {
+				require.Equal(t, living, c.heardBy(i), "entry %d after wave %d", i, wave)
+			}
+		}
+	}
+	c.dead = map[int]bool{}
+	c.rounds(40)
+	require.Equal(t, 60, c.heardBy(59))
+	c.cut = func(from, to int) bool { return (from%crowdDomains == 1) != (to%crowdDomains == 1) }
+	c.rounds(20)
+	require.Equal(t, 12, c.heardBy(56))
+	require.Equal(t, 48, c.heardBy(59))
+	require.Contains(t, c.entries[59].beliefs.detours(c.clock.now), "d1")
+	c.rounds(60)
+	c.cut = func(int, int) bool { return false }
+	c.rounds(20)
+	for i := range c.entries {
+		require.Equal(t, 60, c.heardBy(i))
+	}
+}
+
+// One organisation asks for many times its quota at 20 entries, while messages
+// are lost and entries die. No window holds more than the quota allows.
+func TestQuotaHoldsOverRelays(t *testing.T) {
+	const (
+		rate, slack = 100_000.0, 140_000.0
+		window      = 40
+	)
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newCrowd(t, 20)
+		lost := rapid.IntRange(8, 30).Draw(rt, "lost one in")
+		count := 0
+		c.cut = func(int, int) bool { count++; return count%lost == 0 }
+		limit := quoter.Limit{Rate: rate, Burst: rate}
+		var ran []float64
+		for tick := range 100 {
+			if tick%30 == 29 {
+				victim := rapid.IntRange(0, 19).Draw(rt, "victim")
+				c.dead = map[int]bool{victim: true}
+			}
+			spent := 0.0
+			for i, g := range c.entries {
+				if c.dead[i] {
+					continue
+				}
+				for range 6 {
+					if ok, _ := g.beliefs.quoter.Spend(c.clock.now, "luna", limit, quoter.Ask{Cost: 3000}); ok {
+						spent += 3000
+					}
+				}
+			}
+			ran = append(ran, spent)
+			c.round()
+			total := 0.0
+			for _, s := range ran[max(0, len(ran)-window):] {
+				total += s
+			}
+			require.LessOrEqual(rt, total, (rate*8+rate)*1.1+slack)
+		}
+	})
+}
+
+// What a process has begun reaches the holder of the duty through relays, also
+// when the process dies after it told them.
+func TestUsageReachesTheHolder(t *testing.T) {
+	c := newCrowd(t, 40)
+	holdDuty(c.entries[33], c.clock.now)
+	c.rounds(8)
+	for i, g := range c.entries {
+		g.beliefs.accountant.Began(c.clock.now, "luna")
+		require.Equal(t, i != 33, g.beliefs.holder(c.clock.now) == "e33")
+	}
+	window := c.entries[0].beliefs.accountant.At(c.clock.now)
+	c.rounds(ledgerEvery)
+	c.dead[38] = true
+	c.rounds(2 * ledgerEvery)
+	require.Equal(t, 40, c.entries[33].beliefs.accountant.Total(window)["luna"])
+	told := 0
+	for _, p := range c.entries[33].beliefs.peers {
+		if c.clock.now.Sub(p.toldAt) < 3*time.Second {
+			told++
+		}
+	}
+	require.GreaterOrEqual(t, told, 38)
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -83,6 +83,6 @@
 
 // holdDuty makes the gateway the holder of the duty for good.
 func holdDuty(g *Gateway, now time.Time) {
-	g.duty.lease = leaser.New(leaser.Config{Holder: "e1", Lifetime: 24 * time.Hour})
-	g.duty.lease.Won(now, 1, leaser.Lease{Holder: "e1", Fence: 1})
+	g.duty.lease = leaser.New(leaser.Config{Holder: g.cfg.ID, Lifetime: 24 * time.Hour})
+	g.duty.lease.Won(now, 1, leaser.Lease{Holder: g.cfg.ID, Fence: 1})
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -126,7 +126,7 @@
 	const speed = 40_000.0
 	g.beliefs.mu.Lock()
 	defer g.beliefs.mu.Unlock()
-	*g.beliefs.demandFor("model") = demand{Requests: 50, Prompt: n * plannedUse * speed, Speed: speed, at: now}
+	*g.beliefs.demandFor("model") = demand{Requests: 50, Prompt: n * plannedUse * speed, Speed: speed, Measured: 1, at: now}
 }
 
 func newMarket(t *testing.T, lasting int) (*market, *Gateway) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,41 +5,44 @@
 	"strconv"
 	"time"
 
-	"github.com/galenahitch/galenahitch/pkg/accountant"
+	"github.com/galenahitch/galenahitch/internal/gossiper"
+	"github.com/galenahitch/galenahitch/pkg/aggregator"
 )
 
-// gossipInterval is the time between two messages to each other entry. It bounds
-// how much of a quota can be spent twice.
-const gossipInterval = 200 * time.Millisecond
-
-// news is what an entry tells the others. Counts only grow while its process
-// lives.
-type news struct {
-	ID       string                                  `cbor:"1,keyasint"`
-	Boot     uint64                                  `cbor:"2,keyasint"`
-	Address  string                                  `cbor:"3,keyasint"`
-	Stopping bool                                    `cbor:"4,keyasint,omitempty"`
-	Spent    map[string]float64                      `cbor:"5,keyasint,omitempty"`
-	Usage    map[accountant.Window]accountant.Counts `cbor:"6,keyasint,omitempty"`
-	Load     map[string]float64                      `cbor:"7,keyasint,omitempty"`
-	Demand   map[string]demand                       `cbor:"8,keyasint,omitempty"`
-	Duty     bool                                    `cbor:"9,keyasint,omitempty"`
-	Domain   string                                  `cbor:"10,keyasint,omitempty"`
-	// ClockMS is the entry's time of day in Unix milliseconds.
-	ClockMS int64 `cbor:"11,keyasint"`
-}
+const (
+	// gossipInterval is the time between two messages to the same entry. It
+	// bounds how much of a quota can be spent twice.
+	gossipInterval = 200 * time.Millisecond
+	// ledgerEvery is the number of messages of which one carries usage, where
+	// relays pass it on.
+	ledgerEvery = 5
+	// ledgerSize bounds the processes in one message.
+	ledgerSize = 12
+	// ledgerBack is the number of ended windows of usage that are told.
+	ledgerBack = 2
+	// spentPrefix begins the counters of what organisations spent.
+	spentPrefix = "q/"
+)
 
 // peer is another entry.
 type peer struct {
-	boot    uint64
-	address string
-	heardAt time.Time
-	rowAt   time.Time
-	load    map[string]float64
-	demand  map[string]demand
-	duty    bool
-	domain  string
-	// ahead is how far the entry's time of day is ahead of this one's.
+	boot     uint64
+	address  string
+	domain   string
+	capacity float64
+	rowAt    time.Time
+	// toldAt is the time as of which its usage is known.
+	toldAt time.Time
+	watch  aggregator.Watch
+	// stopping says that its process was told to stop.
+	stopping bool
+}
+
+// heard is the newest news of one entry or of several.
+type heard struct {
+	at   time.Time
+	news news
+	// ahead is how far the time of day there is ahead of this entry's.
 	ahead time.Duration
 }
 
@@ -50,22 +53,6 @@
 // must be held.
 func (b *beliefs) members() int { return 1 + len(b.peers) }
 
-// tell returns this entry's news.
-func (g *Gateway) tell(now time.Time) news {
-	b := g.beliefs
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.router.Detour(b.detours(now))
-	n := news{
-		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Stopping: g.stopping.Load(), ClockMS: now.UnixMilli(), Domain: g.cfg.FailureDomain,
-		Spent: b.quoter.Spent(), Load: b.router.Load(), Demand: b.ownDemand(now), Duty: g.holdsDuty(now),
-	}
-	if g.cfg.UsageWindow > 0 {
-		n.Usage = b.accountant.Own(b.accountant.At(b.trueTime(now)) - 2)
-	}
-	return n
-}
-
 // hear takes another entry's news.
 func (g *Gateway) hear(now time.Time, _ netip.AddrPort, n news) {
 	if n.ID == g.cfg.ID || n.ID == "" {
@@ -75,64 +62,246 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, known := b.peers[n.ID]
-	if known && p.boot > n.Boot && now.Sub(p.heardAt) <= peerReach {
+	if known && p.boot > n.Boot && now.Sub(p.watch.HeardAt()) <= peerReach {
 		return
 	}
+	b.hearUsage(now, n)
 	if n.Stopping {
-		b.accountant.Merge(processName(n.ID, n.Boot), n.Usage)
-		b.quoter.Hear(now, n.ID, n.Boot, n.Spent)
-		b.replaceLoad(now, p, n.Load)
+		b.hearLast(now, n)
 		return
 	}
 	if !known {
 		p = &peer{rowAt: now}
 		b.peers[n.ID] = p
-		b.resize()
 		g.cfg.Log.Info().Str("event", "peer_found").Str("peer", n.ID).Str("address", n.Address).Int("members", b.members()).Send()
-	} else if !p.heardAt.IsZero() && now.Sub(p.heardAt) > peerReach {
-		g.cfg.Log.Info().Str("event", "peer_back").Str("peer", n.ID).Dur("silent", now.Sub(p.heardAt)).Send()
+	} else if last := p.watch.HeardAt(); !last.IsZero() && now.Sub(last) > b.quietAfter(n.ID) {
+		g.cfg.Log.Info().Str("event", "peer_back").Str("peer", n.ID).Dur("silent", now.Sub(last)).Send()
+	}
+	if n.Voice == forItself || n.Voice == forGroup && n.Group == n.ID {
+		p.toldAt = now
+	}
+	p.boot, p.address, p.domain, p.capacity = n.Boot, n.Address, n.Domain, n.Capacity
+	p.watch.Heard(now)
+	p.stopping = false
+	if !known {
+		b.resize(now)
 	}
-	moved := p.address != n.Address
-	p.boot, p.address, p.domain, p.heardAt, p.duty, p.demand = n.Boot, n.Address, n.Domain, now, n.Duty, n.Demand
-	p.ahead = time.Duration(n.ClockMS-now.UnixMilli()) * time.Millisecond
-	b.accountant.Merge(processName(n.ID, n.Boot), n.Usage)
-	b.quoter.Hear(now, n.ID, n.Boot, n.Spent)
-	b.replaceLoad(now, p, n.Load)
-	if moved {
-		g.gossip.Peers(b.peerAddresses())
+	b.hearVoice(now, n)
+}
+
+// hearLast takes the last news of a process that stops.
+func (b *beliefs) hearLast(now time.Time, n news) {
+	if p, ok := b.peers[n.ID]; ok {
+		p.stopping = true
+	}
+	group := b.groupOf(n)
+	b.grow(n, b.aggregator.Hear(now, report(n, group)))
+	b.drop(now, group, n.ID)
+}
+
+// drop forgets a source of a group's news.
+func (b *beliefs) drop(now time.Time, group, source string) {
+	if !b.aggregator.Drop(group, source) {
+		b.replace(now, group, nil)
 	}
 }
 
-// replaceLoad puts a peer's newest load in place of what it told before.
-func (b *beliefs) replaceLoad(now time.Time, p *peer, load map[string]float64) {
-	if p == nil {
+// hearVoice takes news as its sender's voice and this entry's part in the
+// exchange ask for.
+func (b *beliefs) hearVoice(now time.Time, n news) {
+	if n.Voice == forLedger || b.plan.Relay == (n.Voice == forOthers) {
 		return
 	}
-	for id, was := range p.load {
-		b.elsewhere[id] -= was
+	group := b.groupOf(n)
+	b.grow(n, b.aggregator.Hear(now, report(n, group)))
+	if b.aggregator.Active(group, n.ID) {
+		b.replace(now, group, &heard{at: now, news: n, ahead: time.Duration(n.ClockMS-now.UnixMilli()) * time.Millisecond})
 	}
-	p.load = load
-	for id, is := range load {
-		b.elsewhere[id] += is
+	b.quoter.Heard(now, 1+b.aggregator.Entries(now))
+}
+
+// othersGroup is all entries but this one, as a relay tells of them.
+const othersGroup = "others"
+
+// entryGroup names the group of one entry's own news.
+func entryGroup(id string) string { return "entry/" + id }
+
+// relayGroup names what the relays of a group tell.
+func relayGroup(group string) string { return "group/" + group }
+
+// groupOf names what a message speaks for.
+func (b *beliefs) groupOf(n news) string {
+	switch n.Voice {
+	case forOthers:
+		return othersGroup
+	case forItself:
+		return entryGroup(n.ID)
+	default:
+		return relayGroup(n.Group)
 	}
-	for id := range b.upstreams {
-		upstream := b.upstreams[id].ID
-		b.router.Elsewhere(now, upstream, max(0, b.elsewhere[upstream]))
+}
+
+func report(n news, group string) aggregator.Report {
+	return aggregator.Report{Group: group, Source: n.ID, Boot: n.Boot, Entries: max(1, n.Entries), Totals: n.Totals}
+}
+
+// grow takes what counters elsewhere have grown by, and adds it to what this
+// entry tells as a relay.
+func (b *beliefs) grow(n news, more aggregator.Totals) {
+	spent := map[string]float64{}
+	for name, by := range more {
+		switch n.Voice {
+		case forItself:
+			b.near[name] += by
+			own, ok := b.passed[n.ID]
+			if !ok {
+				own = aggregator.Totals{}
+				b.passed[n.ID] = own
+			}
+			own[name] += by
+		case forGroup:
+			b.far[name] += by
+		}
+		if len(name) > len(spentPrefix) && name[:len(spentPrefix)] == spentPrefix {
+			spent[name[len(spentPrefix):]] += by
+		}
 	}
+	b.quoter.Take(spent)
 }
 
-// resize fits what is shared between entries to their number.
-func (b *beliefs) resize() {
+// hearUsage takes counts of usage, of the sender or of others.
+func (b *beliefs) hearUsage(now time.Time, n news) {
+	if len(n.Usage) > 0 {
+		process := processName(n.ID, n.Boot)
+		b.accountant.Merge(process, n.Usage)
+		if n.Voice == forItself {
+			b.ledger[process] = ledgerEntry{id: n.ID, at: now}
+		}
+	}
+	for process, r := range n.Ledger {
+		b.accountant.Merge(process, r.Usage)
+		if p, ok := b.peers[r.ID]; ok {
+			if at := now.Add(-r.age()); at.After(p.toldAt) {
+				p.toldAt = at
+			}
+		}
+	}
+}
+
+// replace puts the newest news of a group in place of what was heard before.
+// Nil drops it.
+func (b *beliefs) replace(now time.Time, group string, h *heard) {
+	touched := map[uint32]bool{}
+	if old, ok := b.heard[group]; ok {
+		for key, was := range old.news.Load {
+			b.elsewhere[key] -= int(was)
+			touched[key] = true
+		}
+		delete(b.heard, group)
+	}
+	if h != nil {
+		b.heard[group] = *h
+		for key, is := range h.news.Load {
+			b.elsewhere[key] += int(is)
+			touched[key] = true
+		}
+	}
+	for key := range touched {
+		if id, ok := b.byKey[key]; ok {
+			b.router.Elsewhere(now, id, float64(max(0, b.elsewhere[key]))*loadUnit)
+		}
+	}
+}
+
+// quietAfter is how long an entry is not heard before that is news.
+func (b *beliefs) quietAfter(id string) time.Duration {
+	if b.plan.Group == id || len(b.plan.Members) == 0 {
+		return peerReach
+	}
+	return rosterSilence
+}
+
+// resize fits what is shared between entries to their number, and plans who
+// tells whom.
+func (b *beliefs) resize(now time.Time) {
 	b.quoter.Members(b.members())
 	if r := b.resolver.Load(); r != nil {
 		b.fitBudgets(r)
 	}
+	b.arrange(now)
+}
+
+// arrange plans who tells whom.
+func (b *beliefs) arrange(now time.Time) {
+	self := aggregator.Member{ID: b.cfg.ID, Domain: b.cfg.FailureDomain, Capacity: b.cfg.Capacity}
+	others := make([]aggregator.Member, 0, len(b.peers))
+	for id, p := range b.peers {
+		others = append(others, aggregator.Member{ID: id, Domain: p.domain, Capacity: p.capacity, Silent: p.stopping || p.watch.Silent(now, peerReach)})
+	}
+	was := b.plan
+	b.plan = aggregator.Arrange(self, others)
+	if was.Relay != b.plan.Relay || was.Group != b.plan.Group {
+		// What was heard in the other part says nothing in this one.
+		b.aggregator = aggregator.New(peerReach)
+		for group := range b.heard {
+			b.replace(now, group, nil)
+		}
+		b.log.Info().Str("event", "exchange_planned").Str("group", b.plan.Group).Bool("relay", b.plan.Relay).
+			Int("members", b.members()).Send()
+	}
+	b.expect(now)
+}
+
+// expect notes from whom news is to come.
+func (b *beliefs) expect(now time.Time) {
+	expected := map[string]bool{}
+	for _, id := range b.plan.Relays {
+		expected[id] = true
+	}
+	if b.plan.Relay {
+		for _, relays := range b.plan.Others {
+			for _, id := range relays {
+				expected[id] = true
+			}
+		}
+	}
+	for id, p := range b.peers {
+		p.watch.Expect(now, expected[id], peerReach)
+	}
+}
+
+// tell returns the messages of one round.
+func (g *Gateway) tell(now time.Time) []gossiper.Parcel[news] {
+	b := g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.router.Detour(b.detours(now))
+	b.arrange(now)
+	b.round++
+	own := g.ownNews(now)
+	parcels := []gossiper.Parcel[news]{{To: b.addressesOf(b.plan.Relays), Message: own}}
+	if !b.plan.Relay {
+		return parcels
+	}
+	s := b.sumUp(now, own)
+	var relays []string
+	for _, ids := range b.plan.Others {
+		relays = append(relays, ids...)
+	}
+	parcels = append(parcels, gossiper.Parcel[news]{To: b.addressesOf(relays), Message: s.forGroup(b.plan, own)})
+	for _, id := range b.plan.Members {
+		parcels = append(parcels, gossiper.Parcel[news]{To: b.addressesOf([]string{id}), Message: s.forMember(b, own, id)})
+	}
+	return append(parcels, b.ledgers(now, own)...)
 }
 
-func (b *beliefs) peerAddresses() []string {
-	addresses := make([]string, 0, len(b.peers))
-	for _, p := range b.peers {
-		addresses = append(addresses, p.address)
+// addressesOf returns where entries listen for news.
+func (b *beliefs) addressesOf(ids []string) []string {
+	addresses := make([]string, 0, len(ids))
+	for _, id := range ids {
+		if p, ok := b.peers[id]; ok && p.address != "" {
+			addresses = append(addresses, p.address)
+		}
 	}
 	return addresses
 }
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -24,7 +24,17 @@
 	heard := map[string]bool{}
 	for _, p := range b.peers {
 		if p.domain != "" && p.domain != b.cfg.FailureDomain {
-			heard[p.domain] = heard[p.domain] || now.Sub(p.heardAt) <= peerReach
+			heard[p.domain] = false
+		}
+	}
+	for _, h := range b.heard {
+		if now.Sub(h.at) > peerReach {
+			continue
+		}
+		for _, domain := range append(h.news.Domains, h.news.Domain) {
+			if _, known := heard[domain]; known {
+				heard[domain] = true
+			}
 		}
 	}
 	costs := map[string]float64{}
@@ -42,23 +52,35 @@
 	return costs
 }
 
-// trueTime returns the time of day that most entries agree on: the median of
-// those in reach, so that a clock that was set wrong does no harm. The lock must
-// be held.
+// trueTime returns the time of day that most entries agree on, so that a clock
+// that was set wrong does no harm. The lock must be held.
 func (b *beliefs) trueTime(now time.Time) time.Time {
+	if h, ok := b.heard[othersGroup]; ok && now.Sub(h.at) <= peerReach {
+		// A relay has compared many clocks already.
+		return corrected(now, h.ahead)
+	}
 	ahead := []time.Duration{0}
-	for _, p := range b.peers {
-		if now.Sub(p.heardAt) <= peerReach {
-			ahead = append(ahead, p.ahead)
+	for _, h := range b.heard {
+		if now.Sub(h.at) <= peerReach {
+			ahead = append(ahead, h.ahead)
 		}
 	}
+	return corrected(now, agreed(ahead))
+}
+
+// agreed returns the median of how far clocks are ahead.
+func agreed(ahead []time.Duration) time.Duration {
 	slices.Sort(ahead)
 	middle := ahead[len(ahead)/2]
 	if len(ahead)%2 == 0 && middle.Abs() > ahead[len(ahead)/2-1].Abs() {
 		middle = ahead[len(ahead)/2-1]
 	}
-	if middle.Abs() < clockSlack {
+	return middle
+}
+
+func corrected(now time.Time, ahead time.Duration) time.Time {
+	if ahead.Abs() < clockSlack {
 		return now
 	}
-	return now.Add(middle)
+	return now.Add(ahead)
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -25,12 +25,25 @@
 type place struct {
 	Address string `json:"address"`
 	Boot    uint64 `json:"boot"`
+	Domain  string `json:"failure_domain"`
+	// Capacity ranks entries as relays of news.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Sequence makes each write a change.
 	Sequence int `json:"sequence"`
 	// Usage is for the entries that can't hear this one.
 	Usage map[accountant.Window]accountant.Counts `json:"usage,omitempty"`
 }
 
+// rosterShare is the number of entries from which on each writes its row less
+// often, so that all of them together write and read no more.
+const rosterShare = 16
+
+// rosterScale is how many times rarer rows are written than among few entries.
+// The lock must be held.
+func (b *beliefs) rosterScale() time.Duration {
+	return time.Duration(max(1, b.members()/rosterShare))
+}
+
 // seat takes rows of the table of entries.
 func (g *Gateway) seat(now time.Time, changed []keeper.Entry) {
 	b := g.beliefs
@@ -60,21 +73,20 @@
 		p.rowAt = now
 		b.accountant.Merge(processName(row.Key, at.Boot), at.Usage)
 		if at.Boot >= p.boot {
-			p.boot, p.address = at.Boot, at.Address
+			p.boot, p.address, p.domain, p.capacity = at.Boot, at.Address, at.Domain, at.Capacity
 		}
 	}
-	b.resize()
-	g.gossip.Peers(b.peerAddresses())
+	b.resize(now)
 }
 
 // forget drops an entry that is gone. The lock must be held.
 func (g *Gateway) forget(now time.Time, id, why string) {
 	b := g.beliefs
-	p := b.peers[id]
-	b.replaceLoad(now, p, nil)
+	for _, group := range []string{entryGroup(id), relayGroup(id), othersGroup} {
+		b.drop(now, group, id)
+	}
 	delete(b.peers, id)
-	b.quoter.Forget(id)
-	b.resize()
+	b.resize(now)
 	g.cfg.Log.Info().Str("event", "peer_forgotten").Str("peer", id).Str("reason", why).Int("members", b.members()).Send()
 }
 
@@ -84,17 +96,21 @@
 	b := g.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for group, h := range b.heard {
+		if silent := now.Sub(h.at); silent > peerReach {
+			b.replace(now, group, nil)
+			g.cfg.Log.Warn().Str("event", "peer_silent").Str("peer", h.news.ID).Str("group", group).
+				Int("entries", max(1, h.news.Entries)).Dur("silent", silent).Send()
+		}
+	}
+	patience := rosterSilence * b.rosterScale()
 	for id, p := range b.peers {
-		silent := now.Sub(p.heardAt)
-		if p.heardAt.IsZero() {
+		silent := now.Sub(p.watch.HeardAt())
+		if p.watch.HeardAt().IsZero() {
 			silent = now.Sub(p.rowAt)
 		}
-		if silent > peerReach && len(p.load) > 0 {
-			b.replaceLoad(now, p, nil)
-			g.cfg.Log.Warn().Str("event", "peer_silent").Str("peer", id).Dur("silent", silent).Send()
-		}
 		age, ever := g.entries.Age(now)
-		if silent > rosterSilence && ever && age < rosterSilence/2 && now.Sub(p.rowAt) > rosterSilence {
+		if silent > patience && ever && age < patience/2 && now.Sub(p.rowAt) > patience {
 			g.forget(now, id, "nobody hears it and it does not write its row")
 		}
 	}
@@ -103,7 +119,9 @@
 // keepSeat writes this entry's row until ctx ends or the process stops.
 func (g *Gateway) keepSeat(ctx context.Context) error {
 	for sequence := 1; ctx.Err() == nil && !g.stopping.Load(); sequence++ {
-		wait := rosterRefresh
+		g.beliefs.mu.Lock()
+		wait := rosterRefresh * g.beliefs.rosterScale()
+		g.beliefs.mu.Unlock()
 		if err := g.writeSeat(ctx, sequence); err != nil {
 			g.cfg.Log.Warn().Str("event", "entry_row_not_written").Err(err).Send()
 			wait = rosterRetry
@@ -116,12 +134,13 @@
 }
 
 func (g *Gateway) writeSeat(ctx context.Context, sequence int) error {
-	own := place{Address: g.cfg.PeerListen, Boot: g.boot, Sequence: sequence}
-	if g.cfg.UsageWindow > 0 {
-		g.beliefs.mu.Lock()
-		own.Usage = g.beliefs.accountant.Own(g.beliefs.accountant.At(g.beliefs.trueTime(g.cfg.Now())) - usageBack)
-		g.beliefs.mu.Unlock()
+	own := place{Address: g.cfg.PeerListen, Boot: g.boot, Domain: g.cfg.FailureDomain, Capacity: g.cfg.Capacity, Sequence: sequence}
+	b := g.beliefs
+	b.mu.Lock()
+	if g.cfg.UsageWindow > 0 && b.rosterScale() == 1 {
+		own.Usage = b.accountant.Own(b.accountant.At(b.trueTime(g.cfg.Now())) - usageBack)
 	}
+	b.mu.Unlock()
 	value, err := json.Marshal(own)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/gateway/sums.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"maps"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/gossiper"
+	"github.com/galenahitch/galenahitch/pkg/aggregator"
+)
+
+// ownNews is what this entry tells of itself.
+func (g *Gateway) ownNews(now time.Time) news {
+	b := g.beliefs
+	n := news{
+		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Domain: g.cfg.FailureDomain, Capacity: g.cfg.Capacity,
+		Stopping: g.stopping.Load(), Voice: forItself, Group: b.plan.Group, Entries: 1, ClockMS: now.UnixMilli(),
+		Totals: aggregator.Totals{}, Load: map[uint32]uint32{}, Demand: b.ownDemand(now),
+	}
+	for org, spent := range b.quoter.Spent() {
+		n.Totals[spentPrefix+org] = spent
+	}
+	for id, load := range b.router.Load() {
+		n.Load[upstreamKey(id)] += units(load)
+	}
+	if g.holdsDuty(now) {
+		n.Holder = g.cfg.ID
+	}
+	if g.cfg.UsageWindow > 0 && (len(b.plan.Members) == 0 || n.Stopping || b.round%ledgerEvery == 0) {
+		n.Usage = b.accountant.Own(b.accountant.At(b.trueTime(now)) - ledgerBack)
+	}
+	return n
+}
+
+// sums are what a relay has heard and tells itself, of its group and of all.
+type sums struct {
+	group, all sum
+	// agreedMS is the time of day that most agree on, as a relay tells it to its
+	// members, groupMS that of its group.
+	agreedMS, groupMS int64
+}
+
+type sum struct {
+	entries int
+	totals  aggregator.Totals
+	load    map[uint32]uint32
+	demand  map[string]demand
+	holder  string
+	domains map[string]bool
+}
+
+func (s *sum) add(n news) {
+	s.entries += max(1, n.Entries)
+	for key, load := range n.Load {
+		s.load[key] += load
+	}
+	for name, d := range n.Demand {
+		s.demand[name] = s.demand[name].plus(d)
+	}
+	if n.Holder != "" {
+		s.holder = n.Holder
+	}
+	s.domains[n.Domain] = true
+}
+
+func newSum(totals ...aggregator.Totals) sum {
+	s := sum{totals: aggregator.Totals{}, load: map[uint32]uint32{}, demand: map[string]demand{}, domains: map[string]bool{}}
+	for _, t := range totals {
+		for name, total := range t {
+			s.totals[name] += total
+		}
+	}
+	return s
+}
+
+// sumUp adds up what is heard now.
+func (b *beliefs) sumUp(now time.Time, own news) sums {
+	s := sums{group: newSum(own.Totals, b.near), all: newSum(own.Totals, b.near, b.far)}
+	s.group.add(own)
+	s.all.add(own)
+	clocks := []time.Duration{0}
+	for _, h := range b.heard {
+		if now.Sub(h.at) > peerReach {
+			continue
+		}
+		s.all.add(h.news)
+		if h.news.Voice == forItself {
+			s.group.add(h.news)
+			clocks = append(clocks, h.ahead)
+		}
+	}
+	s.groupMS = now.Add(agreed(clocks)).UnixMilli()
+	s.agreedMS = b.trueTime(now).UnixMilli()
+	return s
+}
+
+// forGroup is the news for the relays of other groups.
+func (s *sums) forGroup(plan aggregator.Plan, own news) news {
+	n := own
+	n.Voice, n.Group, n.Entries = forGroup, plan.Group, s.group.entries
+	n.Totals, n.Load, n.Demand, n.Holder, n.ClockMS = s.group.totals, s.group.load, s.group.demand, s.group.holder, s.groupMS
+	if len(plan.Members) > 0 {
+		n.Usage = nil
+	}
+	return n
+}
+
+// forMember is the news for a member of the own group: all but its own part.
+func (s *sums) forMember(b *beliefs, own news, id string) news {
+	n := own
+	n.Voice, n.Entries, n.Holder, n.ClockMS, n.Usage = forOthers, s.all.entries, s.all.holder, s.agreedMS, nil
+	n.Totals, n.Load, n.Demand = maps.Clone(s.all.totals), s.all.load, s.all.demand
+	for name, passed := range b.passed[id] {
+		n.Totals[name] -= passed
+	}
+	for domain := range s.all.domains {
+		n.Domains = append(n.Domains, domain)
+	}
+	h, ok := b.heard[entryGroup(id)]
+	if !ok {
+		return n
+	}
+	n.Entries--
+	n.Load, n.Demand = maps.Clone(n.Load), maps.Clone(n.Demand)
+	for key, load := range h.news.Load {
+		n.Load[key] -= min(load, n.Load[key])
+	}
+	for name, d := range h.news.Demand {
+		n.Demand[name] = n.Demand[name].minus(d)
+	}
+	return n
+}
+
+// ledgerEntry is when a process last told its usage to this entry.
+type ledgerEntry struct {
+	id string
+	at time.Time
+}
+
+// ledgers are messages to the holder of the duty with what the processes of this
+// entry's group have begun.
+func (b *beliefs) ledgers(now time.Time, own news) []gossiper.Parcel[news] {
+	if b.cfg.UsageWindow <= 0 || len(b.plan.Members) == 0 || b.round%ledgerEvery != 0 {
+		return nil
+	}
+	to := b.addressesOf([]string{b.holder(now)})
+	if len(to) == 0 {
+		return nil
+	}
+	since := b.accountant.At(b.trueTime(now)) - ledgerBack
+	message := func() news {
+		return news{
+			ID: own.ID, Boot: own.Boot, Address: own.Address, Domain: own.Domain, Capacity: own.Capacity, Stopping: own.Stopping,
+			Voice: forLedger, Group: own.Group, Ledger: map[string]record{},
+		}
+	}
+	next := message()
+	next.Ledger[processName(own.ID, own.Boot)] = record{ID: own.ID, Usage: b.accountant.Of(processName(own.ID, own.Boot), since)}
+	var parcels []gossiper.Parcel[news]
+	for process, told := range b.ledger {
+		if now.Sub(told.at) > usageWindows*b.cfg.UsageWindow {
+			delete(b.ledger, process)
+			continue
+		}
+		if len(next.Ledger) >= ledgerSize {
+			parcels = append(parcels, gossiper.Parcel[news]{To: to, Message: next})
+			next = message()
+		}
+		next.Ledger[process] = record{ID: told.id, AgeMS: now.Sub(told.at).Milliseconds(), Usage: b.accountant.Of(process, since)}
+	}
+	return append(parcels, gossiper.Parcel[news]{To: to, Message: next})
+}
+
+// holder returns the other entry that is heard to hold the duty, empty if none
+// is. The lock must be held.
+func (b *beliefs) holder(now time.Time) string {
+	for _, h := range b.heard {
+		if h.news.Holder != "" && h.news.Holder != b.cfg.ID && now.Sub(h.at) <= peerReach {
+			return h.news.Holder
+		}
+	}
+	return ""
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -5,16 +5,20 @@
 	"errors"
 	"net"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 )
 
-// maxDatagram bounds a message. What one Ethernet frame carries is not split
-// on the way.
-const maxDatagram = 8 << 10
+// maxDatagram bounds a message: the largest that UDP carries.
+const maxDatagram = 64 << 10
+
+// Parcel is a message and who it is for, as ip:port.
+type Parcel[M any] struct {
+	To      []string
+	Message M
+}
 
 // Config sets a gossiper up.
 type Config[M any] struct {
@@ -22,8 +26,8 @@
 	Address string
 	// Interval is the time between two messages.
 	Interval time.Duration
-	// Tell makes the message.
-	Tell func(now time.Time) M
+	// Tell makes the messages.
+	Tell func(now time.Time) []Parcel[M]
 	// Hear takes a message of a peer. Calls do not overlap.
 	Hear func(now time.Time, from netip.AddrPort, message M)
 	Now  func() time.Time
@@ -34,13 +38,15 @@
 type Gossiper[M any] struct {
 	cfg  Config[M]
 	conn *net.UDPConn
-
-	mu    sync.Mutex
-	peers []netip.AddrPort
+	mode cbor.EncMode
 }
 
 // Listen opens the socket.
 func Listen[M any](cfg Config[M]) (*Gossiper[M], error) {
+	mode, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		return nil, err
+	}
 	address, err := net.ResolveUDPAddr("udp4", cfg.Address)
 	if err != nil {
 		return nil, err
@@ -49,39 +55,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gossiper[M]{cfg: cfg, conn: conn}, nil
+	return &Gossiper[M]{cfg: cfg, conn: conn, mode: mode}, nil
 }
 
-// Peers sets where messages go. Addresses that can't be read are left out with
-// a log line.
-func (g *Gossiper[M]) Peers(addresses []string) {
-	peers := make([]netip.AddrPort, 0, len(addresses))
-	for _, address := range addresses {
-		parsed, err := netip.ParseAddrPort(address)
+// Send tells what there is to tell at once. Addresses that can't be read are
+// left out with a log line.
+func (g *Gossiper[M]) Send() {
+	for _, parcel := range g.cfg.Tell(g.cfg.Now()) {
+		message, err := g.mode.Marshal(parcel.Message)
 		if err != nil {
-			g.cfg.Log.Warn().Str("event", "peer_address_invalid").Str("address", address).Err(err).Send()
+			g.cfg.Log.Error().Str("event", "gossip_not_encoded").Err(err).Send()
 			continue
 		}
-		peers = append(peers, parsed)
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.peers = peers
-}
-
-// Send tells all peers at once.
-func (g *Gossiper[M]) Send() {
-	message, err := cbor.Marshal(g.cfg.Tell(g.cfg.Now()))
-	if err != nil {
-		g.cfg.Log.Error().Str("event", "gossip_not_encoded").Err(err).Send()
-		return
-	}
-	g.mu.Lock()
-	peers := g.peers
-	g.mu.Unlock()
-	for _, peer := range peers {
-		if _, err := g.conn.WriteToUDPAddrPort(message, peer); err != nil && !errors.Is(err, net.ErrClosed) {
-			g.cfg.Log.Debug().Str("event", "gossip_not_sent").Stringer("peer", peer).Err(err).Send()
+		for _, to := range parcel.To {
+			address, err := netip.ParseAddrPort(to)
+			if err != nil {
+				g.cfg.Log.Warn().Str("event", "peer_address_invalid").Str("address", to).Err(err).Send()
+				continue
+			}
+			if _, err := g.conn.WriteToUDPAddrPort(message, address); err != nil && !errors.Is(err, net.ErrClosed) {
+				g.cfg.Log.Debug().Str("event", "gossip_not_sent").Str("peer", to).Err(err).Send()
+			}
 		}
 	}
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -18,7 +18,7 @@
 	Spent map[string]int `cbor:"2,keyasint"`
 }
 
-func open(t *testing.T, name string, heard chan message) (*gossiper.Gossiper[message], string) {
+func open(t *testing.T, name string, heard chan message, to ...string) string {
 	t.Helper()
 	free, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -26,7 +26,9 @@
 	require.NoError(t, free.Close())
 	g, err := gossiper.Listen(gossiper.Config[message]{
 		Address: address, Interval: 10 * time.Millisecond, Now: time.Now, Log: zerolog.Nop(),
-		Tell: func(time.Time) message { return message{From: name, Spent: map[string]int{"luna": 3}} },
+		Tell: func(time.Time) []gossiper.Parcel[message] {
+			return []gossiper.Parcel[message]{{To: to, Message: message{From: name, Spent: map[string]int{"luna": 3}}}}
+		},
 		Hear: func(_ time.Time, _ netip.AddrPort, m message) {
 			select {
 			case heard <- m:
@@ -42,15 +44,14 @@
 		cancel()
 		require.NoError(t, <-ended)
 	})
-	return g, address
+	return address
 }
 
 func TestPeersHearEachOther(t *testing.T) {
 	heard := make(chan message, 1)
-	_, address := open(t, "a", heard)
-	b, _ := open(t, "b", make(chan message, 1))
+	address := open(t, "a", heard)
 	// Neither a bad address nor a bad datagram keeps messages away.
-	b.Peers([]string{"nowhere", address, "127.0.0.1:1"})
+	open(t, "b", make(chan message, 1), "nowhere", address, "127.0.0.1:1")
 	noise, err := net.Dial("udp4", address)
 	require.NoError(t, err)
 	defer func() { require.NoError(t, noise.Close()) }()
--- a/pkg/accountant/accountant.go
+++ b/pkg/accountant/accountant.go
@@ -87,10 +87,13 @@
 }
 
 // Own returns this process's counts since a window.
-func (a *Accountant) Own(since Window) map[Window]Counts {
+func (a *Accountant) Own(since Window) map[Window]Counts { return a.Of(a.cfg.Self, since) }
+
+// Of returns what is known of a process's counts since a window.
+func (a *Accountant) Of(process string, since Window) map[Window]Counts {
 	told := map[Window]Counts{}
 	for w, processes := range a.windows {
-		if counts, ok := processes[a.cfg.Self]; ok && w >= since {
+		if counts, ok := processes[process]; ok && w >= since {
 			told[w] = maps.Clone(counts)
 		}
 	}
--- /dev/null
+++ b/pkg/aggregator/aggregator_test.go
@@ -0,0 +1,189 @@
+package aggregator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenahitch/galenahitch/pkg/aggregator"
+)
+
+const reach = 800 * time.Millisecond
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+// Two relays tell of one group, each from its own starting point. Messages are
+// lost, late and doubled, and relays fall silent for a while. What is counted
+// twice is at most what was spent between the last message of a standby and the
+// one of the active relay that it follows; nothing is missed.
+func TestTwoRelaysTellOneSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := aggregator.New(reach)
+		now := start
+		spent, counted, overlap := 0.0, 0.0, 0.0
+		offset := []float64{0, float64(rapid.IntRange(0, 1000).Draw(t, "offset"))}
+		// told is what was spent as of each relay's newest message, stood the same
+		// as of the moment at which the active relay was last heard.
+		told, stood, active := []float64{0, 0}, []float64{0, 0}, -1
+		var late []aggregator.Report
+		hear := func(relay int, at float64, r aggregator.Report) {
+			more := a.Hear(now, r)["x"]
+			counted += more
+			told[relay] = max(told[relay], at)
+			if more == 0 {
+				return
+			}
+			if active >= 0 && active != relay {
+				overlap += max(0, stood[active]-stood[relay])
+			}
+			active = relay
+			copy(stood, told)
+		}
+		report := func(relay int) aggregator.Report {
+			return aggregator.Report{Group: "g", Source: fmt.Sprint(relay), Boot: 1, Entries: 20, Totals: aggregator.Totals{"x": offset[relay] + spent}}
+		}
+		hear(0, 0, report(0))
+		hear(1, 0, report(1))
+		silent := -1
+		for tick := range 200 {
+			now = now.Add(100 * time.Millisecond)
+			spent += float64(rapid.IntRange(0, 50).Draw(t, "spent"))
+			if tick%20 == 19 {
+				silent = rapid.IntRange(-1, 1).Draw(t, "silent")
+			}
+			for relay := range 2 {
+				if relay == silent || rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+					continue
+				}
+				hear(relay, spent, report(relay))
+				late = append(late, report(relay))
+			}
+			if len(late) > 0 && tick%3 == 0 {
+				r := late[rapid.IntRange(max(0, len(late)-4), len(late)-1).Draw(t, "late")]
+				relay := int(r.Source[0] - '0')
+				hear(relay, r.Totals["x"]-offset[relay], r)
+			}
+			require.LessOrEqual(t, counted, spent+overlap)
+		}
+		for relay := range 2 {
+			hear(relay, spent, report(relay))
+		}
+		require.Equal(t, 20, a.Entries(now))
+		require.GreaterOrEqual(t, counted, spent)
+		require.LessOrEqual(t, counted, spent+overlap)
+	})
+}
+
+// The second relay counts from where the first was last heard.
+func TestStandbyTakesOverWithoutAGap(t *testing.T) {
+	a := aggregator.New(reach)
+	tell := func(now time.Time, source string, total float64) float64 {
+		return a.Hear(now, aggregator.Report{Group: "g", Source: source, Boot: 1, Entries: 3, Totals: aggregator.Totals{"x": total}})["x"]
+	}
+	now := start
+	require.Zero(t, tell(now, "r1", 100), "the first report is a starting point")
+	require.Zero(t, tell(now, "r2", 5000))
+	require.InDelta(t, 20, tell(now.Add(200*time.Millisecond), "r1", 120), 0)
+	now = now.Add(300 * time.Millisecond)
+	require.Zero(t, tell(now, "r2", 5050), "it stands by")
+	now = now.Add(reach)
+	require.Equal(t, 3, a.Entries(now.Add(-reach)))
+	require.InDelta(t, 80, tell(now, "r2", 5080), 0)
+	require.True(t, a.Active("g", "r2"))
+	require.InDelta(t, 10, tell(now, "r2", 5090), 0)
+	require.Equal(t, 3, a.Entries(now))
+	require.Zero(t, a.Entries(now.Add(2*reach)))
+}
+
+// A process that started again counts from zero, and messages of the process
+// before it change nothing.
+func TestRestartCountsFromZero(t *testing.T) {
+	a := aggregator.New(reach)
+	report := aggregator.Report{Group: "g", Source: "e", Boot: 5, Entries: 1, Totals: aggregator.Totals{"x": 100}}
+	require.Zero(t, a.Hear(start, report)["x"])
+	report.Boot, report.Totals = 6, aggregator.Totals{"x": 7}
+	require.InDelta(t, 7, a.Hear(start, report)["x"], 0)
+	report.Boot, report.Totals = 5, aggregator.Totals{"x": 900}
+	require.Zero(t, a.Hear(start, report)["x"])
+	require.False(t, a.Drop("g", "e"))
+	require.Zero(t, a.Entries(start))
+}
+
+func entries(n, domains int) []aggregator.Member {
+	var list []aggregator.Member
+	for i := range n {
+		capacity := 0.2
+		if i < 2*domains {
+			capacity = 0.8
+		}
+		list = append(list, aggregator.Member{ID: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%domains), Capacity: capacity})
+	}
+	return list
+}
+
+func planOf(all []aggregator.Member, self int) aggregator.Plan {
+	others := append(append([]aggregator.Member{}, all[:self]...), all[self+1:]...)
+	return aggregator.Arrange(all[self], others)
+}
+
+// Few entries tell each other; of many, the two largest of each domain are
+// relays, and all entries agree on who they are.
+func TestEntriesAgreeOnRelays(t *testing.T) {
+	small := planOf(entries(9, 4), 3)
+	require.True(t, small.Relay)
+	require.Empty(t, small.Members)
+	require.Len(t, small.Others, 8)
+	for _, n := range []int{30, 81, 300, 820} {
+		all := entries(n, 5)
+		relays := 0
+		for self := range all {
+			p := planOf(all, self)
+			require.Len(t, p.Others, 4)
+			for _, others := range p.Others {
+				require.Len(t, others, 2)
+			}
+			if p.Relay {
+				relays++
+				require.InDelta(t, 0.8, all[self].Capacity, 0)
+				require.Len(t, p.Relays, 1)
+			} else {
+				require.Len(t, p.Relays, 2)
+			}
+		}
+		require.Equal(t, 10, relays)
+	}
+}
+
+// A relay that falls silent is replaced by the next entry, and is told on, so
+// that it is known when it returns.
+func TestSilentRelaysAreReplaced(t *testing.T) {
+	all := entries(40, 4)
+	before := planOf(all, 20)
+	for i := range all {
+		if all[i].ID == before.Relays[0] {
+			all[i].Silent = true
+		}
+	}
+	after := planOf(all, 20)
+	require.Len(t, after.Relays, 3)
+	require.Contains(t, after.Relays, before.Relays[0])
+	require.Contains(t, after.Relays, before.Relays[1])
+}
+
+func TestWatchRemembersSilenceForAWhile(t *testing.T) {
+	var w aggregator.Watch
+	require.False(t, w.Silent(start, reach))
+	w.Expect(start, true, reach)
+	require.False(t, w.Silent(start.Add(reach), reach))
+	now := start.Add(reach + time.Millisecond)
+	require.True(t, w.Silent(now, reach))
+	w.Expect(now, false, reach)
+	require.True(t, w.Silent(now, reach))
+	w.Expect(now.Add(6*time.Second), false, reach)
+	require.False(t, w.Silent(now.Add(6*time.Second), reach))
+	w.Heard(now)
+	require.Equal(t, now, w.HeardAt())
+}
--- a/pkg/quoter/doc.go
+++ b/pkg/quoter/doc.go
@@ -12,6 +12,7 @@
 //
 //	q := quoter.New(quoter.Config{Reach: time.Second})
 //	q.Members(6)
-//	q.Hear(now, "entry-2", boot, spent)
+//	q.Heard(now, 6)
+//	q.Take(map[string]float64{"luna": 600})
 //	ok, wait := q.Spend(now, "luna", quoter.Limit{Rate: 1000, Burst: 1000}, 120)
 package quoter
--- a/pkg/quoter/quoter.go
+++ b/pkg/quoter/quoter.go
@@ -37,7 +37,7 @@
 	// Start is when the process began. Buckets are empty then, since what was
 	// spent before is not known.
 	Start time.Time
-	// Reach is how long an entry counts as heard after its last message.
+	// Reach is how long entries count as heard after Heard.
 	Reach time.Duration
 	// Round is the time between two messages of an entry.
 	Round time.Duration
@@ -59,7 +59,9 @@
 	members int
 	buckets map[string]*bucket
 	spent   map[string]float64
-	peers   map[string]*peer
+	// heardEntries is the number of entries that were heard at heardAt.
+	heardEntries int
+	heardAt      time.Time
 }
 
 type bucket struct {
@@ -107,15 +109,9 @@
 	return min(mostSpread, time.Duration(b.returning(now)/(limit.Rate*share)*float64(time.Second)))
 }
 
-type peer struct {
-	boot    uint64
-	heardAt time.Time
-	spent   map[string]float64
-}
-
 // New returns a quoter that has spent nothing.
 func New(cfg Config) *Quoter {
-	return &Quoter{cfg: cfg, members: 1, buckets: map[string]*bucket{}, spent: map[string]float64{}, peers: map[string]*peer{}}
+	return &Quoter{cfg: cfg, members: 1, buckets: map[string]*bucket{}, spent: map[string]float64{}, heardEntries: 1}
 }
 
 // Members sets the number of entries that may be serving, in reach or not,
@@ -125,44 +121,24 @@
 // Spent returns all that this entry has spent, by organisation.
 func (q *Quoter) Spent() map[string]float64 { return maps.Clone(q.spent) }
 
-// Hear takes what another entry has spent since its process booted. Messages
-// may be lost, late or doubled.
-func (q *Quoter) Hear(now time.Time, entry string, boot uint64, spent map[string]float64) {
-	p, known := q.peers[entry]
-	if known && p.boot > boot && now.Sub(p.heardAt) <= q.cfg.Reach {
-		// It is an old message. From an entry that was silent it would be that of
-		// a new process whose clock was set back.
-		return
-	}
-	if !known {
-		p = &peer{boot: boot, spent: maps.Clone(spent)}
-		q.peers[entry] = p
-	} else if p.boot != boot {
-		p.boot, p.spent = boot, nil
-	}
-	p.heardAt = now
-	if p.spent == nil {
-		p.spent = map[string]float64{}
-	}
-	for org, total := range spent {
-		if more := total - p.spent[org]; more > 0 {
-			p.spent[org] = total
-			if b, ok := q.buckets[org]; ok {
-				b.balance -= more
-			}
+// Take subtracts what other entries have spent since they were last heard.
+func (q *Quoter) Take(spent map[string]float64) {
+	for org, more := range spent {
+		if b, ok := q.buckets[org]; ok {
+			b.balance -= more
 		}
 	}
 }
 
+// Heard sets the number of entries that this one hears, itself included.
+func (q *Quoter) Heard(now time.Time, entries int) { q.heardEntries, q.heardAt = entries, now }
+
 // heard returns the number of entries that this one hears, itself included.
 func (q *Quoter) heard(now time.Time) int {
-	heard := 1
-	for _, p := range q.peers {
-		if now.Sub(p.heardAt) <= q.cfg.Reach {
-			heard++
-		}
+	if now.Sub(q.heardAt) > q.cfg.Reach {
+		return 1
 	}
-	return heard
+	return max(1, q.heardEntries)
 }
 
 // Spend takes cost from an organisation's quota. If it does not allow that, it
@@ -214,6 +190,3 @@
 	}
 	q.spent[org] = math.Max(0, q.spent[org]-cost)
 }
-
-// Forget drops an entry that is known to be gone.
-func (q *Quoter) Forget(entry string) { delete(q.peers, entry) }
--- a/pkg/quoter/quoter_test.go
+++ b/pkg/quoter/quoter_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/galenahitch/galenahitch/internal/seeder"
+	"github.com/galenahitch/galenahitch/pkg/aggregator"
 	"github.com/galenahitch/galenahitch/pkg/quoter"
 )
 
@@ -25,20 +26,33 @@
 // group is a number of entries that tell each other what they spent.
 type group struct {
 	entries []*quoter.Quoter
+	ears    []*aggregator.Aggregator
 	boots   []uint64
 }
 
 func newGroup(now time.Time, n int) *group {
 	g := &group{}
 	for range n {
-		g.entries = append(g.entries, g.fresh(now, n))
-		g.boots = append(g.boots, 1)
+		g.entries = append(g.entries, nil)
+		g.ears = append(g.ears, nil)
+		g.boots = append(g.boots, 0)
+	}
+	for i := range n {
+		g.start(now, i)
 	}
 	return g
 }
 
+const reach = 700 * time.Millisecond
+
+// start starts an entry's process, or starts it again.
+func (g *group) start(now time.Time, i int) {
+	g.entries[i], g.ears[i] = g.fresh(now, len(g.entries)), aggregator.New(reach)
+	g.boots[i]++
+}
+
 func (g *group) fresh(now time.Time, n int) *quoter.Quoter {
-	q := quoter.New(quoter.Config{Start: now, Reach: 700 * time.Millisecond, Round: 200 * time.Millisecond, Debt: slack / 4})
+	q := quoter.New(quoter.Config{Start: now, Reach: reach, Round: 200 * time.Millisecond, Debt: slack / 4})
 	q.Members(n)
 	return q
 }
@@ -48,7 +62,11 @@
 	for from, q := range g.entries {
 		for to, other := range g.entries {
 			if from != to && link(from, to) {
-				other.Hear(now, fmt.Sprint(from), g.boots[from], q.Spent())
+				name := fmt.Sprint(from)
+				other.Take(g.ears[to].Hear(now, aggregator.Report{
+					Group: name, Source: name, Boot: g.boots[from], Entries: 1, Totals: q.Spent(),
+				}))
+				other.Heard(now, 1+g.ears[to].Entries(now))
 			}
 		}
 	}
@@ -79,9 +97,7 @@
 				cut = rapid.IntRange(0, n-1).Draw(t, "cut")
 			}
 			if tick%37 == 30 {
-				i := rapid.IntRange(0, n-1).Draw(t, "restart")
-				g.entries[i] = g.fresh(now, n)
-				g.boots[i]++
+				g.start(now, rapid.IntRange(0, n-1).Draw(t, "restart"))
 			}
 			spent := 0.0
 			for i, q := range g.entries {
