internal/gateway: versions moved by the operators' orders; list of upstreams through relays

Cause: a new version's upstreams got requests like all others, so a bad one was exposed without bound and no status was written. Change: pkg/mover has a schedule for moves with a fixed end, whose shares stay within the exposure that operators allow; outcomes of both versions are summed over all entries, and whoever sees that the new one is bad takes it back.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -37,9 +37,13 @@
 	Wait time.Duration
 	// Pause is the time between two calls; changes are collected meanwhile.
 	Pause time.Duration
+	// Spare, if set, is asked during a pause. While it returns true the pause
+	// lasts for LongPause: the changes are learned from elsewhere.
+	Spare     func(now time.Time) bool
+	LongPause time.Duration
 	// Grace is how long rows are kept that are missing after the store was away.
 	Grace time.Duration
-	// Apply takes the rows that changed. It is called from one goroutine.
+	// Apply takes the rows that changed. Calls do not overlap.
 	Apply func(now time.Time, changed []keeper.Entry)
 	Now   func() time.Time
 	Log   zerolog.Logger
@@ -48,6 +52,9 @@
 // Follower is a copy of one table.
 type Follower struct {
 	cfg Config
+	// applying is held while changes are merged and applied, so that they are
+	// applied in the order of their versions.
+	applying sync.Mutex
 
 	mu       sync.Mutex
 	rows     map[string]keeper.Entry
@@ -102,7 +109,7 @@
 		}
 		backoff = leastBackoff
 		known = f.take(now, page, !known) && page.Version > 0
-		if !waiter.Pause(ctx, f.cfg.Pause) {
+		if !f.pause(ctx) {
 			break
 		}
 	}
@@ -112,6 +119,57 @@
 	return ctx.Err()
 }
 
+// spareLook is the time between two looks at whether a long pause still holds.
+const spareLook = 250 * time.Millisecond
+
+// pause waits for the next call. It returns false once ctx has ended.
+func (f *Follower) pause(ctx context.Context) bool {
+	began := f.cfg.Now()
+	if !waiter.Pause(ctx, f.cfg.Pause) {
+		return false
+	}
+	for f.cfg.Spare != nil {
+		now := f.cfg.Now()
+		if now.Sub(began) >= f.cfg.LongPause || !f.cfg.Spare(now) {
+			return true
+		}
+		if !waiter.Pause(ctx, spareLook) {
+			return false
+		}
+	}
+	return true
+}
+
+// Learn takes changes that another process has read from the store. Those that
+// the copy is past already change nothing.
+func (f *Follower) Learn(now time.Time, rows []keeper.Entry) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if changed := f.learn(rows); len(changed) > 0 {
+		f.cfg.Apply(now, changed)
+	}
+}
+
+func (f *Follower) learn(rows []keeper.Entry) []keeper.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var changed []keeper.Entry
+	for _, e := range rows {
+		old, known := f.rows[e.Key]
+		if e.Version <= f.version || f.heardAt.IsZero() || known && old.Version >= e.Version || e.Deleted && !known {
+			continue
+		}
+		delete(f.missing, e.Key)
+		if e.Deleted {
+			delete(f.rows, e.Key)
+		} else {
+			f.rows[e.Key] = e
+		}
+		changed = append(changed, e)
+	}
+	return changed
+}
+
 func (f *Follower) call(ctx context.Context, known bool) (keeper.Page, error) {
 	if !known {
 		return f.cfg.Store.Read(ctx, f.cfg.Table)
@@ -147,6 +205,8 @@
 // than what has changed. It returns false for a page that is older than the
 // copy; such a page changes nothing.
 func (f *Follower) take(now time.Time, page keeper.Page, whole bool) bool {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	changed, ok := f.merge(now, page, whole)
 	if len(changed) > 0 {
 		f.cfg.Apply(now, changed)
@@ -173,7 +233,9 @@
 			continue
 		}
 		if e.Deleted {
-			changed = append(changed, f.drop(now, e)...)
+			if f.rows[e.Key].Version <= e.Version {
+				changed = append(changed, f.drop(now, e)...)
+			}
 			continue
 		}
 		delete(f.missing, e.Key)
@@ -182,8 +244,8 @@
 	}
 	if whole {
 		for _, key := range slices.Sorted(maps.Keys(f.rows)) {
-			if !seen[key] {
-				changed = append(changed, f.drop(now, keeper.Entry{Table: f.cfg.Table, Key: key, Deleted: true})...)
+			if !seen[key] && f.rows[key].Version <= page.Version {
+				changed = append(changed, f.drop(now, keeper.Entry{Table: f.cfg.Table, Key: key, Version: page.Version, Deleted: true})...)
 			}
 		}
 	}
@@ -228,7 +290,7 @@
 		if !lapsed || !now.Before(until) {
 			delete(f.missing, key)
 			delete(f.rows, key)
-			gone = append(gone, keeper.Entry{Table: f.cfg.Table, Key: key, Deleted: true})
+			gone = append(gone, keeper.Entry{Table: f.cfg.Table, Key: key, Version: f.version, Deleted: true})
 		}
 	}
 	return gone
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -159,3 +159,51 @@
 	)
 	require.Equal(t, []string{"b", "c"}, slices.Sorted(maps.Keys(s.seen)))
 }
+
+// What others have read from the store counts where the copy is not past it, and
+// is not undone by older pages that arrive later.
+func TestLearnsFromOthersByVersion(t *testing.T) {
+	s := &script{t: t, now: time.UnixMilli(1_700_000_000_000), seen: map[string]string{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var f *follower.Follower
+	learn := func(rows ...keeper.Entry) { f.Learn(s.now, rows) }
+	s.steps = []step{
+		whole(5, row("a", 3), row("b", 5), row("c", 4)),
+		changes(5),
+		{read: false, waits: wait, page: keeper.Page{Version: 7, Entries: []keeper.Entry{row("a", 6), row("e", 7)}}},
+		{read: false, waits: wait, err: keeper.Compacted.New("gone")},
+		whole(8, row("a", 6), row("b", 5)),
+	}
+	rounds := 0
+	s.done = cancel
+	f = follower.New(follower.Config{
+		Store: s, Table: "servers", Wait: wait, Grace: grace, Apply: s.apply, Log: zerolog.Nop(),
+		Now: func() time.Time {
+			if rounds++; rounds == 2 {
+				learn(row("a", 4), dropped("b", 5), dropped("c", 6), row("d", 9), dropped("x", 9), row("a", 6))
+			}
+			return s.clock()
+		},
+	})
+	learn(row("z", 1))
+	require.NoError(t, f.Run(ctx))
+	require.Equal(t, []string{"+a", "+b", "+c", "-c", "+d", "+a", "+e", "-e"}, s.log)
+	require.Equal(t, []string{"a", "b", "d"}, slices.Sorted(maps.Keys(s.seen)))
+}
+
+// While others tell of changes calls are rare; when they fall silent the next
+// call is made at once.
+func TestCallsAreRareWhileOthersTell(t *testing.T) {
+	s := &script{t: t, now: time.UnixMilli(1_700_000_000_000), seen: map[string]string{}}
+	s.steps = []step{whole(5, row("a", 3)), changes(6), changes(7)}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.done = cancel
+	looks := 0
+	f := follower.New(follower.Config{
+		Store: s, Table: "servers", Wait: wait, Grace: grace, Apply: s.apply, Log: zerolog.Nop(), LongPause: time.Hour,
+		Now:   s.clock,
+		Spare: func(time.Time) bool { looks++; return looks%2 == 1 },
+	})
+	require.NoError(t, f.Run(ctx))
+	require.Equal(t, 6, looks, "each pause went on once")
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -11,6 +11,7 @@
 	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/pkg/accountant"
 	"github.com/galenahitch/galenahitch/pkg/aggregator"
+	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/quoter"
 	"github.com/galenahitch/galenahitch/pkg/resolver"
 	"github.com/galenahitch/galenahitch/pkg/retrier"
@@ -43,9 +44,13 @@
 	mu       sync.Mutex
 	configAt time.Time
 	// upstreams are by the keys of their rows, byID by their own ids.
-	upstreams  map[string]Upstream
-	byID       map[string]Upstream
-	listedAt   time.Time
+	upstreams map[string]Upstream
+	byID      map[string]Upstream
+	listedAt  time.Time
+	// changes are those of the list that others are told of, listToldAt is when
+	// the list was read that this entry was told of.
+	changes    []changedRow
+	listToldAt time.Time
 	router     *router.Router
 	quoter     *quoter.Quoter
 	accountant *accountant.Accountant
@@ -54,8 +59,14 @@
 	peers      map[string]*peer
 	failedAt   map[string]time.Time
 	// cut holds the failure domains that are out of reach for now.
-	cut     map[string]bool
-	prompts prompts
+	cut       map[string]bool
+	prompts   prompts
+	startedAt time.Time
+	// moves are by deployment, outcomes the counters that this entry adds to what
+	// is known of them, marks the times of first events by route.
+	moves    map[string]*move
+	outcomes aggregator.Totals
+	marks    map[string]*mover.LateMark
 	// aggregator, heard and elsewhere are what other entries told: counters, the
 	// newest news by group, and load in loadUnits by upstreamKey.
 	aggregator *aggregator.Aggregator
@@ -100,6 +111,10 @@
 		far:        aggregator.Totals{},
 		passed:     map[string]aggregator.Totals{},
 		ledger:     map[string]ledgerEntry{},
+		startedAt:  cfg.Now(),
+		moves:      map[string]*move{},
+		outcomes:   aggregator.Totals{},
+		marks:      map[string]*mover.LateMark{},
 		failedAt:   map[string]time.Time{},
 		cut:        map[string]bool{},
 		random:     rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
@@ -109,7 +124,11 @@
 // configure takes rows of the operator's table.
 func (b *beliefs) configure(now time.Time, changed []keeper.Entry) {
 	for _, row := range changed {
-		if row.Key != b.cfg.Tables.Config || row.Deleted {
+		if row.Deleted {
+			continue
+		}
+		if row.Key != b.cfg.Tables.Config {
+			b.configureMove(now, row)
 			continue
 		}
 		cfg, err := b.cfg.Decoder.Config(row.Value)
@@ -121,6 +140,24 @@
 	}
 }
 
+// configureMove takes a row that may order a move.
+func (b *beliefs) configureMove(now time.Time, row keeper.Entry) {
+	order, ok, err := b.cfg.Decoder.Move(row.Key, row.Value)
+	if err != nil {
+		b.log.Error().Str("event", "move_order_invalid").Str("row", row.Key).Uint64("row_version", row.Version).Err(err).Send()
+	}
+	if !ok || err != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.orderMove(now, order, row.Version, now.Sub(b.startedAt) < firstRead)
+}
+
+// firstRead is how long after its start a process may find orders that are older
+// than it is.
+const firstRead = 3 * time.Second
+
 // adopt puts a configuration in force if it is newer than the present one.
 func (b *beliefs) adopt(now time.Time, cfg resolver.Config) {
 	present := b.resolver.Load()
@@ -164,6 +201,7 @@
 		if row.Deleted {
 			if known {
 				delete(b.upstreams, row.Key)
+				b.remember(now, row)
 				b.log.Info().Str("event", "upstream_gone").Str("upstream", old.ID).Uint64("row_version", row.Version).Send()
 			}
 			continue
@@ -177,6 +215,9 @@
 			b.log.Info().Str("event", "upstream_listed").Str("upstream", u.ID).Str("address", u.Address).
 				Str("deployment", u.Deployment).Str("version", u.Version).Bool("reclaimable", u.Reclaimable).Send()
 		}
+		if !known || old.ID != u.ID || old.Leaving != u.Leaving || old.Address != u.Address {
+			b.remember(now, row)
+		}
 		b.upstreams[row.Key] = u
 	}
 	b.listedAt = now
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -58,6 +58,8 @@
 	met    float64
 	status int
 	first  time.Duration
+	// took is the time to the first event or the answer of the present attempt.
+	took time.Duration
 	// answering says that part of an answer has gone to the caller, last which
 	// event of a stream was the last one.
 	answering bool
@@ -154,6 +156,7 @@
 	if shared := b.prompts.shared(c.ask.Parts); shared != "" {
 		ask.Prefix = xxhash.Sum64String(shared)
 	}
+	b.steer(now, c, &ask)
 	picked, ok := b.router.Pick(now, ask)
 	if !ok || b.cut[picked.FailureDomain] {
 		// A domain that is cut off is picked only where no other is left.
@@ -167,7 +170,7 @@
 // once the caller has a whole answer.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, u Upstream) *failure {
 	now := g.cfg.Now()
-	c.upstream = u
+	c.upstream, c.took = u, 0
 	ctx, watch := g.watch(ctx, c)
 	defer watch.stop()
 	load := float64(c.ask.PromptTokens) / promptUnit
@@ -272,6 +275,7 @@
 		b.router.Suspect(u.ID, now.Add(unreachableRest))
 	default:
 		b.router.Fail(now, u.ID)
+		b.outcome(c, u, true, c.took)
 	}
 	listed := now.Sub(b.listedAt)
 	b.mu.Unlock()
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/pkg/accountant"
+	"github.com/galenahitch/galenahitch/pkg/charter"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 	"github.com/galenahitch/galenahitch/pkg/resolver"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -108,6 +109,28 @@
 	Fence         uint64
 }
 
+// MoveOrder asks for a deployment's requests to be moved to another version.
+type MoveOrder struct {
+	Deployment string
+	To         string
+	Within     time.Duration
+}
+
+// MoveStatus is what operators are told of a move.
+type MoveStatus struct {
+	Deployment string
+	To         string
+	// State is mover.Moving, mover.Done or mover.TakenBack.
+	State charter.State
+}
+
+// MoveLimits bound what a version that turns out bad may have had: a share of
+// the requests from the order to its deadline, and some beyond it.
+type MoveLimits struct {
+	Exposure float64
+	Extra    float64
+}
+
 // Tables names the tables of the store.
 type Tables struct {
 	// Operator holds the configuration, under Config.
@@ -115,6 +138,8 @@
 	Config   string
 	// Upstreams lists the upstreams.
 	Upstreams string
+	// Status tells operators how moves go.
+	Status string
 	// Entries lists the entries, and Duties holds leases and what they decided.
 	Entries string
 	Duties  string
@@ -124,6 +149,14 @@
 type Decoder interface {
 	Config(value []byte) (resolver.Config, error)
 	Upstream(key string, value []byte) (Upstream, error)
+	// Move and MoveStatus return false for rows of other kinds.
+	Move(key string, value []byte) (MoveOrder, bool, error)
+	MoveStatus(key string, value []byte) (MoveStatus, bool, error)
+}
+
+// Encoder writes rows of the platform's tables.
+type Encoder interface {
+	MoveStatus(status MoveStatus) (keeper.Entry, error)
 }
 
 // Quotas are the bounds that count over all entries.
@@ -156,6 +189,7 @@
 	Store   keeper.Store
 	Tables  Tables
 	Decoder Decoder
+	Encoder Encoder
 	Codec   Codec
 	// IDHeader is the header in which answers repeat a request's id.
 	IDHeader string
@@ -163,6 +197,7 @@
 	Cloud Cloud
 
 	Quotas Quotas
+	Moves  MoveLimits
 	// UsageWindow is the length of a window of usage, reported within UsageLate
 	// of its end. Zero means that usage is not reported.
 	UsageWindow time.Duration
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -39,6 +39,7 @@
 	lease *leaser.Leaser
 	usage *usageReporter
 	fleet *fleetManager
+	moves *moveKeeper
 	// acting is held while the duty is contended for or acted on: a process that
 	// stops does so beside the usual round.
 	acting sync.Mutex
@@ -50,6 +51,7 @@
 	d.lease = leaser.New(leaser.Config{Holder: processName(g.cfg.ID, g.boot), Lifetime: lifetime, Margin: leaseMargin})
 	d.usage = newUsageReporter(g, d)
 	d.fleet = newFleetManager(g, d)
+	d.moves = &moveKeeper{g: g, versions: map[string]uint64{}}
 	return d
 }
 
@@ -81,10 +83,12 @@
 	defer d.acting.Unlock()
 	d.contend(ctx)
 	d.fleet.watch()
+	d.moves.catchUp(ctx)
 	if !d.holds() {
 		d.fleet.idle()
 		return
 	}
+	d.moves.work(ctx)
 	d.usage.work(ctx)
 	d.fleet.work(ctx)
 }
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -9,7 +10,11 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/galenahitch/galenahitch/internal/follower"
+	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/pkg/quoter"
+	"github.com/galenahitch/galenahitch/pkg/resolver"
+	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
 // crowd is many entries that exchange news without a network.
@@ -218,3 +223,78 @@
 	}
 	require.GreaterOrEqual(t, told, 38)
 }
+
+// A relay passes changes of the list of upstreams on, so that members of its
+// domain know within a message what it has read. Members whose relays have not
+// read the list lately read it themselves.
+func TestMembersLearnTheListFromRelays(t *testing.T) {
+	c := newCrowd(t, 40)
+	decoder := listDecoder{}
+	for _, g := range c.entries {
+		g.cfg.Decoder, g.beliefs.cfg.Decoder = decoder, decoder
+		g.servers = g.follow(follower.Config{Table: "upstreams", Apply: g.beliefs.list})
+		g.servers.Learn(c.clock.now, nil)
+	}
+	read := func(g *Gateway, version uint64, rows ...keeper.Entry) {
+		// The follower takes a page as if it had read it.
+		ctx, cancel := context.WithCancel(context.Background())
+		g.cfg.Store = pageStore{page: keeper.Page{Version: version, Entries: rows}, then: cancel}
+		f := g.follow(follower.Config{Table: "upstreams", Apply: g.beliefs.list})
+		require.NoError(t, f.Run(ctx))
+		g.servers = f
+	}
+	c.rounds(4)
+	for _, g := range c.entries {
+		read(g, 5, keeper.Entry{Key: "u1", Value: []byte("ready"), Version: 5}, keeper.Entry{Key: "u2", Value: []byte("ready"), Version: 5})
+	}
+	c.rounds(2)
+	member := c.entries[38]
+	require.False(t, member.beliefs.plan.Relay)
+	require.True(t, member.listIsTold(c.clock.now))
+	var relay *Gateway
+	for _, id := range member.beliefs.plan.Relays {
+		relay = c.entries[c.at[member.beliefs.peers[id].address]]
+		require.False(t, relay.listIsTold(c.clock.now), "relays read it")
+	}
+	relay.servers.Learn(c.clock.now, []keeper.Entry{
+		{Key: "u1", Value: []byte("leaving"), Version: 7}, {Key: "u2", Version: 8, Deleted: true}, {Key: "u3", Value: []byte("ready"), Version: 9},
+	})
+	c.round()
+	require.True(t, member.beliefs.router.Leaving("u1"))
+	require.NotContains(t, member.beliefs.upstreams, "u2")
+	require.Contains(t, member.beliefs.upstreams, "u3")
+	c.rounds(10)
+	require.False(t, member.listIsTold(c.clock.now), "no relay has read the list for two seconds")
+}
+
+// listDecoder reads rows that hold the state of an upstream alone.
+type listDecoder struct{}
+
+func (listDecoder) Config([]byte) (resolver.Config, error) { return resolver.Config{}, errNoStore }
+
+func (listDecoder) Upstream(key string, value []byte) (Upstream, error) {
+	return Upstream{
+		Name: key, Leaving: string(value) == "leaving", LeavesIn: time.Second,
+		Upstream: router.Upstream{ID: key, Address: key, Deployment: "model", FailureDomain: "d1", Slots: 8},
+	}, nil
+}
+
+func (listDecoder) Move(string, []byte) (MoveOrder, bool, error) { return MoveOrder{}, false, nil }
+
+func (listDecoder) MoveStatus(string, []byte) (MoveStatus, bool, error) {
+	return MoveStatus{}, false, nil
+}
+
+// pageStore answers one reading and ends the reader.
+type pageStore struct {
+	noStore
+	page keeper.Page
+	then func()
+}
+
+func (s pageStore) Read(context.Context, string) (keeper.Page, error) { return s.page, nil }
+
+func (s pageStore) Watch(context.Context, string, uint64, time.Duration) (keeper.Page, error) {
+	s.then()
+	return keeper.Page{}, errNoStore
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/pkg/buyer"
+	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/resolver"
 )
 
@@ -238,6 +239,10 @@
 	defer b.mu.Unlock()
 	count := map[class]int{}
 	for _, u := range b.upstreams {
+		if m, ok := b.moves[deployment]; ok && m.state != mover.Done && u.Version == m.order.To {
+			// It comes and goes with the move.
+			continue
+		}
 		if u.Deployment == deployment && !u.Leaving && !b.router.Leaving(u.ID) {
 			count[class{u.FailureDomain, u.Reclaimable}]++
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,7 @@
 	// has to be longer than any caller keeps one for reuse.
 	idleTimeout = 60 * time.Second
 	// configWait and upstreamWait are how long one call waits for changes.
-	configWait   = 10 * time.Second
+	configWait   = 25 * time.Second
 	upstreamWait = 5 * time.Second
 	// lapseGrace is how long upstreams are kept that are missing after the
 	// store was away: they write their rows again within two seconds.
@@ -68,9 +68,14 @@
 		IDHeader: cfg.IDHeader, LocalIP: cfg.LocalIP, Now: cfg.Now,
 		Opened: func() { g.measures.Count("connections_opened") },
 	})
-	g.config = g.follow(cfg.Tables.Operator, configWait, 0, g.beliefs.configure)
-	g.servers = g.follow(cfg.Tables.Upstreams, upstreamWait, cfg.LeaveWithin/4, g.beliefs.list)
-	g.entries = g.follow(cfg.Tables.Entries, rosterPause, rosterPause, g.seat)
+	g.config = g.follow(follower.Config{Table: cfg.Tables.Operator, Wait: configWait, Apply: g.beliefs.configure})
+	g.servers = g.follow(follower.Config{
+		Table: cfg.Tables.Upstreams, Wait: upstreamWait, Pause: cfg.LeaveWithin / 4, Spare: g.listIsTold, LongPause: upstreamPause,
+		Apply: g.beliefs.list,
+	})
+	g.entries = g.follow(follower.Config{
+		Table: cfg.Tables.Entries, Wait: rosterPause, Pause: rosterPause, Spare: g.rosterIsLarge, LongPause: rosterLongPause, Apply: g.seat,
+	})
 	g.duty = newDuty(g)
 	gossip, err := gossiper.Listen(gossiper.Config[news]{
 		Address: cfg.PeerListen, Interval: gossipInterval, Tell: g.tell, Hear: g.hear, Now: cfg.Now, Log: cfg.Log,
@@ -79,6 +84,12 @@
 	return g, err
 }
 
+// follow returns a follower of a table.
+func (g *Gateway) follow(cfg follower.Config) *follower.Follower {
+	cfg.Store, cfg.Grace, cfg.Now, cfg.Log = g.cfg.Store, lapseGrace, g.cfg.Now, g.cfg.Log
+	return follower.New(cfg)
+}
+
 // Run serves until ctx ends, then stops without cutting a request.
 func (g *Gateway) Run(ctx context.Context) error {
 	gin.SetMode(gin.ReleaseMode)
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -49,6 +49,20 @@
 	Domains  []string          `cbor:"15,keyasint,omitempty"`
 	Capacity float64           `cbor:"16,keyasint,omitempty"`
 	Ledger   map[string]record `cbor:"17,keyasint,omitempty"`
+	// Rows are the changes of the list of upstreams of the last moments, ListAgeMS
+	// how long ago the sender read it.
+	Rows      []listRow `cbor:"18,keyasint,omitempty"`
+	ListAgeMS int64     `cbor:"19,keyasint,omitempty"`
+	// Moves are by deployment.
+	Moves map[string]moveWord `cbor:"20,keyasint,omitempty"`
+}
+
+// listRow is a row of the list of upstreams as it was read from the store.
+type listRow struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint"`
+	Deleted bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // record is what a process has begun, as it told some time ago.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -58,6 +58,11 @@
 	if n.ID == g.cfg.ID || n.ID == "" {
 		return
 	}
+	g.hearNews(now, n)
+	g.learnList(now, n)
+}
+
+func (g *Gateway) hearNews(now time.Time, n news) {
 	b := g.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -66,6 +71,7 @@
 		return
 	}
 	b.hearUsage(now, n)
+	b.hearMoves(now, n.Moves)
 	if n.Stopping {
 		b.hearLast(now, n)
 		return
@@ -159,7 +165,7 @@
 				b.passed[n.ID] = own
 			}
 			own[name] += by
-		case forGroup:
+		default:
 			b.far[name] += by
 		}
 		if len(name) > len(spentPrefix) && name[:len(spentPrefix)] == spentPrefix {
@@ -277,6 +283,7 @@
 	defer b.mu.Unlock()
 	b.router.Detour(b.detours(now))
 	b.arrange(now)
+	b.judgeMoves()
 	b.round++
 	own := g.ownNews(now)
 	parcels := []gossiper.Parcel[news]{{To: b.addressesOf(b.plan.Relays), Message: own}}
@@ -284,6 +291,11 @@
 		return parcels
 	}
 	s := b.sumUp(now, own)
+	age, ever := g.servers.Age(now)
+	if !ever {
+		age = time.Hour
+	}
+	s.listAge = age
 	var relays []string
 	for _, ids := range b.plan.Others {
 		relays = append(relays, ids...)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -64,6 +64,7 @@
 		return broken(ctx, err)
 	}
 	g.began(c, r.sentAt)
+	c.took = g.cfg.Now().Sub(r.sentAt)
 	r.ease()
 	g.cfg.Codec.Answer(w.Header(), answer.Header)
 	c.status = answer.Status
@@ -141,6 +142,7 @@
 	c.first = now.Sub(c.arrived)
 	g.measures.Observe("first_event_us", c.first.Microseconds())
 	g.began(c, now)
+	c.took = now.Sub(r.sentAt)
 	g.heardFirst(c, now.Sub(r.sentAt))
 	r.ease()
 	g.cfg.Codec.Answer(w.Header(), r.answer.Header)
@@ -171,6 +173,7 @@
 	c.runs++
 	g.beliefs.mu.Lock()
 	defer g.beliefs.mu.Unlock()
+	g.beliefs.outcome(c, c.upstream, status >= http.StatusInternalServerError, c.took)
 	if status < http.StatusInternalServerError {
 		g.beliefs.router.Succeed(c.upstream.ID)
 	} else {
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -17,6 +17,9 @@
 	rosterRefresh = 10 * time.Second
 	rosterPause   = 5 * time.Second
 	rosterSilence = 25 * time.Second
+	// rosterLongPause takes the place of rosterPause among many entries, most of
+	// which need to know only their relays.
+	rosterLongPause = 20 * time.Second
 	// rosterRetry is the wait after a row could not be written.
 	rosterRetry = 500 * time.Millisecond
 )
@@ -44,6 +47,13 @@
 	return time.Duration(max(1, b.members()/rosterShare))
 }
 
+// rosterIsLarge reports whether the rows of entries are read less often.
+func (g *Gateway) rosterIsLarge(time.Time) bool {
+	g.beliefs.mu.Lock()
+	defer g.beliefs.mu.Unlock()
+	return g.beliefs.rosterScale() > 1
+}
+
 // seat takes rows of the table of entries.
 func (g *Gateway) seat(now time.Time, changed []keeper.Entry) {
 	b := g.beliefs
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/galenahitch/galenahitch/internal/follower"
-	"github.com/galenahitch/galenahitch/internal/keeper"
 	"github.com/galenahitch/galenahitch/internal/waiter"
 )
 
@@ -58,10 +56,3 @@
 func (g *Gateway) tooLate(c *call) bool {
 	return g.stopping.Load() && c.arrived.Sub(g.stoppedAt) >= lateAfter && c.deadline.After(g.lastMoment())
 }
-
-// follow returns a follower of a table.
-func (g *Gateway) follow(table string, wait, rest time.Duration, apply func(time.Time, []keeper.Entry)) *follower.Follower {
-	return follower.New(follower.Config{
-		Store: g.cfg.Store, Table: table, Wait: wait, Pause: rest, Grace: lapseGrace, Apply: apply, Now: g.cfg.Now, Log: g.cfg.Log,
-	})
-}
--- a/internal/gateway/sums.go
+++ b/internal/gateway/sums.go
@@ -15,6 +15,7 @@
 		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Domain: g.cfg.FailureDomain, Capacity: g.cfg.Capacity,
 		Stopping: g.stopping.Load(), Voice: forItself, Group: b.plan.Group, Entries: 1, ClockMS: now.UnixMilli(),
 		Totals: aggregator.Totals{}, Load: map[uint32]uint32{}, Demand: b.ownDemand(now),
+		Moves: b.moveWords(now),
 	}
 	for org, spent := range b.quoter.Spent() {
 		n.Totals[spentPrefix+org] = spent
@@ -22,6 +23,9 @@
 	for id, load := range b.router.Load() {
 		n.Load[upstreamKey(id)] += units(load)
 	}
+	for name, total := range b.outcomes {
+		n.Totals[name] = total
+	}
 	if g.holdsDuty(now) {
 		n.Holder = g.cfg.ID
 	}
@@ -37,6 +41,8 @@
 	// agreedMS is the time of day that most agree on, as a relay tells it to its
 	// members, groupMS that of its group.
 	agreedMS, groupMS int64
+	rows              []listRow
+	listAge           time.Duration
 }
 
 type sum struct {
@@ -90,6 +96,7 @@
 	}
 	s.groupMS = now.Add(agreed(clocks)).UnixMilli()
 	s.agreedMS = b.trueTime(now).UnixMilli()
+	s.rows = b.rows(now)
 	return s
 }
 
@@ -112,6 +119,7 @@
 	for name, passed := range b.passed[id] {
 		n.Totals[name] -= passed
 	}
+	n.Rows, n.ListAgeMS = s.rows, s.listAge.Milliseconds()
 	for domain := range s.all.domains {
 		n.Domains = append(n.Domains, domain)
 	}
--- a/pkg/mover/watch.go
+++ b/pkg/mover/watch.go
@@ -180,6 +180,15 @@
 	return name
 }
 
+// level returns the strongest evidence of any comparison.
+func (w *Watches) level() float64 {
+	level := max(w.all.failures.level(), w.all.slowness.level())
+	for _, own := range w.byRoute {
+		level = max(level, own.failures.level(), own.slowness.level())
+	}
+	return level
+}
+
 // Doubt reports whether any comparison is in doubt of the new version.
 func (w *Watches) Doubt() bool {
 	for _, own := range w.byRoute {
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -46,7 +46,7 @@
 	open := make([]*record, 0, len(group))
 	var resting []*record
 	for _, rec := range group {
-		if ask.Version != "" && rec.Version != ask.Version || slices.Contains(ask.Exclude, rec.ID) {
+		if ask.Version != "" && rec.Version != ask.Version || ask.Avoid != "" && rec.Version == ask.Avoid || slices.Contains(ask.Exclude, rec.ID) {
 			continue
 		}
 		if r.available(now, rec) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -38,6 +38,8 @@
 type Ask struct {
 	Deployment string
 	Version    string
+	// Avoid is a version whose upstreams are left out, empty for none.
+	Avoid string
 	// Prefix is the hash of the prompt's shared beginning; 0 means none.
 	Prefix uint64
 	// Exclude lists upstreams that this request has failed on.
