internal/gateway: relays contend for the duty first; a retried session keeps its place

A retry asked anew whether its own last part had come before and took it for its session's. Tests: TestRetriedSessionsKeepTheirPlace fails before.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -62,6 +62,8 @@
 	cut       map[string]bool
 	prompts   prompts
 	startedAt time.Time
+	// vacantAt is since when no holder of the duty is heard.
+	vacantAt time.Time
 	// moves are by deployment, outcomes the counters that this entry adds to what
 	// is known of them, marks the times of first events by route.
 	moves    map[string]*move
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,7 +46,11 @@
 	deadline time.Time
 
 	deployment string
-	cost       float64
+	// prefix is the hash of what its prompt shares with others, known once it is
+	// placed: another attempt is not another request of its session.
+	prefix uint64
+	placed bool
+	cost   float64
 	// sends counts upstreams that got the request, runs those of them that may
 	// have run it.
 	sends   int
@@ -153,9 +157,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ask := router.Ask{Deployment: c.deployment, Exclude: c.exclude}
-	if shared := b.prompts.shared(c.ask.Parts); shared != "" {
-		ask.Prefix = xxhash.Sum64String(shared)
+	if !c.placed {
+		c.placed = true
+		if shared := b.prompts.shared(c.ask.Parts); shared != "" {
+			c.prefix = xxhash.Sum64String(shared)
+		}
 	}
+	ask.Prefix = c.prefix
 	b.steer(now, c, &ask)
 	picked, ok := b.router.Pick(now, ask)
 	if !ok || b.cut[picked.FailureDomain] {
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -22,6 +22,9 @@
 	// callTimeout bounds a call to the cloud. A call that is sent at the last
 	// moment of the lease has ended before anybody else may act.
 	callTimeout = time.Second
+	// membersContend is how long a duty has to be vacant before entries that are
+	// no relays try to hold it.
+	membersContend = 8 * time.Second
 	// leaseKey is the row of the lease.
 	leaseKey = "lease"
 )
@@ -58,11 +61,20 @@
 // holdsDuty reports whether this entry may act. The beliefs' lock must be held.
 func (g *Gateway) holdsDuty(now time.Time) bool { return g.duty.lease.Holds(now) }
 
-// heldElsewhere reports whether an entry in reach says that it holds the duty.
-func (b *beliefs) heldElsewhere(now time.Time) bool {
+// mayContend reports whether this entry should try to hold the duty: nobody in
+// reach says that it does. Among many entries relays come first, so that not all
+// of them ask the store at once.
+func (b *beliefs) mayContend(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.holder(now) != ""
+	if b.holder(now) != "" {
+		b.vacantAt = time.Time{}
+		return false
+	}
+	if b.vacantAt.IsZero() {
+		b.vacantAt = now
+	}
+	return b.plan.Relay || now.Sub(b.vacantAt) >= membersContend
 }
 
 // run keeps the lease, or waits for it, and does what its holder has to do.
@@ -113,7 +125,7 @@
 	g := d.g
 	now := g.cfg.Now()
 	if !d.holds() {
-		if g.beliefs.heldElsewhere(now) {
+		if !g.beliefs.mayContend(now) {
 			return
 		}
 		if err := d.observe(ctx); err != nil {
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -166,8 +166,8 @@
 	if !ok {
 		return
 	}
-	next := b.router.Live(now, c.deployment, m.order.To)
-	others := len(b.router.Open(now, router.Ask{Deployment: c.deployment, Avoid: m.order.To}))
+	next := b.router.Count(now, router.Ask{Deployment: c.deployment, Version: m.order.To})
+	others := b.router.Count(now, router.Ask{Deployment: c.deployment, Avoid: m.order.To})
 	switch {
 	case m.state == mover.TakenBack:
 		ask.Avoid = m.order.To
@@ -304,6 +304,8 @@
 	for _, m := range b.moves {
 		unread = unread || m.unread
 	}
+	// A relay that has read it tells its members.
+	unread = unread && (b.plan.Relay || b.heard[othersGroup].at.IsZero())
 	b.mu.Unlock()
 	if unread {
 		k.read(ctx)
--- /dev/null
+++ b/internal/gateway/moves_test.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/keeper"
+	"github.com/galenahitch/galenahitch/pkg/charter"
+	"github.com/galenahitch/galenahitch/pkg/mover"
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+var toV2 = MoveOrder{Deployment: "model", To: "v2", Within: 15 * time.Second}
+
+// list gives an entry upstreams of both versions.
+func listVersions(g *Gateway, now time.Time, present, next int) {
+	b := g.beliefs
+	b.upstreams = map[string]Upstream{}
+	for i := range present + next {
+		version := "v1"
+		if i >= present {
+			version = toV2.To
+		}
+		id := fmt.Sprint("u", i)
+		b.upstreams[id] = Upstream{Name: id, Upstream: router.Upstream{ID: id, Deployment: "model", Version: version, FailureDomain: "d0", Slots: 32}}
+	}
+	b.relist(now)
+}
+
+// picks sends calls through the choice of upstreams and returns how many met the
+// new version.
+func picks(g *Gateway, n int) (next int, upstreams map[string]bool) {
+	upstreams = map[string]bool{}
+	for i := range n {
+		u, ok := g.choose(&call{deployment: "model", ask: Ask{ID: fmt.Sprint(g.cfg.ID, "/", i)}})
+		if ok && u.Version == toV2.To {
+			next++
+			upstreams[u.ID] = true
+		}
+	}
+	return next, upstreams
+}
+
+// The new version fails half of its requests. Each of 40 entries sees next to
+// none of them; together they take it back within seconds, and none sends it any
+// request after that, also not one that has just started.
+func TestBadVersionIsTakenBackByAllEntries(t *testing.T) {
+	c := newCrowd(t, 40)
+	for _, g := range c.entries {
+		g.cfg.Moves = MoveLimits{Exposure: 0.1, Extra: 50}
+		g.beliefs.cfg.Moves = g.cfg.Moves
+		listVersions(g, c.clock.now, 18, 18)
+	}
+	c.rounds(6)
+	for _, g := range c.entries {
+		g.beliefs.orderMove(c.clock.now, toV2, 77, false)
+	}
+	for round := range 40 {
+		for i, g := range c.entries {
+			b := g.beliefs
+			present := &call{deployment: "model"}
+			present.route.Name = "chat"
+			b.outcome(present, Upstream{Upstream: router.Upstream{Version: "v1"}}, false, 100*time.Millisecond)
+			if i%5 == 0 && round%3 == 0 && b.moves["model"].state == mover.Moving {
+				b.outcome(present, Upstream{Upstream: router.Upstream{Version: toV2.To}}, i%2 == 0, 100*time.Millisecond)
+			}
+		}
+		c.round()
+	}
+	for i, g := range c.entries {
+		require.Equal(t, mover.TakenBack, g.beliefs.moves["model"].state, "entry %d", i)
+		next, _ := picks(g, 50)
+		require.Zero(t, next)
+		require.Empty(t, g.beliefs.outcomes, "its counters are forgotten")
+	}
+	late := c.entries[39]
+	late.beliefs.moves = map[string]*move{}
+	late.beliefs.orderMove(c.clock.now, toV2, 77, true)
+	next, _ := picks(late, 50)
+	require.Zero(t, next, "it does not know how the move stands")
+	c.rounds(2)
+	require.Equal(t, mover.TakenBack, late.beliefs.moves["model"].state)
+}
+
+// A new version gets its first share on so few upstreams that each is as loaded
+// as the present ones are; retries go to the present version.
+func TestFirstShareIsPacked(t *testing.T) {
+	g, c := newGateway(t, nil)
+	g.beliefs.cfg.Moves = MoveLimits{Exposure: 0.1}
+	listVersions(g, c.now, 18, 18)
+	g.beliefs.orderMove(c.now, toV2, 5, false)
+	next, upstreams := picks(g, 4000)
+	require.InDelta(t, 0.03*4000, next, 60)
+	require.Len(t, upstreams, 1)
+	u, ok := g.choose(&call{deployment: "model", sends: 1, ask: Ask{ID: "again"}})
+	require.True(t, ok)
+	require.Equal(t, "v1", u.Version)
+	listVersions(g, c.now, 0, 18)
+	_, ok = g.choose(&call{deployment: "model", ask: Ask{ID: "only"}})
+	require.True(t, ok, "there is no other version")
+}
+
+// statusStore holds status rows and may lose its answers.
+type statusStore struct {
+	noStore
+	row     keeper.Entry
+	lose    int
+	commits int
+}
+
+func (s *statusStore) Read(context.Context, string) (keeper.Page, error) {
+	page := keeper.Page{Version: s.row.Version}
+	if s.row.Version > 0 {
+		page.Entries = []keeper.Entry{s.row}
+	}
+	return page, nil
+}
+
+func (s *statusStore) Commit(_ context.Context, change keeper.Commit) (keeper.CommitResult, error) {
+	if change.Expect[0].Version != s.row.Version {
+		return keeper.CommitResult{Current: []keeper.Entry{s.row}}, nil
+	}
+	s.commits++
+	s.row = change.Put[0]
+	s.row.Version = uint64(100 + s.commits)
+	if s.lose--; s.lose == 0 {
+		return keeper.CommitResult{}, errNoStore
+	}
+	return keeper.CommitResult{Applied: true, Version: s.row.Version}, nil
+}
+
+// plainRows encodes the state of a move as one word.
+type plainRows struct{ listDecoder }
+
+func (plainRows) MoveStatus(key string, value []byte) (MoveStatus, bool, error) {
+	return MoveStatus{Deployment: key, To: toV2.To, State: charter.State(value)}, true, nil
+}
+
+type statusWriter struct{}
+
+func (statusWriter) MoveStatus(s MoveStatus) (keeper.Entry, error) {
+	return keeper.Entry{Key: s.Deployment, Value: []byte(s.State)}, nil
+}
+
+// A good version is reported as running and then as done, once each, although
+// the store loses an answer. A holder that begins later reads how it ended.
+func TestMovesAreReportedOnce(t *testing.T) {
+	g, c := newGateway(t, nil)
+	holdDuty(g, c.now)
+	store := &statusStore{lose: 2}
+	g.cfg.Store, g.cfg.Decoder, g.cfg.Encoder = store, plainRows{}, statusWriter{}
+	g.beliefs.cfg.Moves = MoveLimits{Exposure: 0.1, Extra: 50}
+	listVersions(g, c.now, 18, 18)
+	g.beliefs.orderMove(c.now, toV2, 5, false)
+	seen := &call{deployment: "model"}
+	seen.route.Name = "chat"
+	for range 150 {
+		c.advance(100 * time.Millisecond)
+		for range 5 {
+			g.beliefs.outcome(seen, Upstream{Upstream: router.Upstream{Version: "v1"}}, false, 100*time.Millisecond)
+			g.beliefs.outcome(seen, Upstream{Upstream: router.Upstream{Version: toV2.To}}, false, 100*time.Millisecond)
+		}
+		g.beliefs.judgeMoves()
+		g.duty.moves.work(context.Background())
+	}
+	require.Equal(t, mover.Done, g.beliefs.moves["model"].state)
+	require.Equal(t, "done", string(store.row.Value))
+	require.Equal(t, 2, store.commits)
+	next, _ := picks(g, 50)
+	require.Equal(t, 50, next)
+
+	later, _ := newGateway(t, nil)
+	later.cfg.Store, later.cfg.Decoder = store, plainRows{}
+	listVersions(later, c.now, 18, 18)
+	later.beliefs.orderMove(c.now, toV2, 5, true)
+	next, _ = picks(later, 50)
+	require.Zero(t, next)
+	later.duty.moves.catchUp(context.Background())
+	require.Equal(t, mover.Done, later.beliefs.moves["model"].state)
+}
--- a/internal/gateway/prompts_test.go
+++ b/internal/gateway/prompts_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
 // Requests of one session share all parts but the last, which is each request's
@@ -29,6 +31,31 @@
 	require.Equal(t, "session", p.shared(parts))
 }
 
+// A request that is sent again keeps its session's place: its own last part has
+// not come before.
+func TestRetriedSessionsKeepTheirPlace(t *testing.T) {
+	g, c := newGateway(t, nil)
+	b := g.beliefs
+	for i := range 16 {
+		id := fmt.Sprint("u", i)
+		b.upstreams[id] = Upstream{Name: id, Upstream: router.Upstream{ID: id, Deployment: "model", FailureDomain: "a", Slots: 32}}
+	}
+	b.relist(c.now)
+	parts := func(own string) []Part {
+		return []Part{{ID: "template", Tokens: 500}, {ID: "session", Tokens: 4000}, {ID: own, Tokens: 100}}
+	}
+	again := &call{deployment: "model", ask: Ask{Parts: parts("own")}}
+	first, ok := g.choose(again)
+	require.True(t, ok)
+	again.exclude = []string{first.ID}
+	second, ok := g.choose(again)
+	require.True(t, ok)
+	other := &call{deployment: "model", exclude: []string{first.ID}, ask: Ask{Parts: parts("another")}}
+	of, ok := g.choose(other)
+	require.True(t, ok)
+	require.Equal(t, of, second, "both go to the second place of the session")
+}
+
 func TestPromptMemoryIsBounded(t *testing.T) {
 	var p prompts
 	for i := range 3 * promptMemory {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -378,10 +378,13 @@
 	return list
 }
 
+// Count returns the number of upstreams that may take an attempt.
+func (r *Router) Count(now time.Time, ask Ask) int { return len(r.open(now, ask)) }
+
 // Live returns the number of a deployment's upstreams of a version that take
 // new work.
 func (r *Router) Live(now time.Time, deployment, version string) int {
-	return len(r.open(now, Ask{Deployment: deployment, Version: version}))
+	return r.Count(now, Ask{Deployment: deployment, Version: version})
 }
 
 // Listed returns the ids of the upstreams in use, leaving ones included.
