pkg/router, internal/experimenter: pick the least loaded of three drawn at random

Cause: 81 entries hear of each other's load some 400 ms late; the least loaded of all engines is the same for all of them and gets all their requests. Test: TestManyEntriesDoNotHerd.

--- a/internal/experimenter/experimenter.go
+++ b/internal/experimenter/experimenter.go
@@ -34,6 +34,7 @@
 func experiments() []experiment {
 	return []experiment{
 		{"routing", runRouting},
+		{"serving", runServing},
 		{"admission", runAdmission},
 		{"retries", runRetries},
 		{"reclaim", runReclaim},
--- /dev/null
+++ b/internal/experimenter/serving_test.go
@@ -0,0 +1,36 @@
+package experimenter
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/seeder"
+)
+
+func TestMain(m *testing.M) { seeder.Main(m) }
+
+// Many entries hear of each other's load some messages late. The least loaded of
+// all engines is the same for all of them, and gets all of their requests; the
+// least of a few drawn at random is not.
+func TestManyEntriesDoNotHerd(t *testing.T) {
+	fleet := servingFleet{engines: 40, slots: 12, entries: 40, cache: 395_000}
+	for seed := range uint64(3) {
+		least := simulateServing(seed, fleet, 0.35, placement{prefix: true})
+		drawn := simulateServing(seed, fleet, 0.35, placement{prefix: true, choices: 3})
+		require.Greater(t, drawn.all, 2000)
+		require.Less(t, 3*drawn.late, least.late, "seed %d", seed)
+		require.LessOrEqual(t, drawn.again, least.again)
+	}
+}
+
+// Few entries lose nothing by it.
+func TestFewEntriesAreServedAsWell(t *testing.T) {
+	fleet := servingFleet{engines: 16, slots: 32, entries: 9, cache: 550_000}
+	least, drawn := 0, 0
+	for seed := range uint64(4) {
+		least += simulateServing(seed, fleet, 0.6, placement{prefix: true}).late
+		drawn += simulateServing(seed, fleet, 0.6, placement{prefix: true, choices: 3}).late
+	}
+	require.LessOrEqual(t, drawn, least+least/10)
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -31,6 +31,9 @@
 	// remoteCost is what the way to another failure domain counts in the choice
 	// of an upstream, in shares of its slots: it breaks ties.
 	remoteCost = 0.03
+	// choices is the number of upstreams of which the least loaded is picked
+	// ("standin experiment serving" compares others).
+	choices = 3
 )
 
 // beliefs are what the entry knows of the world. The configuration is read
@@ -98,7 +101,7 @@
 		log:        cfg.Log,
 		upstreams:  map[string]Upstream{},
 		byID:       map[string]Upstream{},
-		router:     router.New(router.Config{EntryID: cfg.ID, FailureDomain: cfg.FailureDomain, Seed: boot, RemotePenalty: &remote}),
+		router:     router.New(router.Config{EntryID: cfg.ID, FailureDomain: cfg.FailureDomain, Seed: boot, RemotePenalty: &remote, Choices: choices}),
 		quoter:     quoter.New(quoter.Config{Start: cfg.Now(), Reach: peerReach, Round: gossipInterval, Debt: cfg.Quotas.QuotaSlack * debtShare}),
 		accountant: accountant.New(accountant.Config{Self: processName(cfg.ID, boot), Window: window, Keep: usageWindows}),
 		budgets:    map[string]*retrier.Window{},
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -96,6 +96,14 @@
 // least returns the upstream with the lowest score; a random start breaks ties.
 func (r *Router) least(now time.Time, open []*record) *record {
 	suspicion := r.suspicion(now, open)
+	if r.cfg.Choices > 0 && r.cfg.Choices < len(open) {
+		// The first ones of a shuffled copy are a draw without repeats.
+		for i := range r.cfg.Choices {
+			j := i + r.random.IntN(len(open)-i)
+			open[i], open[j] = open[j], open[i]
+		}
+		open = open[:r.cfg.Choices]
+	}
 	start := r.random.IntN(len(open))
 	best := open[start]
 	bestScore := r.score(now, best) + suspicion(best)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -42,6 +42,9 @@
 	Avoid string
 	// Prefix is the hash of the prompt's shared beginning; 0 means none.
 	Prefix uint64
+	// PrefixWeight is the load, in requests, of reading the prefix again where it
+	// is not kept. Zero means that it is not known.
+	PrefixWeight float64
 	// Exclude lists upstreams that this request has failed on.
 	Exclude []string
 }
@@ -59,6 +62,10 @@
 	// RemotePenalty is added to the score of an upstream in another failure
 	// domain, in shares of its slots; nil means 0.30.
 	RemotePenalty *float64
+	// Choices is the number of upstreams, drawn at random, of which the least
+	// loaded is picked; 0 means all. Where many entries share news of load that is
+	// some messages old, picking the least of all sends all of them to the same.
+	Choices int
 }
 
 // Status is what the router knows of one upstream.
