--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -20,8 +20,8 @@
 
 const (
 	// peerReach is how long another entry counts as heard after its last
-	// message: three messages may be lost.
-	peerReach = 4 * gossipInterval
+	// message: several may be lost, and a busy one may be late.
+	peerReach = 8 * gossipInterval
 	// usageWindows is the number of windows of usage that are remembered. A
 	// window is due two windows after its end; the rest outlasts an outage.
 	usageWindows = 12
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,11 +11,12 @@
 
 const (
 	// gossipInterval is the time between two messages to the same entry. It
-	// bounds how much of a quota can be spent twice.
-	gossipInterval = 200 * time.Millisecond
+	// bounds how much of a quota can be spent twice, and how old the load is by
+	// which upstreams are picked.
+	gossipInterval = 100 * time.Millisecond
 	// ledgerEvery is the number of messages of which one carries usage, where
 	// relays pass it on.
-	ledgerEvery = 5
+	ledgerEvery = 10
 	// ledgerSize bounds the processes in one message.
 	ledgerSize = 12
 	// ledgerBack is the number of ended windows of usage that are told.
