internal/gateway: members notice rows of the list that relays could not tell

Cause: a reclaim of a domain lists and drops some hundred upstreams at once; news with all of their rows made datagrams of 15 KB, which were lost, and two seconds later the rows were no longer told. Change: rows are numbered; an entry that misses one reads the list itself. A message carries 2 KB of rows. Test: TestMembersLearnTheListFromRelays, with 400 changes at once.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -50,10 +50,11 @@
 	upstreams map[string]Upstream
 	byID      map[string]Upstream
 	listedAt  time.Time
-	// changes are those of the list that others are told of, listToldAt is when
-	// the list was read that this entry was told of.
+	// changes are those of the list that others are told of, lastRow counts them;
+	// tellers are the relays that tell this entry.
 	changes    []changedRow
-	listToldAt time.Time
+	lastRow    uint64
+	tellers    map[string]*teller
 	router     *router.Router
 	quoter     *quoter.Quoter
 	accountant *accountant.Accountant
@@ -101,6 +102,7 @@
 		log:        cfg.Log,
 		upstreams:  map[string]Upstream{},
 		byID:       map[string]Upstream{},
+		tellers:    map[string]*teller{},
 		router:     router.New(router.Config{EntryID: cfg.ID, FailureDomain: cfg.FailureDomain, Seed: boot, RemotePenalty: &remote, Choices: choices}),
 		quoter:     quoter.New(quoter.Config{Start: cfg.Now(), Reach: peerReach, Round: gossipInterval, Debt: cfg.Quotas.QuotaSlack * debtShare}),
 		accountant: accountant.New(accountant.Config{Self: processName(cfg.ID, boot), Window: window, Keep: usageWindows}),
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -263,7 +263,22 @@
 	require.True(t, member.beliefs.router.Leaving("u1"))
 	require.NotContains(t, member.beliefs.upstreams, "u2")
 	require.Contains(t, member.beliefs.upstreams, "u3")
-	c.rounds(10)
+	require.True(t, member.listIsTold(c.clock.now))
+	var many []keeper.Entry
+	for i := range 400 {
+		many = append(many, keeper.Entry{Key: fmt.Sprint("v", i), Value: []byte("ready"), Version: uint64(10 + i)})
+	}
+	for _, id := range member.beliefs.plan.Relays {
+		c.entries[c.at[member.beliefs.peers[id].address]].servers.Learn(c.clock.now, many)
+	}
+	c.round()
+	require.False(t, member.listIsTold(c.clock.now), "it was told of some of them only")
+	c.rounds(3)
+	require.False(t, member.listIsTold(c.clock.now))
+	read(member, 500, many...)
+	c.rounds(1)
+	require.True(t, member.listIsTold(c.clock.now), "it has read them")
+	c.rounds(20)
 	require.False(t, member.listIsTold(c.clock.now), "no relay has read the list for two seconds")
 }
 
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -10,8 +10,9 @@
 	// rowMemory is how long a relay tells of a change of the list of upstreams:
 	// several messages may be lost.
 	rowMemory = 2 * time.Second
-	// mostRows bounds the rows in one message.
-	mostRows = 64
+	// rowBytes bounds what the rows of one message take: large datagrams are more
+	// likely to be lost. An entry that misses rows reads the list itself.
+	rowBytes = 2 << 10
 	// upstreamPause is the time between two readings of the list of upstreams by
 	// an entry that learns its changes from relays.
 	upstreamPause = 6 * time.Second
@@ -28,26 +29,41 @@
 	if b.listedAt.IsZero() || row.Version == 0 {
 		return
 	}
-	kept := b.changes[:0]
-	for _, c := range b.changes {
-		if now.Sub(c.at) <= rowMemory && c.Key != row.Key {
-			kept = append(kept, c)
-		}
+	b.lastRow++
+	for len(b.changes) > 0 && now.Sub(b.changes[0].at) > rowMemory {
+		b.changes = b.changes[1:]
 	}
-	b.changes = append(kept, changedRow{listRow: listRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}, at: now})
+	b.changes = append(b.changes, changedRow{listRow: listRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}, at: now})
 }
 
-// rows are the changes that a relay tells of now, the newest if there are many.
+// rows are the changes that a relay tells of now: the newest, in their order.
 func (b *beliefs) rows(now time.Time) []listRow {
-	var list []listRow
-	for _, c := range b.changes[max(0, len(b.changes)-mostRows):] {
-		if now.Sub(c.at) <= rowMemory {
-			list = append(list, c.listRow)
+	first, size := len(b.changes), 0
+	for first > 0 {
+		c := b.changes[first-1]
+		if size += len(c.Key) + len(c.Value); size > rowBytes || now.Sub(c.at) > rowMemory {
+			break
 		}
+		first--
+	}
+	list := make([]listRow, 0, len(b.changes)-first)
+	for _, c := range b.changes[first:] {
+		list = append(list, c.listRow)
 	}
 	return list
 }
 
+// teller is a relay that tells of changes of the list of upstreams.
+type teller struct {
+	boot uint64
+	// readAt is when it read the list, last the number of the last change that it
+	// told.
+	readAt time.Time
+	last   uint64
+	// missedAt is when changes were missed that it had told of.
+	missedAt time.Time
+}
+
 // learnList takes what a relay has read of the list of upstreams.
 func (g *Gateway) learnList(now time.Time, n news) {
 	if n.Voice != forOthers {
@@ -55,9 +71,19 @@
 	}
 	b := g.beliefs
 	b.mu.Lock()
-	if at := now.Add(-time.Duration(n.ListAgeMS) * time.Millisecond); at.After(b.listToldAt) {
-		b.listToldAt = at
+	t, known := b.tellers[n.ID]
+	if !known {
+		t = &teller{}
+		b.tellers[n.ID] = t
+	}
+	if t.boot != n.Boot || n.LastRow > t.last+uint64(len(n.Rows)) {
+		t.missedAt = now
 	}
+	t.boot, t.last = n.Boot, max(n.LastRow, t.last)
+	if t.missedAt.Equal(now) {
+		t.last = n.LastRow
+	}
+	t.readAt = now.Add(-time.Duration(n.ListAgeMS) * time.Millisecond)
 	b.mu.Unlock()
 	if len(n.Rows) == 0 {
 		return
@@ -77,5 +103,15 @@
 	b := g.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.plan.Relay && now.Sub(b.listToldAt) < g.cfg.LeaveWithin/2
+	if b.plan.Relay {
+		return false
+	}
+	age, ever := g.servers.Age(now)
+	for _, t := range b.tellers {
+		// What was missed has to have been read since.
+		if now.Sub(t.readAt) < g.cfg.LeaveWithin/2 && ever && now.Add(-age).After(t.missedAt) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -49,9 +49,11 @@
 	Domains  []string          `cbor:"15,keyasint,omitempty"`
 	Capacity float64           `cbor:"16,keyasint,omitempty"`
 	Ledger   map[string]record `cbor:"17,keyasint,omitempty"`
-	// Rows are the changes of the list of upstreams of the last moments, ListAgeMS
-	// how long ago the sender read it.
+	// Rows are the newest changes of the list of upstreams, LastRow is the number
+	// of the last of them since the sender's process began. ListAgeMS is how long
+	// ago the sender read the list.
 	Rows      []listRow `cbor:"18,keyasint,omitempty"`
+	LastRow   uint64    `cbor:"21,keyasint,omitempty"`
 	ListAgeMS int64     `cbor:"19,keyasint,omitempty"`
 	// Moves are by deployment.
 	Moves map[string]moveWord `cbor:"20,keyasint,omitempty"`
--- a/internal/gateway/sums.go
+++ b/internal/gateway/sums.go
@@ -119,7 +119,7 @@
 	for name, passed := range b.passed[id] {
 		n.Totals[name] -= passed
 	}
-	n.Rows, n.ListAgeMS = s.rows, s.listAge.Milliseconds()
+	n.Rows, n.LastRow, n.ListAgeMS = s.rows, b.lastRow, s.listAge.Milliseconds()
 	for domain := range s.all.domains {
 		n.Domains = append(n.Domains, domain)
 	}
