--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -201,6 +201,11 @@
 		}
 		hopeless++
 		if hopeless > 1 {
+			// An answer that came during the look counts before what was found.
+			cancel()
+			if r := <-answered; r.err == nil {
+				return r.reply, nil
+			}
 			s.metrics.Count("silent_connections")
 			return dispatcher.Reply{}, judge.Mark(judge.MayHaveRun, "%s does not answer the call", target.ID)
 		}
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -117,3 +118,36 @@
 	s.endSolo(a)
 	require.Empty(t, s.state.suspects)
 }
+
+// answering is an upstream whose answer to a call arrives while it is asked for
+// the second time what became of the call.
+type answering struct {
+	dispatcher.Upstreams
+	looks  int
+	second chan struct{}
+}
+
+func (a *answering) Progress(context.Context, dispatcher.Target, string, int) (dispatcher.Progress, error) {
+	if a.looks++; a.looks == 2 {
+		close(a.second)
+	}
+	return dispatcher.Progress{Known: true, Done: true}, nil
+}
+
+func (a *answering) Call(ctx context.Context, _ dispatcher.Target, _ dispatcher.Call) (dispatcher.Reply, error) {
+	<-ctx.Done()
+	select {
+	case <-a.second:
+		return dispatcher.Reply{Status: http.StatusOK}, nil
+	default:
+		return dispatcher.Reply{}, ctx.Err()
+	}
+}
+
+// An answer that has come by the time the call is given up is the answer.
+func TestAnswerBeforeFindings(t *testing.T) {
+	s := testServer(t, "e1", nil, &answering{second: make(chan struct{})})
+	reply, err := s.watchedCall(context.Background(), &callState{}, dispatcher.Target{ID: "u0"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, reply.Status)
+}
