--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -200,6 +200,36 @@
 	})
 }
 
+// A process that is told to stop goes on serving what it has accepted. What that
+// spends and loads upstreams with counts until it ends, although the entry is no
+// member any more.
+func TestStoppingEntriesCount(t *testing.T) {
+	for _, n := range []int{6, 40} {
+		c := newCrowd(t, n)
+		stopping, other := c.entries[n-1], c.entries[1]
+		listVersions(other, c.clock.now, 1, 0)
+		c.rounds(6)
+		limit := quoter.Limit{Rate: 1e6, Burst: 1e6}
+		for _, g := range c.entries {
+			_, _ = g.beliefs.quoter.Spend(c.clock.now, "luna", limit, quoter.Ask{})
+		}
+		stopping.stopping.Store(true)
+		c.rounds(2)
+		for _, g := range c.entries[:n-1] {
+			g.seat(c.clock.now, []keeper.Entry{{Key: stopping.cfg.ID, Deleted: true}})
+		}
+		listVersions(stopping, c.clock.now, 1, 0)
+		stopping.beliefs.router.Begin("u0")
+		ok, _ := stopping.beliefs.quoter.Spend(c.clock.now, "luna", limit, quoter.Ask{Cost: 5000})
+		require.True(t, ok)
+		c.rounds(4)
+		b := other.beliefs
+		require.InDelta(t, 5000, b.near[spentPrefix+"luna"]+b.far[spentPrefix+"luna"], 0, "of %d", n)
+		require.InDelta(t, 1, b.router.Busy(c.clock.now, "u0"), 0, "of %d", n)
+		require.Equal(t, n, b.members()+1, "of %d", n)
+	}
+}
+
 // What a process has begun reaches the holder of the duty through relays, also
 // when the process dies after it told them.
 func TestUsageReachesTheHolder(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -73,8 +73,9 @@
 	}
 	b.hearUsage(now, n)
 	b.hearMoves(now, n.Moves)
-	if n.Stopping {
-		b.hearLast(now, n)
+	if n.Stopping && !known {
+		// It serves what it has accepted, and is no member any more.
+		b.hearVoice(now, n)
 		return
 	}
 	if !known {
@@ -89,23 +90,13 @@
 	}
 	p.boot, p.address, p.domain, p.capacity = n.Boot, n.Address, n.Domain, n.Capacity
 	p.watch.Heard(now)
-	p.stopping = false
+	p.stopping = n.Stopping
 	if !known {
 		b.resize(now)
 	}
 	b.hearVoice(now, n)
 }
 
-// hearLast takes the last news of a process that stops.
-func (b *beliefs) hearLast(now time.Time, n news) {
-	if p, ok := b.peers[n.ID]; ok {
-		p.stopping = true
-	}
-	group := b.groupOf(n)
-	b.grow(n, b.aggregator.Hear(now, report(n, group)))
-	b.drop(now, group, n.ID)
-}
-
 // drop forgets a source of a group's news.
 func (b *beliefs) drop(now time.Time, group, source string) {
 	if !b.aggregator.Drop(group, source) {
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -92,8 +92,11 @@
 // forget drops an entry that is gone. The lock must be held.
 func (g *Gateway) forget(now time.Time, id, why string) {
 	b := g.beliefs
-	for _, group := range []string{entryGroup(id), relayGroup(id), othersGroup} {
-		b.drop(now, group, id)
+	if p, ok := b.peers[id]; ok && now.Sub(p.watch.HeardAt()) > peerReach {
+		// One that is still heard ends what it has accepted.
+		for _, group := range []string{entryGroup(id), relayGroup(id), othersGroup} {
+			b.drop(now, group, id)
+		}
 	}
 	delete(b.peers, id)
 	b.resize(now)
@@ -109,6 +112,9 @@
 	for group, h := range b.heard {
 		if silent := now.Sub(h.at); silent > peerReach {
 			b.replace(now, group, nil)
+			if _, member := b.peers[h.news.ID]; !member {
+				b.drop(now, group, h.news.ID)
+			}
 			g.cfg.Log.Warn().Str("event", "peer_silent").Str("peer", h.news.ID).Str("group", group).
 				Int("entries", max(1, h.news.Entries)).Dur("silent", silent).Send()
 		}
