--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -198,6 +199,9 @@
 	if c.upstream.ID != "" {
 		line = line.Str("upstream", c.upstream.ID).Int("status", c.status)
 	}
+	if c.prefix != 0 {
+		line = line.Str("prefix", strconv.FormatUint(c.prefix, 36)).Float64("met", c.met)
+	}
 	if c.first > 0 {
 		line = line.Dur("first", c.first)
 	}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -15,7 +15,7 @@
 	rowBytes = 2 << 10
 	// upstreamPause is the time between two readings of the list of upstreams by
 	// an entry that learns its changes from relays.
-	upstreamPause = 6 * time.Second
+	upstreamPause = 15 * time.Second
 )
 
 // changedRow is a change of the list of upstreams that matters to others.
