--- a/internal/experimenter/serving.go
+++ b/internal/experimenter/serving.go
@@ -121,8 +121,6 @@
 	name string
 	// prefix sends sessions to their own engines, all knows what engines hold.
 	prefix, all bool
-	// weighed tells the router what it costs to read the session again.
-	weighed bool
 	// choices is the number of engines of which the least loaded is taken.
 	choices int
 }
@@ -304,9 +302,6 @@
 	if way.prefix && c.template+c.session >= 500 {
 		ask.Prefix = xxhash.Sum64String(r.session)
 	}
-	if way.weighed {
-		ask.PrefixWeight = float64(c.template+c.session) / promptUnit
-	}
 	u, _ := entry.Pick(now, ask)
 	at := 0
 	_, _ = fmt.Sscan(u.ID, &at)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -42,9 +42,6 @@
 	Avoid string
 	// Prefix is the hash of the prompt's shared beginning; 0 means none.
 	Prefix uint64
-	// PrefixWeight is the load, in requests, of reading the prefix again where it
-	// is not kept. Zero means that it is not known.
-	PrefixWeight float64
 	// Exclude lists upstreams that this request has failed on.
 	Exclude []string
 }
