--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -295,7 +295,7 @@
 	require.Contains(t, member.beliefs.upstreams, "u3")
 	require.True(t, member.listIsTold(c.clock.now))
 	var many []keeper.Entry
-	for i := range 400 {
+	for i := range 4000 {
 		many = append(many, keeper.Entry{Key: fmt.Sprint("v", i), Value: []byte("ready"), Version: uint64(10 + i)})
 	}
 	for _, id := range member.beliefs.plan.Relays {
@@ -305,7 +305,7 @@
 	require.False(t, member.listIsTold(c.clock.now), "it was told of some of them only")
 	c.rounds(3)
 	require.False(t, member.listIsTold(c.clock.now))
-	read(member, 500, many...)
+	read(member, 5000, many...)
 	c.rounds(1)
 	require.True(t, member.listIsTold(c.clock.now), "it has read them")
 	c.rounds(20)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -8,11 +8,12 @@
 
 const (
 	// rowMemory is how long a relay tells of a change of the list of upstreams:
-	// several messages may be lost.
-	rowMemory = 2 * time.Second
-	// rowBytes bounds what the rows of one message take: large datagrams are more
-	// likely to be lost. An entry that misses rows reads the list itself.
-	rowBytes = 2 << 10
+	// some messages may be lost. An entry that misses rows reads the list itself.
+	rowMemory = 4 * gossipInterval
+	// chunkBytes bounds the rows of one message, as large datagrams are more
+	// likely to be lost, and mostChunks the messages of one round.
+	chunkBytes = 1200
+	mostChunks = 24
 	// upstreamPause is the time between two readings of the list of upstreams by
 	// an entry that learns its changes from relays.
 	upstreamPause = 15 * time.Second
@@ -36,21 +37,25 @@
 	b.changes = append(b.changes, changedRow{listRow: listRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}, at: now})
 }
 
-// rows are the changes that a relay tells of now: the newest, in their order.
-func (b *beliefs) rows(now time.Time) []listRow {
-	first, size := len(b.changes), 0
-	for first > 0 {
-		c := b.changes[first-1]
-		if size += len(c.Key) + len(c.Value); size > rowBytes || now.Sub(c.at) > rowMemory {
-			break
-		}
+// chunks are the changes that a relay tells of now, in their order, cut to
+// messages. The oldest are left out if there are too many.
+func (b *beliefs) chunks(now time.Time) []news {
+	first := len(b.changes)
+	for first > 0 && now.Sub(b.changes[first-1].at) <= rowMemory {
 		first--
 	}
-	list := make([]listRow, 0, len(b.changes)-first)
+	var list []news
+	number, size := b.lastRow-uint64(len(b.changes)-first), chunkBytes
 	for _, c := range b.changes[first:] {
-		list = append(list, c.listRow)
+		if size += len(c.Key) + len(c.Value); size > chunkBytes {
+			list = append(list, news{Voice: forList})
+			size = len(c.Key) + len(c.Value)
+		}
+		number++
+		last := &list[len(list)-1]
+		last.Rows, last.LastRow = append(last.Rows, c.listRow), number
 	}
-	return list
+	return list[max(0, len(list)-mostChunks):]
 }
 
 // teller is a relay that tells of changes of the list of upstreams.
@@ -66,7 +71,7 @@
 
 // learnList takes what a relay has read of the list of upstreams.
 func (g *Gateway) learnList(now time.Time, n news) {
-	if n.Voice != forOthers {
+	if n.Voice != forOthers && n.Voice != forList {
 		return
 	}
 	b := g.beliefs
@@ -83,7 +88,9 @@
 	if t.missedAt.Equal(now) {
 		t.last = n.LastRow
 	}
-	t.readAt = now.Add(-time.Duration(n.ListAgeMS) * time.Millisecond)
+	if n.Voice == forOthers {
+		t.readAt = now.Add(-time.Duration(n.ListAgeMS) * time.Millisecond)
+	}
 	b.mu.Unlock()
 	if len(n.Rows) == 0 {
 		return
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -21,6 +21,8 @@
 	// forLedger is what the processes of a group have begun, to the holder of
 	// the duty.
 	forLedger
+	// forList is a relay's news of the list of upstreams, to its members.
+	forList
 )
 
 // news is what one entry tells another. Totals only grow while its process
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -59,7 +59,9 @@
 	if n.ID == g.cfg.ID || n.ID == "" {
 		return
 	}
-	g.hearNews(now, n)
+	if n.Voice != forList {
+		g.hearNews(now, n)
+	}
 	g.learnList(now, n)
 }
 
@@ -293,6 +295,10 @@
 		relays = append(relays, ids...)
 	}
 	parcels = append(parcels, gossiper.Parcel[news]{To: b.addressesOf(relays), Message: s.forGroup(b.plan, own)})
+	for _, n := range b.chunks(now) {
+		n.ID, n.Boot = own.ID, own.Boot
+		parcels = append(parcels, gossiper.Parcel[news]{To: b.addressesOf(b.plan.Members), Message: n})
+	}
 	for _, id := range b.plan.Members {
 		parcels = append(parcels, gossiper.Parcel[news]{To: b.addressesOf([]string{id}), Message: s.forMember(b, own, id)})
 	}
--- a/internal/gateway/sums.go
+++ b/internal/gateway/sums.go
@@ -41,7 +41,6 @@
 	// agreedMS is the time of day that most agree on, as a relay tells it to its
 	// members, groupMS that of its group.
 	agreedMS, groupMS int64
-	rows              []listRow
 	listAge           time.Duration
 }
 
@@ -96,7 +95,6 @@
 	}
 	s.groupMS = now.Add(agreed(clocks)).UnixMilli()
 	s.agreedMS = b.trueTime(now).UnixMilli()
-	s.rows = b.rows(now)
 	return s
 }
 
@@ -119,7 +117,7 @@
 	for name, passed := range b.passed[id] {
 		n.Totals[name] -= passed
 	}
-	n.Rows, n.LastRow, n.ListAgeMS = s.rows, b.lastRow, s.listAge.Milliseconds()
+	n.LastRow, n.ListAgeMS = b.lastRow, s.listAge.Milliseconds()
 	for domain := range s.all.domains {
 		n.Domains = append(n.Domains, domain)
 	}
