internal/gateway: relays wait less for changes of the list

Cause: while a relay's call waited up to 5 s for changes its copy seemed old, so that its members read the list themselves every 2 s (measured: 9 readings a member in 20 s).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -35,6 +35,9 @@
 	Table string
 	// Wait is how long one call waits for changes.
 	Wait time.Duration
+	// MostWait, if set, bounds that from case to case: how old the copy is shows
+	// only when a call returns.
+	MostWait func() time.Duration
 	// Pause is the time between two calls; changes are collected meanwhile.
 	Pause time.Duration
 	// Spare, if set, is asked during a pause. While it returns true the pause
@@ -187,6 +190,8 @@
 		return 0
 	case len(f.missing) > 0:
 		return min(f.cfg.Wait, f.cfg.Grace/4)
+	case f.cfg.MostWait != nil:
+		return min(f.cfg.Wait, f.cfg.MostWait())
 	default:
 		return f.cfg.Wait
 	}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -104,6 +104,18 @@
 	g.servers.Learn(now, entries)
 }
 
+// listWait is how long a reading of the list may wait for changes: a relay's
+// members take a list for told only while the relay has read it lately.
+func (g *Gateway) listWait() time.Duration {
+	b := g.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.plan.Relay && len(b.plan.Members) > 0 {
+		return g.cfg.LeaveWithin / 4
+	}
+	return upstreamWait
+}
+
 // listIsTold reports whether relays tell of changes of the list of upstreams in
 // time, so that this entry need not read it often.
 func (g *Gateway) listIsTold(now time.Time) bool {
