--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -183,17 +183,20 @@
 // wait returns how long the next call waits for changes: not at all after a
 // failure, so that the store's return is seen when it happens.
 func (f *Follower) wait() time.Duration {
+	most := f.cfg.Wait
+	if f.cfg.MostWait != nil {
+		// It may take locks under which the copy is asked for its age.
+		most = min(most, f.cfg.MostWait())
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case !f.failedAt.IsZero():
 		return 0
 	case len(f.missing) > 0:
-		return min(f.cfg.Wait, f.cfg.Grace/4)
-	case f.cfg.MostWait != nil:
-		return min(f.cfg.Wait, f.cfg.MostWait())
+		return min(most, f.cfg.Grace/4)
 	default:
-		return f.cfg.Wait
+		return most
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	g.servers = g.follow(follower.Config{
 		Table: cfg.Tables.Upstreams, Wait: upstreamWait, Pause: cfg.LeaveWithin / 4, Spare: g.listIsTold, LongPause: upstreamPause,
 		MostWait: g.listWait,
-		Apply: g.beliefs.list,
+		Apply:    g.beliefs.list,
 	})
 	g.entries = g.follow(follower.Config{
 		Table: cfg.Tables.Entries, Wait: rosterPause, Pause: rosterPause, Spare: g.rosterIsLarge, LongPause: rosterLongPause, Apply: g.seat,
