internal/gateway: what a relay told and a member missed is dated by the store's version

Cause: a member took its own reading for newer than what it had missed if the answer came later. An answer that waited in a busy entry is older than it looks, and a relay may tell of rows that it has learned itself from the other relay. TestMembersLearnTheListFromRelays asks for it and failed before.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -52,8 +52,10 @@
 	listedAt  time.Time
 	// changes are those of the list that others are told of, lastRow counts them;
 	// tellers are the relays that tell this entry.
-	changes    []changedRow
-	lastRow    uint64
+	changes []changedRow
+	lastRow uint64
+	// rowVersion is the newest version of a row that others are told of.
+	rowVersion uint64
 	tellers    map[string]*teller
 	router     *router.Router
 	quoter     *quoter.Quoter
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -11,10 +11,12 @@
 // How the parts fit: ingress.go takes requests in and refuses; call.go brings
 // one through attempts, watch.go leaves upstreams that are silent; relay.go and
 // events.go pass answers on. beliefs.go holds what is known; peers.go exchanges
-// it with other entries, roster.go keeps their list, reach.go says who is out of
-// reach; demand.go and prompts.go measure what callers ask. duties.go, usage.go
-// and fleet.go act for all entries under a lease; stop.go ends a process without
-// cutting a request.
+// it with other entries in the messages of news.go, whose sums are made in sums.go
+// and whose rows of upstreams in listing.go; roster.go keeps the list of entries,
+// reach.go says who is out of reach; demand.go and prompts.go measure what callers
+// ask; moves.go keeps a new version's share. duties.go, usage.go, fleet.go and the
+// keeper of moves.go act for all entries under a lease; stop.go ends a process
+// without cutting a request.
 //
 //	g, err := gateway.New(gateway.Config{...})
 //	err = g.Run(ctx)
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -306,6 +306,8 @@
 	require.False(t, member.listIsTold(c.clock.now), "it was told of some of them only")
 	c.rounds(3)
 	require.False(t, member.listIsTold(c.clock.now))
+	read(member, 9, many[:0]...)
+	require.False(t, member.listIsTold(c.clock.now), "its answer is older than what it missed")
 	read(member, 5000, many...)
 	c.rounds(1)
 	require.True(t, member.listIsTold(c.clock.now), "it has read them")
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -31,6 +31,7 @@
 		return
 	}
 	b.lastRow++
+	b.rowVersion = max(b.rowVersion, row.Version)
 	for len(b.changes) > 0 && now.Sub(b.changes[0].at) > rowMemory {
 		b.changes = b.changes[1:]
 	}
@@ -65,8 +66,9 @@
 	// told.
 	readAt time.Time
 	last   uint64
-	// missedAt is when changes were missed that it had told of.
-	missedAt time.Time
+	// missed is the version of the store as of which this entry has to have read
+	// the list itself, since it missed changes.
+	missed uint64
 }
 
 // learnList takes what a relay has read of the list of upstreams.
@@ -81,13 +83,13 @@
 		t = &teller{}
 		b.tellers[n.ID] = t
 	}
-	if t.boot != n.Boot || n.LastRow > t.last+uint64(len(n.Rows)) {
-		t.missedAt = now
+	if t.boot != n.Boot {
+		t.boot, t.last, t.missed = n.Boot, n.LastRow, n.ListVersion
 	}
-	t.boot, t.last = n.Boot, max(n.LastRow, t.last)
-	if t.missedAt.Equal(now) {
-		t.last = n.LastRow
+	if n.LastRow > t.last+uint64(len(n.Rows)) {
+		t.missed = max(t.missed, n.ListVersion)
 	}
+	t.last = max(t.last, n.LastRow)
 	if n.Voice == forOthers {
 		t.readAt = now.Add(-time.Duration(n.ListAgeMS) * time.Millisecond)
 	}
@@ -125,10 +127,9 @@
 	if b.plan.Relay {
 		return false
 	}
-	age, ever := g.servers.Age(now)
+	version := g.servers.Version()
 	for _, t := range b.tellers {
-		// What was missed has to have been read since.
-		if now.Sub(t.readAt) < g.cfg.LeaveWithin/2 && ever && now.Add(-age).After(t.missedAt) {
+		if now.Sub(t.readAt) < g.cfg.LeaveWithin/2 && version > 0 && version >= t.missed {
 			return true
 		}
 	}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -53,10 +53,12 @@
 	Ledger   map[string]record `cbor:"17,keyasint,omitempty"`
 	// Rows are the newest changes of the list of upstreams, LastRow is the number
 	// of the last of them since the sender's process began. ListAgeMS is how long
-	// ago the sender read the list.
-	Rows      []listRow `cbor:"18,keyasint,omitempty"`
-	LastRow   uint64    `cbor:"21,keyasint,omitempty"`
-	ListAgeMS int64     `cbor:"19,keyasint,omitempty"`
+	// ago the sender read the list, ListVersion the version of the store as of
+	// which it knows it.
+	Rows        []listRow `cbor:"18,keyasint,omitempty"`
+	LastRow     uint64    `cbor:"21,keyasint,omitempty"`
+	ListAgeMS   int64     `cbor:"19,keyasint,omitempty"`
+	ListVersion uint64    `cbor:"22,keyasint,omitempty"`
 	// Moves are by deployment.
 	Moves map[string]moveWord `cbor:"20,keyasint,omitempty"`
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -289,14 +289,14 @@
 	if !ever {
 		age = time.Hour
 	}
-	s.listAge = age
+	s.listAge, s.listVersion = age, max(g.servers.Version(), b.rowVersion)
 	var relays []string
 	for _, ids := range b.plan.Others {
 		relays = append(relays, ids...)
 	}
 	parcels = append(parcels, gossiper.Parcel[news]{To: b.addressesOf(relays), Message: s.forGroup(b.plan, own)})
 	for _, n := range b.chunks(now) {
-		n.ID, n.Boot = own.ID, own.Boot
+		n.ID, n.Boot, n.ListVersion = own.ID, own.Boot, s.listVersion
 		parcels = append(parcels, gossiper.Parcel[news]{To: b.addressesOf(b.plan.Members), Message: n})
 	}
 	for _, id := range b.plan.Members {
--- a/internal/gateway/sums.go
+++ b/internal/gateway/sums.go
@@ -42,6 +42,7 @@
 	// members, groupMS that of its group.
 	agreedMS, groupMS int64
 	listAge           time.Duration
+	listVersion       uint64
 }
 
 type sum struct {
@@ -117,7 +118,7 @@
 	for name, passed := range b.passed[id] {
 		n.Totals[name] -= passed
 	}
-	n.LastRow, n.ListAgeMS = b.lastRow, s.listAge.Milliseconds()
+	n.LastRow, n.ListAgeMS, n.ListVersion = b.lastRow, s.listAge.Milliseconds(), s.listVersion
 	for domain := range s.all.domains {
 		n.Domains = append(n.Domains, domain)
 	}
