--- a/internal/experimenter/serving.go
+++ b/internal/experimenter/serving.go
@@ -60,16 +60,15 @@
 
 // served is a request of the model.
 type served struct {
-	class    int
-	session  string
-	tokens   int
-	left     int
-	answer   int
-	arrived  time.Time
-	entry    int
-	engine   int
-	weight   float64
-	finished bool
+	class   int
+	session string
+	tokens  int
+	left    int
+	answer  int
+	arrived time.Time
+	entry   int
+	engine  int
+	weight  float64
 }
 
 // batchEngine is one engine of the model.
