--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenahitch/galenahitch/internal/pooler"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 	"github.com/galenahitch/galenahitch/pkg/resolver"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -37,8 +38,11 @@
 // call is the state of one caller's request. It belongs to the goroutine that
 // serves the request.
 type call struct {
-	request  Request
-	body     []byte
+	request Request
+	body    []byte
+	// fingerprint is the same for all requests with the same content, which a
+	// caller may repeat under new IDs.
+	fingerprint isolator.Fingerprint
 	route    resolver.Route
 	org      *resolver.Organisation
 	resolver *resolver.Resolver
@@ -59,6 +63,8 @@
 	exclude []string
 
 	upstream Upstream
+	// attemptAt is when the current attempt began.
+	attemptAt time.Time
 	// loadAtStart is the load of the upstream before the request was sent to it.
 	loadAtStart      float64
 	status           int
@@ -181,7 +187,7 @@
 // once the caller has the complete response.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, u Upstream) *failure {
 	now := g.cfg.Now()
-	c.upstream, c.attemptLatency = u, 0
+	c.upstream, c.attemptAt, c.attemptLatency = u, now, 0
 	ctx, silence := g.watchSilence(ctx, c)
 	defer silence.stop()
 	load := float64(c.request.PromptTokens) / promptTokensPerLoad
@@ -295,7 +301,8 @@
 	listAge := now.Sub(st.listUpdatedAt)
 	st.mu.Unlock()
 	g.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", c.request.ID).Str("upstream", u.ID).
-		Str("verdict", string(f.verdict)).Bool("busy", f.busy).Int("sends", c.sends).Dur("list_age", listAge).Err(f.cause).Send()
+		Str("verdict", string(f.verdict)).Bool("busy", f.busy).Bool("unsent", f.unsent).Int("sends", c.sends).Int("runs", c.runs).
+		Str("fingerprint", c.fingerprint.String()).Dur("took", now.Sub(c.attemptAt)).Dur("list_age", listAge).Err(f.cause).Send()
 }
 
 // mayRetry reports whether the call may be sent to another upstream. It charges
@@ -325,7 +332,12 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	budget, ok := st.retryBudgets[deployment]
-	return ok && budget.TakeRetry(now)
+	if !ok || !budget.TakeRetry(now) {
+		g.metrics.Count("retries_over_budget")
+		return false
+	}
+	g.metrics.Count("retries_charged")
+	return true
 }
 
 // refuseNoUpstream returns the refusal of a call for which there is no
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -10,6 +10,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 	"github.com/galenahitch/galenahitch/pkg/resolver"
 )
@@ -89,6 +90,7 @@
 		}
 		return c, judge.Refuse(judge.CodeBadRequest, judge.NotRun, "the body can't be read")
 	}
+	c.setFingerprint()
 	return c, nil
 }
 
@@ -110,6 +112,16 @@
 	return nil
 }
 
+// setFingerprint computes the fingerprint from the parts of a request that its
+// caller repeats.
+func (c *call) setFingerprint() {
+	organisation := ""
+	if c.org != nil {
+		organisation = c.org.Name
+	}
+	c.fingerprint = isolator.FingerprintOf(organisation, c.request.Method+" "+c.request.Host+c.request.Target, c.body)
+}
+
 // timeout returns how long the call may take in all.
 func (c *call) timeout() time.Duration {
 	limit := c.request.Timeout
@@ -198,7 +210,7 @@
 		line = line.Uint64("config", c.resolver.Version())
 	}
 	if c.upstream.ID != "" {
-		line = line.Str("upstream", c.upstream.ID).Int("status", c.status)
+		line = line.Str("upstream", c.upstream.ID).Int("status", c.status).Str("fingerprint", c.fingerprint.String())
 	}
 	if c.prefix != 0 {
 		line = line.Str("prefix", strconv.FormatUint(c.prefix, 36)).Float64("met", c.loadAtStart)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -229,6 +229,9 @@
 			st.log.Warn().Str("event", "upstream_row_invalid").Str("row", row.Key).Uint64("row_version", row.Version).Err(err).Send()
 			continue
 		}
+		if known && old.ID != u.ID {
+			st.log.Info().Str("event", "upstream_restarted").Str("upstream", old.ID).Str("now", u.ID).Bool("was_leaving", old.Leaving).Send()
+		}
 		if !known || old.ID != u.ID {
 			st.log.Info().Str("event", "upstream_listed").Str("upstream", u.ID).Str("address", u.Address).
 				Str("deployment", u.Deployment).Str("version", u.Version).Bool("reclaimable", u.Reclaimable).Send()
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +37,9 @@
 	return Fingerprint(d.Sum64())
 }
 
+// String returns the fingerprint in base 36, as it stands in logs.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 36) }
+
 // Status says how a request is treated after crashes.
 type Status int
 
