pkg/isolator: coincidences and crashes of many upstreams confirm nobody

Cause: a request was confirmed as poison at two crashes if no other request was in flight at both. Requests that are sent again while upstreams crash one after another reach two crashes by chance: TestRandomCrashesConfirmNobody and TestCrashOfManyUpstreamsConfirmsNobody fail with the rule of before. A completion changed nothing, and a second crash of an upstream under the same ID did not count, so that with two upstreams a poison request was never confirmed.

Now three crashes are needed, each of an attempt that began after the crash before it; the request must not have completed since; no other request was in flight at all of them; and the probability that all these attempts met a crash by chance, at the rate of crashes seen, must be below 1e-6. Records carry ages instead of being dated when they are merged.

The status Pending is gone with the two crashes that it waited after. Its test is replaced by TestStatuses; the bound on crashes goes from two to four with a wait of 3 s to three without one, at the test's rate.

--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -288,6 +288,7 @@
 	defer s.state.mu.Unlock()
 	s.state.router.RecordSuccess(target.ID)
 	s.state.retryBudget(budgetKey{organisation: r.org.Name, route: r.route.Name}).RecordSuccess()
+	s.state.isolator.RecordCompletion(s.now(), r.fingerprint)
 	s.metrics.Count("runs_done")
 }
 
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -152,6 +152,13 @@
 	return r.lastUpstream == upstream && r.lastAttemptAt.Before(before)
 }
 
+// lastAttempt returns the newest attempt, which ended at the given time.
+func (r *request) lastAttempt(end time.Time) isolator.Attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return isolator.Attempt{Fingerprint: r.fingerprint, Start: r.lastAttemptAt, End: end}
+}
+
 // excludeUpstream excludes an upstream from later attempts.
 func (r *request) excludeUpstream(id string) {
 	r.mu.Lock()
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -27,6 +27,7 @@
 	deadline      time.Time
 	excludedIDs   []string
 	attempts      int
+	attemptAt     time.Time
 	failedVersion string
 }
 
@@ -147,6 +148,7 @@
 	call.upstreamCall.Number = call.attempts
 	s.addInFlight(call.route.Deployment, target, version)
 	start := s.now()
+	call.attemptAt = start
 	response, err := s.callWithProbes(ctx, call, target)
 	s.removeInFlight(call.route.Deployment, target, version)
 	if err != nil {
@@ -239,6 +241,7 @@
 // healthy becomes a suspect. If its address refuses connections it has crashed,
 // and the call gets a crash record.
 func (s *Server) probeAfterCall(ctx context.Context, call *serviceCall, target dispatcher.Target) {
+	endedAt := s.now()
 	result := s.probe(ctx, target, "")
 	if result == probeHealthy {
 		return
@@ -247,7 +250,7 @@
 	if result != probeCrashed {
 		return
 	}
-	s.recordCrash(&request{fingerprint: call.fingerprint}, target.ID, s.now())
+	s.recordCrash(nil, isolator.Attempt{Fingerprint: call.fingerprint, Start: call.attemptAt, End: endedAt}, target.ID)
 }
 
 // recordCallSuccess records a success of the upstream and refills the retry budget.
@@ -256,4 +259,5 @@
 	defer s.state.mu.Unlock()
 	s.state.router.RecordSuccess(target.ID)
 	s.state.retryBudget(budgetKey{organisation: call.org.Name, route: call.route.Name}).RecordSuccess()
+	s.state.isolator.RecordCompletion(s.now(), call.fingerprint)
 }
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,6 +114,22 @@
 	return true
 }
 
+// deploymentSize returns the number of VMs of an upstream's deployment. The lock must
+// be held.
+func (s *state) deploymentSize(upstream string) int {
+	at := slices.IndexFunc(s.vms, func(vm provider.VM) bool { return vm.ID == upstream })
+	if at < 0 {
+		return 0
+	}
+	size := 0
+	for _, vm := range s.vms {
+		if vm.Role == s.vms[at].Role && vm.Deployment == s.vms[at].Deployment {
+			size++
+		}
+	}
+	return size
+}
+
 // applyVMList replaces the VM list and updates the router's upstreams and the
 // tracker's members from it.
 func (s *state) applyVMList(now time.Time, vms []provider.VM) {
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -192,7 +192,7 @@
 		s.suspect(target.ID)
 	}
 	if result == probeCrashed {
-		s.recordCrash(r, target.ID, endedAt)
+		s.recordCrash(r, r.lastAttempt(endedAt), target.ID)
 	}
 	return result == probeCrashed
 }
@@ -200,23 +200,27 @@
 // crashWindow is the time during which later detections count as the same crash.
 const crashWindow = 10 * time.Second
 
-// recordCrash records the crash of an upstream for the requests that were in flight
-// on it when an attempt failed at endedAt. The first request that detects the
-// crash names all of them, later ones only themselves: if each named all, the cost
-// would be quadratic in their number.
-func (s *Server) recordCrash(r *request, upstream string, endedAt time.Time) {
+// recordCrash records the crash of an upstream for an attempt that was in flight on
+// it, and for the others that were. The first attempt that detects the crash names
+// all of them, later ones only themselves: if each named all, the cost would be
+// quadratic in their number. The request r, nil for a call, made the attempt.
+func (s *Server) recordCrash(r *request, attempt isolator.Attempt, upstream string) {
 	now := s.now()
-	fingerprints := []isolator.Fingerprint{r.fingerprint}
+	inFlight := []isolator.Attempt{attempt}
 	if s.isNewCrash(now, upstream) {
 		s.metrics.Count("upstream_deaths")
 		for _, other := range s.runs.open() {
-			if other != r && other.wasInFlightOn(upstream, endedAt) {
-				fingerprints = append(fingerprints, other.fingerprint)
+			if other != r && other.wasInFlightOn(upstream, attempt.End) {
+				inFlight = append(inFlight, other.lastAttempt(attempt.End))
 			}
 		}
 	}
 	s.state.mu.Lock()
-	updated := s.state.isolator.RecordCrash(now, upstream, fingerprints)
+	choices := s.state.deploymentSize(upstream)
+	for i := range inFlight {
+		inFlight[i].Choices = choices
+	}
+	updated := s.state.isolator.RecordCrash(now, upstream, inFlight)
 	s.state.mu.Unlock()
 	if len(updated) > 0 {
 		s.triggerGossip()
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -79,13 +79,13 @@
 	crashedAt := s.now().Add(time.Millisecond)
 	s.runs.addIfAbsent(runs["a"])
 	s.runs.addIfAbsent(runs["b"])
-	s.recordCrash(runs["a"], "u0", crashedAt)
+	s.recordCrash(runs["a"], runs["a"].lastAttempt(crashedAt), "u0")
 	require.Equal(t, isolator.Suspect, s.crashStatus(1))
 	require.Equal(t, isolator.Suspect, s.crashStatus(2))
 	s.runs.addIfAbsent(runs["c"])
-	s.recordCrash(runs["b"], "u0", crashedAt)
+	s.recordCrash(runs["b"], runs["b"].lastAttempt(crashedAt), "u0")
 	require.Equal(t, isolator.Clear, s.crashStatus(3))
-	s.recordCrash(runs["c"], "u0", crashedAt)
+	s.recordCrash(runs["c"], runs["c"].lastAttempt(crashedAt), "u0")
 	require.Equal(t, isolator.Suspect, s.crashStatus(3))
 }
 
@@ -98,7 +98,7 @@
 	late := &request{id: "b", fingerprint: 2, lastUpstream: "u0", lastAttemptAt: crashedAt.Add(time.Millisecond)}
 	s.runs.addIfAbsent(victim)
 	s.runs.addIfAbsent(late)
-	s.recordCrash(victim, "u0", crashedAt)
+	s.recordCrash(victim, victim.lastAttempt(crashedAt), "u0")
 	require.Equal(t, isolator.Suspect, s.crashStatus(1))
 	require.Equal(t, isolator.Clear, s.crashStatus(2))
 }
@@ -109,8 +109,11 @@
 	s := testServer(t, "e1", nil, &crashingUpstream{})
 	now := s.now()
 	a, b, c := &request{fingerprint: 1}, &request{fingerprint: 2}, &request{fingerprint: 3}
-	s.state.isolator.RecordCrash(now, "u0", []isolator.Fingerprint{1, 2})
-	s.state.isolator.RecordCrash(now, "u1", []isolator.Fingerprint{3})
+	attempt := func(f isolator.Fingerprint) isolator.Attempt {
+		return isolator.Attempt{Fingerprint: f, Start: now.Add(-time.Second), End: now}
+	}
+	s.state.isolator.RecordCrash(now, "u0", []isolator.Attempt{attempt(1), attempt(2)})
+	s.state.isolator.RecordCrash(now, "u1", []isolator.Attempt{attempt(3)})
 	s.state.suspects["u2"] = []suspectRun{{request: a}}
 	require.False(t, s.state.mayShareUpstream(now, c, s.state.suspects["u2"]))
 	s.markProgressed(a)
--- a/pkg/isolator/doc.go
+++ b/pkg/isolator/doc.go
@@ -2,16 +2,26 @@
 // runs them.
 //
 // When an upstream crashes without notice, each request in flight on it gets a
-// crash record. A request is confirmed as poison if it was in flight at two or
-// more crashes and no other request was in flight at all of them, once the crash
-// records of other entries have had time to arrive. At the fourth crash it is
-// confirmed without that delay. A request is never confirmed while another one was
-// in flight at all of its crashes. Until then the requests are suspects: the entry
-// that owns them keeps them on different upstreams, so that the next crash
-// separates them. Entries merge crash records by set union, so all of them get the
-// same result in any order of messages.
+// crash record. A request with a record is a suspect: its entry keeps it apart from
+// other suspects, so that the next crash separates them. It is confirmed as poison
+// if all of the following hold:
+//
+//   - It crashed minCrashes upstreams one after another: each attempt began after
+//     the crash before it. The crash of many upstreams at one moment counts once.
+//   - It has not completed since. A request that completes is no poison, and its
+//     records are dropped.
+//   - No other request was in flight at all of its crashes.
+//   - Chance does not explain the crashes: at the rate at which upstreams crash
+//     without the request, the probability that all these attempts met a crash is
+//     below maxCoincidence.
+//
+// So a crash of many upstreams, or some that crash again and again, confirms no
+// request that merely ran there.
+//
+// Entries merge records by set union, so all of them get the same result in any
+// order of messages.
 //
 //	var i isolator.Isolator
-//	i.RecordCrash(now, "vm-7", []isolator.Fingerprint{f, g})
+//	i.RecordCrash(now, "vm-7", []isolator.Attempt{{Fingerprint: f, Start: start, End: now, Choices: 18}})
 //	i.Status(now, f) // isolator.Suspect
 package isolator
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -1,45 +1,44 @@
 package isolator
 
 import (
+	"maps"
+	"math"
 	"slices"
-	"strconv"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// minCrashes is the number of crashes from which on a request can be
+	// minCrashes is the number of successive crashes from which on a request can be
+	// confirmed.
+	minCrashes = 3
+	// maxCoincidence is the probability of a coincidence below which a request is
 	// confirmed.
-	minCrashes = 2
-	// immediateCrashes is the number of crashes from which on a request is
-	// confirmed without waiting for propagationTime, unless another request was in
-	// flight at all of them. It bounds the upstreams that one request can crash.
-	immediateCrashes = 4
-	// propagationTime is the time that crash records of other entries may take to
-	// arrive. Below immediateCrashes no request is confirmed before it has passed.
-	propagationTime = 3 * time.Second
-	// recordLifetime is how long a crash record counts.
+	maxCoincidence = 1e-6
+	// baseCrashRate is the rate of crashes that is always assumed, per upstream and
+	// second.
+	baseCrashRate = 1.0 / 3600
+	// rateWindow is the time before a request's first crash whose crashes count for
+	// the rate of crashes.
+	rateWindow = 10 * time.Second
+	// minExposure is the shortest duration that an attempt or a chain counts as.
+	minExposure = 10 * time.Millisecond
+	// crashWindow is the time during which later records of an upstream are of the
+	// same crash.
+	crashWindow = 2 * time.Second
+	// recordLifetime is how long a crash record counts, and an isolation lasts.
 	recordLifetime = time.Hour
-	// maxFingerprints bounds the requests with crash records.
+	// maxFingerprints bounds the requests with records, maxCrashes the crashes of one
+	// request.
 	maxFingerprints = 4096
+	maxCrashes      = 16
+	// maxUpstreams is the number of crashed upstreams above which only those that
+	// crashed within crashWindow are kept.
+	maxUpstreams = 16384
+	// keptShare is the share of maxFingerprints that evict keeps, so that it runs
+	// rarely at any rate of new fingerprints.
+	keptShare = 0.75
 )
 
-// Fingerprint identifies a request by its content, so that a repeated request has
-// the same one.
-type Fingerprint uint64
-
-// FingerprintOf returns the fingerprint of a request.
-func FingerprintOf(organisation, route string, body []byte) Fingerprint {
-	d := xxhash.New()
-	_, _ = d.WriteString(organisation + "\x00" + route + "\x00")
-	_, _ = d.Write(body)
-	return Fingerprint(d.Sum64())
-}
-
-// String returns the fingerprint in base 36, as it stands in logs.
-func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 36) }
-
 // Status says how a request is treated after crashes.
 type Status int
 
@@ -49,72 +48,124 @@
 	Clear Status = iota
 	// Suspect: it runs with no other suspect on its upstream.
 	Suspect
-	// Pending: it waits for the crash records of other entries.
-	Pending
 	// Confirmed: it crashes upstreams and must not run again.
 	Confirmed
 )
 
-// CrashRecord says that a request was in flight on an upstream that crashed.
-type CrashRecord struct {
-	Fingerprint Fingerprint `json:"fingerprint"`
-	Upstream    string      `json:"upstream"`
-}
-
 // Isolator holds the crash records of the last hour. The zero value is ready to
 // use.
 type Isolator struct {
-	crashes map[Fingerprint]map[string]time.Time
+	histories map[Fingerprint]*history
+	// lastCrashes are the latest crashes by upstream.
+	lastCrashes map[string]lastCrash
+	// version changes with each change of the evidence.
+	version uint64
+}
+
+type lastCrash struct {
+	ordinal int
+	at      time.Time
 }
 
 // RecordCrash records a crash of an upstream and returns the records that are new.
-func (i *Isolator) RecordCrash(now time.Time, upstream string, inFlight []Fingerprint) []CrashRecord {
+func (i *Isolator) RecordCrash(now time.Time, upstream string, inFlight []Attempt) []CrashRecord {
 	var added []CrashRecord
-	for _, f := range inFlight {
-		record := CrashRecord{Fingerprint: f, Upstream: upstream}
-		if i.Merge(now, record) {
-			added = append(added, record)
+	for _, a := range inFlight {
+		c := crash{crashName: i.nameCrash(upstream, a.End), start: a.Start, end: a.End, choices: a.Choices}
+		if i.add(now, a.Fingerprint, c) {
+			added = append(added, c.record(now, a.Fingerprint))
 		}
 	}
 	return added
 }
 
-// Merge adds a crash record of a peer and reports whether it is new.
+// nameCrash returns the name of a crash of an upstream that ended an attempt.
+func (i *Isolator) nameCrash(upstream string, end time.Time) crashName {
+	last, known := i.lastCrashes[upstream]
+	switch {
+	case !known:
+		i.setLastCrash(upstream, lastCrash{at: end})
+	case end.Sub(last.at) > crashWindow:
+		last = lastCrash{ordinal: last.ordinal + 1, at: end}
+		i.setLastCrash(upstream, last)
+	}
+	return crashName{upstream: upstream, ordinal: last.ordinal}
+}
+
+func (i *Isolator) setLastCrash(upstream string, last lastCrash) {
+	if i.lastCrashes == nil {
+		i.lastCrashes = map[string]lastCrash{}
+	}
+	if len(i.lastCrashes) >= maxUpstreams {
+		maps.DeleteFunc(i.lastCrashes, func(_ string, other lastCrash) bool { return last.at.Sub(other.at) > crashWindow })
+	}
+	i.lastCrashes[upstream] = last
+}
+
+// Merge adds a record of a peer and reports whether it is new. Invalid records are
+// ignored.
 func (i *Isolator) Merge(now time.Time, record CrashRecord) bool {
-	if i.crashes == nil {
-		i.crashes = map[Fingerprint]map[string]time.Time{}
+	if !record.valid() {
+		return false
 	}
-	upstreams, ok := i.crashes[record.Fingerprint]
-	if !ok {
-		if len(i.crashes) >= maxFingerprints {
-			i.evict(now)
-		}
-		upstreams = map[string]time.Time{}
-		i.crashes[record.Fingerprint] = upstreams
+	at := now.Add(-time.Duration(max(0, record.AgeMS)) * time.Millisecond)
+	if record.Completed {
+		return i.complete(now, record.Fingerprint, at)
 	}
-	if _, recorded := upstreams[record.Upstream]; recorded {
+	name := crashName{upstream: record.Upstream, ordinal: record.Ordinal}
+	if last, known := i.lastCrashes[name.upstream]; !known || last.ordinal < name.ordinal {
+		i.setLastCrash(name.upstream, lastCrash{ordinal: name.ordinal, at: at})
+	}
+	start := at.Add(-time.Duration(max(0, record.RanMS)) * time.Millisecond)
+	return i.add(now, record.Fingerprint, crash{crashName: name, start: start, end: at, choices: record.Choices})
+}
+
+// add adds a crash of a request and reports whether it is new.
+func (i *Isolator) add(now time.Time, f Fingerprint, c crash) bool {
+	h, ok := i.histories[f]
+	if ok && (h.has(c.crashName) || !c.end.After(h.completedAt)) || now.Sub(c.end) > recordLifetime {
 		return false
 	}
-	upstreams[record.Upstream] = now
+	if !ok {
+		h = i.addHistory(now, f)
+	}
+	at, _ := slices.BinarySearchFunc(h.crashes, c, func(a, b crash) int { return a.end.Compare(b.end) })
+	h.crashes = slices.Insert(h.crashes, at, c)
+	if len(h.crashes) > maxCrashes {
+		h.crashes = slices.Delete(h.crashes, 0, 1)
+	}
+	i.version++
 	return true
 }
 
-// keptShare is the share of maxFingerprints that evict keeps, so that it runs
-// rarely at any rate of new fingerprints.
-const keptShare = 0.75
+func (i *Isolator) addHistory(now time.Time, f Fingerprint) *history {
+	if i.histories == nil {
+		i.histories = map[Fingerprint]*history{}
+	}
+	if len(i.histories) >= maxFingerprints {
+		i.evict(now)
+	}
+	h := &history{}
+	i.histories[f] = h
+	return h
+}
 
-// evict removes fingerprints whose records have expired, then the oldest ones
-// beyond keptShare.
+// evict removes expired records, then the oldest requests beyond keptShare that are
+// not isolated.
 func (i *Isolator) evict(now time.Time) {
+	maps.DeleteFunc(i.lastCrashes, func(_ string, last lastCrash) bool { return now.Sub(last.at) > recordLifetime })
 	type dated struct {
 		f  Fingerprint
 		at time.Time
 	}
 	var kept []dated
-	for f := range i.crashes {
-		newest := i.lastCrash(f)
+	for f, h := range i.histories {
+		newest := h.newest()
+		if h.isolatedUntil.After(now) {
+			newest = now
+		}
 		if now.Sub(newest) > recordLifetime {
-			delete(i.crashes, f)
+			delete(i.histories, f)
 			continue
 		}
 		kept = append(kept, dated{f, newest})
@@ -122,63 +173,166 @@
 	slices.SortFunc(kept, func(a, b dated) int { return a.at.Compare(b.at) })
 	excess := len(kept) - int(keptShare*maxFingerprints)
 	for _, d := range kept[:max(0, excess)] {
-		delete(i.crashes, d.f)
+		delete(i.histories, d.f)
+	}
+}
+
+// RecordCompletion records that a request has completed, which clears it. It returns
+// the record for peers, and false if the request had no records.
+func (i *Isolator) RecordCompletion(now time.Time, f Fingerprint) (CrashRecord, bool) {
+	h, ok := i.histories[f]
+	if !ok || len(h.crashes) == 0 && !h.isolatedUntil.After(now) {
+		return CrashRecord{}, false
+	}
+	return CrashRecord{Fingerprint: f, Completed: true}, i.complete(now, f, now)
+}
+
+// complete drops the records of a request until a completion and reports whether the
+// completion is new.
+func (i *Isolator) complete(now time.Time, f Fingerprint, at time.Time) bool {
+	h, ok := i.histories[f]
+	if !ok {
+		h = i.addHistory(now, f)
+	}
+	if at.Sub(h.completedAt) < crashWindow && !slices.ContainsFunc(h.crashes, func(c crash) bool { return !c.end.After(at) }) {
+		return false
+	}
+	if at.After(h.completedAt) {
+		h.completedAt = at
+	}
+	if at.After(h.isolatedAt) {
+		h.isolatedUntil = time.Time{}
+	}
+	h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return !c.end.After(at) })
+	i.version++
+	return true
+}
+
+// Isolate confirms a request that another process has confirmed, until the given
+// time.
+func (i *Isolator) Isolate(now time.Time, f Fingerprint, until time.Time) {
+	h, ok := i.histories[f]
+	if !ok {
+		h = i.addHistory(now, f)
+	}
+	h.isolatedAt, h.isolatedUntil = now, until
+	i.version++
+}
+
+// Release ends an isolation that was set by Isolate.
+func (i *Isolator) Release(f Fingerprint) {
+	if h, ok := i.histories[f]; ok {
+		h.isolatedUntil = time.Time{}
+		i.version++
 	}
 }
 
 // Status returns the status of a request at now.
 func (i *Isolator) Status(now time.Time, f Fingerprint) Status {
-	upstreams := i.crashedUpstreams(now, f)
-	switch {
-	case len(upstreams) == 0:
+	h, ok := i.histories[f]
+	if !ok {
 		return Clear
-	case len(upstreams) >= immediateCrashes && i.soleCandidate(now, f):
+	}
+	if h.isolatedUntil.After(now) {
 		return Confirmed
-	case len(upstreams) < minCrashes:
-		return Suspect
-	case now.Sub(i.lastCrash(f)) < propagationTime:
-		return Pending
-	case i.soleCandidate(now, f):
+	}
+	h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return now.Sub(c.end) > recordLifetime })
+	switch {
+	case len(h.crashes) == 0:
+		return Clear
+	case i.isConfirmed(now, f, h):
 		return Confirmed
 	default:
 		return Suspect
 	}
 }
 
-// lastCrash returns the time of the newest crash record of a request.
-func (i *Isolator) lastCrash(f Fingerprint) time.Time {
-	newest := time.Time{}
-	for _, at := range i.crashes[f] {
-		if at.After(newest) {
-			newest = at
+// evaluationLifetime is how long the result of an evaluation is used if no record is
+// added.
+const evaluationLifetime = time.Second
+
+func (i *Isolator) isConfirmed(now time.Time, f Fingerprint, h *history) bool {
+	if h.version != i.version || now.Sub(h.evaluatedAt) > evaluationLifetime {
+		chain := h.chain()
+		h.confirmed = len(chain) >= minCrashes && i.soleCandidate(now, f) && i.coincidence(now, h, chain) < maxCoincidence
+		h.version, h.evaluatedAt = i.version, now
+	}
+	return h.confirmed
+}
+
+// coincidence returns the probability that each attempt of a chain met the crash of
+// its upstream by chance. The rate of crashes is that during the chain or that since
+// rateWindow before it, whichever is higher, and includes the crashes of the chain:
+// they may be the first of many.
+func (i *Isolator) coincidence(now time.Time, h *history, chain []crash) float64 {
+	first, last := chain[0].end, chain[len(chain)-1].end
+	during, since := len(chain), len(chain)
+	for name, at := range i.unexplainedCrashes(now) {
+		switch {
+		case at.After(last) || at.Before(first.Add(-rateWindow)) || h.has(name):
+		case at.Before(first):
+			since++
+		default:
+			during++
+			since++
+		}
+	}
+	perSecond := func(crashes int, span time.Duration) float64 {
+		return float64(crashes) / max(minExposure, span).Seconds()
+	}
+	rate := max(perSecond(during, last.Sub(first)), perSecond(since, last.Sub(first)+rateWindow))
+	probability := 1.0
+	for _, c := range chain {
+		exposure := max(minExposure, c.end.Sub(c.start)).Seconds()
+		probability *= 1 - math.Exp(-(baseCrashRate+rate/float64(max(1, c.choices)))*exposure)
+	}
+	return probability
+}
+
+// unexplainedCrashes returns the times of all crashes, without those
+// that isolated requests explain.
+func (i *Isolator) unexplainedCrashes(now time.Time) map[crashName]time.Time {
+	others := map[crashName]time.Time{}
+	explained := map[crashName]bool{}
+	for _, other := range i.histories {
+		isolated := other.isolatedUntil.After(now)
+		for _, c := range other.crashes {
+			if isolated {
+				explained[c.crashName] = true
+			}
+			others[c.crashName] = c.end
 		}
 	}
-	return newest
+	maps.DeleteFunc(others, func(name crashName, _ time.Time) bool { return explained[name] })
+	return others
 }
 
-// crashedUpstreams returns the upstreams of a request's crash records that count
-// at now.
-func (i *Isolator) crashedUpstreams(now time.Time, f Fingerprint) []string {
-	var upstreams []string
-	for upstream, at := range i.crashes[f] {
-		if now.Sub(at) <= recordLifetime {
-			upstreams = append(upstreams, upstream)
+// crashNames returns the crashes of a request that count at now.
+func (i *Isolator) crashNames(now time.Time, f Fingerprint) []crashName {
+	h, ok := i.histories[f]
+	if !ok {
+		return nil
+	}
+	var names []crashName
+	for _, c := range h.crashes {
+		if now.Sub(c.end) <= recordLifetime {
+			names = append(names, c.crashName)
 		}
 	}
-	return upstreams
+	return names
 }
 
 // SharesAllCrashes reports whether other was in flight at every crash of f, so
 // that one more crash of both would not separate them.
 func (i *Isolator) SharesAllCrashes(now time.Time, f, other Fingerprint) bool {
-	otherUpstreams := i.crashedUpstreams(now, other)
-	return !slices.ContainsFunc(i.crashedUpstreams(now, f), func(u string) bool { return !slices.Contains(otherUpstreams, u) })
+	h, ok := i.histories[other]
+	return !slices.ContainsFunc(i.crashNames(now, f), func(name crashName) bool { return !ok || !h.has(name) })
 }
 
 // soleCandidate reports whether no other request was in flight at all crashes of
 // f.
 func (i *Isolator) soleCandidate(now time.Time, f Fingerprint) bool {
-	for other := range i.crashes {
+	for other := range i.histories {
 		if other != f && i.SharesAllCrashes(now, f, other) {
 			return false
 		}
@@ -186,24 +340,45 @@
 	return true
 }
 
-// NewestRecords returns the newest crash records that count at now, at most n.
-func (i *Isolator) NewestRecords(now time.Time, n int) []CrashRecord {
-	type dated struct {
-		CrashRecord
-		at time.Time
+// Records returns the records of a request that count at now.
+func (i *Isolator) Records(now time.Time, f Fingerprint) []CrashRecord {
+	h, ok := i.histories[f]
+	if !ok {
+		return nil
 	}
-	var all []dated
-	for f, upstreams := range i.crashes {
-		for upstream, at := range upstreams {
-			if now.Sub(at) <= recordLifetime {
-				all = append(all, dated{CrashRecord{Fingerprint: f, Upstream: upstream}, at})
-			}
+	var records []CrashRecord
+	if !h.completedAt.IsZero() {
+		records = append(records, CrashRecord{Fingerprint: f, Completed: true, AgeMS: now.Sub(h.completedAt).Milliseconds()})
+	}
+	for _, c := range h.crashes {
+		if now.Sub(c.end) <= recordLifetime {
+			records = append(records, c.record(now, f))
 		}
 	}
-	slices.SortFunc(all, func(a, b dated) int { return b.at.Compare(a.at) })
-	newest := make([]CrashRecord, 0, min(n, len(all)))
-	for _, d := range all[:min(n, len(all))] {
-		newest = append(newest, d.CrashRecord)
+	return records
+}
+
+// NewestRecords returns the newest records that count at now, at most n.
+func (i *Isolator) NewestRecords(now time.Time, n int) []CrashRecord {
+	var all []CrashRecord
+	for f := range i.histories {
+		all = append(all, i.Records(now, f)...)
+	}
+	slices.SortFunc(all, func(a, b CrashRecord) int { return int(a.AgeMS - b.AgeMS) })
+	return all[:min(n, len(all))]
+}
+
+// Crashes returns the number of crashes of a request that count at now.
+func (i *Isolator) Crashes(now time.Time, f Fingerprint) int { return len(i.crashNames(now, f)) }
+
+// Confirmed returns the requests whose crashes confirm them at now and which are not
+// isolated yet.
+func (i *Isolator) Confirmed(now time.Time) []Fingerprint {
+	var confirmed []Fingerprint
+	for f, h := range i.histories {
+		if len(h.crashes) >= minCrashes && !h.isolatedUntil.After(now) && i.isConfirmed(now, f, h) {
+			confirmed = append(confirmed, f)
+		}
 	}
-	return newest
+	return confirmed
 }
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -14,10 +14,25 @@
 
 var start = time.UnixMilli(1_700_000_000_000)
 
-const poison = isolator.Fingerprint(1)
+const (
+	poison = isolator.Fingerprint(1)
+	// upstreams is the number of upstreams on which requests may run.
+	upstreams = 18
+	// ran is how long attempts have run when their upstream crashes.
+	ran = 50 * time.Millisecond
+)
+
+// attempts returns one attempt of each request, ended at the given time.
+func attempts(end time.Time, fingerprints ...isolator.Fingerprint) []isolator.Attempt {
+	var all []isolator.Attempt
+	for _, f := range fingerprints {
+		all = append(all, isolator.Attempt{Fingerprint: f, Start: end.Add(-ran), End: end, Choices: upstreams})
+	}
+	return all
+}
 
 // A poison request runs on one upstream after another, together with other
-// requests that differ from crash to crash. It must be confirmed at its fourth
+// requests that differ from crash to crash. It must be confirmed at its third
 // crash, or at the first later crash that separates it from a request that was in
 // flight at all of them. No other request may be confirmed.
 func TestConfirmsOnlyThePoisonRequest(t *testing.T) {
@@ -31,11 +46,8 @@
 			for _, n := range shared {
 				separated = separated && n < crashes
 			}
-			require.False(t, separated && crashes >= 4, "not confirmed after %d crashes", crashes)
+			require.False(t, separated && crashes >= 3, "not confirmed after %d crashes", crashes)
 			now = now.Add(4 * time.Second)
-			if i.Status(now, poison) == isolator.Confirmed {
-				break
-			}
 			inFlight := []isolator.Fingerprint{poison}
 			for f := isolator.Fingerprint(2); f < 12; f++ {
 				if rapid.IntRange(0, 3).Draw(t, "shares") == 0 {
@@ -43,7 +55,7 @@
 					shared[f]++
 				}
 			}
-			i.RecordCrash(now, fmt.Sprintf("u%d", crashes), inFlight)
+			i.RecordCrash(now, fmt.Sprintf("u%d", crashes), attempts(now, inFlight...))
 			crashes++
 		}
 		for f := range shared {
@@ -54,32 +66,147 @@
 
 // A request that was in flight at every crash of a poison request can't be
 // distinguished from it. Neither may be confirmed, after any number of crashes,
-// until one crash separates them.
+// until one crash separates them or the other request completes.
 func TestRequestAtEveryCrashIsNotConfirmed(t *testing.T) {
 	const other = isolator.Fingerprint(2)
+	for _, completes := range []bool{false, true} {
+		var i isolator.Isolator
+		now := start
+		for crash := range 5 {
+			i.RecordCrash(now, fmt.Sprintf("u%d", crash), attempts(now, poison, other))
+			now = now.Add(4 * time.Second)
+			require.NotEqual(t, isolator.Confirmed, i.Status(now, other), "after %d crashes", crash+1)
+			require.NotEqual(t, isolator.Confirmed, i.Status(now, poison), "after %d crashes", crash+1)
+		}
+		if completes {
+			_, cleared := i.RecordCompletion(now, other)
+			require.True(t, cleared)
+			require.Equal(t, isolator.Clear, i.Status(now, other))
+		} else {
+			i.RecordCrash(now, "u5", attempts(now, poison))
+		}
+		require.Equal(t, isolator.Confirmed, i.Status(now, poison))
+		require.NotEqual(t, isolator.Confirmed, i.Status(now.Add(4*time.Second), other))
+	}
+}
+
+// Power was lost in several failure domains at once: many upstreams crash at one
+// moment, and copies of a popular request run on all of them.
+func TestCrashOfManyUpstreamsConfirmsNobody(t *testing.T) {
+	const popular = isolator.Fingerprint(2)
+	var i isolator.Isolator
+	for u := range upstreams {
+		f := isolator.Fingerprint(100 + u)
+		i.RecordCrash(start, fmt.Sprint("u", u), attempts(start, popular, f))
+	}
+	for u := range upstreams {
+		require.Equal(t, isolator.Suspect, i.Status(start, isolator.Fingerprint(100+u)))
+	}
+	require.Equal(t, isolator.Suspect, i.Status(start, popular))
+}
+
+// Upstreams crash at random times for a minute, whatever they run, and requests of
+// up to two seconds are sent again until they complete. None may be confirmed. Then
+// a poison request comes, and must be confirmed while the crashes go on.
+func TestRandomCrashesConfirmNobody(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var i isolator.Isolator
+		// Requests 2 to 401 run on random upstreams until their upstream crashes, when
+		// they start again on another one, or until they complete.
+		type run struct {
+			upstream     int
+			began, until time.Time
+		}
+		runs := map[isolator.Fingerprint]*run{}
+		next := isolator.Fingerprint(2)
+		begin := func(f isolator.Fingerprint, now time.Time) {
+			runs[f] = &run{upstream: random.IntN(upstreams), began: now, until: now.Add(time.Duration(random.Int64N(int64(2 * time.Second))))}
+		}
+		step := func(now time.Time) {
+			for f, r := range runs {
+				if !now.Before(r.until) {
+					i.RecordCompletion(now, f)
+					delete(runs, f)
+				}
+			}
+			crashed := random.IntN(upstreams)
+			var inFlight []isolator.Attempt
+			for f, r := range runs {
+				if r.upstream == crashed {
+					inFlight = append(inFlight, isolator.Attempt{Fingerprint: f, Start: r.began, End: now, Choices: upstreams})
+					begin(f, now)
+				}
+			}
+			i.RecordCrash(now, fmt.Sprint("u", crashed, "-", now.UnixMilli()), inFlight)
+			for len(runs) < 400 {
+				begin(next, now)
+				next++
+			}
+			for f := range runs {
+				require.NotEqual(t, isolator.Confirmed, i.Status(now, f), "seed %d", seed)
+			}
+		}
+		now := start
+		for range 120 {
+			now = now.Add(500 * time.Millisecond)
+			step(now)
+		}
+		crashes := 0
+		for ; i.Status(now, poison) != isolator.Confirmed; crashes++ {
+			now = now.Add(500 * time.Millisecond)
+			step(now)
+			i.RecordCrash(now, fmt.Sprint("p", crashes), attempts(now, poison))
+			require.Less(t, crashes, 6, "seed %d: not confirmed", seed)
+		}
+	}
+}
+
+// Four requests crash upstreams at the same time. Each must be confirmed.
+func TestSeveralPoisonRequests(t *testing.T) {
 	var i isolator.Isolator
 	now := start
-	for crash := range 5 {
-		i.RecordCrash(now, fmt.Sprintf("u%d", crash), []isolator.Fingerprint{poison, other})
-		now = now.Add(4 * time.Second)
-		require.NotEqual(t, isolator.Confirmed, i.Status(now, other), "after %d crashes", crash+1)
-		require.NotEqual(t, isolator.Confirmed, i.Status(now, poison), "after %d crashes", crash+1)
+	for crash := range 6 {
+		for f := isolator.Fingerprint(1); f <= 4; f++ {
+			i.RecordCrash(now, fmt.Sprint("u", crash, "-", f), attempts(now, f))
+			now = now.Add(100 * time.Millisecond)
+		}
+	}
+	for f := isolator.Fingerprint(1); f <= 4; f++ {
+		require.Equal(t, isolator.Confirmed, i.Status(now, f))
+	}
+}
+
+// An upstream that starts again under its ID may crash again. With two upstreams a
+// poison request was not confirmed, as only two crashes counted.
+func TestCrashesOfOneUpstreamCount(t *testing.T) {
+	var i, peer isolator.Isolator
+	now := start
+	for range 4 {
+		inFlight := attempts(now, poison)
+		inFlight[0].Choices = 2
+		for _, record := range i.RecordCrash(now, "u0", inFlight) {
+			require.True(t, peer.Merge(now, record))
+		}
+		// Another entry detects the same crash a moment later.
+		require.Empty(t, peer.RecordCrash(now, "u0", attempts(now.Add(20*time.Millisecond), poison)))
+		now = now.Add(3 * time.Second)
 	}
-	i.RecordCrash(now, "u5", []isolator.Fingerprint{poison})
 	require.Equal(t, isolator.Confirmed, i.Status(now, poison))
-	require.Equal(t, isolator.Suspect, i.Status(now.Add(4*time.Second), other))
+	require.Equal(t, isolator.Confirmed, peer.Status(now, poison))
 }
 
-// Entries that receive the same crash records in any order must agree.
+// Entries that receive the same records in any order must agree.
 func TestMergeInAnyOrder(t *testing.T) {
 	var all []isolator.CrashRecord
-	for u := range 3 {
+	for u := range 5 {
 		for f := isolator.Fingerprint(1); f < 6; f++ {
-			if int(f)%(u+2) == 1 {
-				all = append(all, isolator.CrashRecord{Fingerprint: f, Upstream: fmt.Sprint(u)})
+			if int(f) > u {
+				all = append(all, isolator.CrashRecord{Fingerprint: f, Upstream: fmt.Sprint(u), AgeMS: int64(10_000 - 1000*u), RanMS: 50, Choices: upstreams})
 			}
 		}
 	}
+	all = append(all, isolator.CrashRecord{Fingerprint: 4, Completed: true, AgeMS: 7500})
 	random := rand.New(rand.NewPCG(1, 1))
 	var want []isolator.Status
 	for range 50 {
@@ -88,39 +215,69 @@
 		for _, record := range all {
 			i.Merge(start, record)
 		}
-		require.False(t, i.Merge(start, all[0]))
+		for _, record := range all {
+			require.False(t, i.Merge(start, record))
+		}
 		var got []isolator.Status
 		for f := isolator.Fingerprint(1); f < 6; f++ {
-			got = append(got, i.Status(start.Add(4*time.Second), f))
+			got = append(got, i.Status(start, f))
 		}
 		if want == nil {
 			want = got
 		}
 		require.Equal(t, want, got)
 	}
+	require.Contains(t, want, isolator.Confirmed)
 }
 
-func TestPendingUntilRecordsPropagate(t *testing.T) {
+func TestStatuses(t *testing.T) {
 	var i isolator.Isolator
-	i.RecordCrash(start, "u0", []isolator.Fingerprint{poison})
-	require.Equal(t, isolator.Suspect, i.Status(start, poison))
-	i.RecordCrash(start, "u1", []isolator.Fingerprint{poison})
-	require.Equal(t, isolator.Pending, i.Status(start, poison))
-	require.Equal(t, isolator.Confirmed, i.Status(start.Add(3*time.Second), poison))
+	now := start
+	for crash := range 3 {
+		require.NotEqual(t, isolator.Confirmed, i.Status(now, poison))
+		i.RecordCrash(now, fmt.Sprint("u", crash), attempts(now, poison))
+		require.NotEqual(t, isolator.Clear, i.Status(now, poison))
+		now = now.Add(time.Second)
+	}
+	require.Equal(t, isolator.Confirmed, i.Status(now, poison))
+	require.Equal(t, []isolator.Fingerprint{poison}, i.Confirmed(now))
 	require.Equal(t, isolator.Clear, i.Status(start.Add(2*time.Hour), poison), "crash records expire after an hour")
 }
 
+// An isolation that another process has set holds until its end, a completion or
+// its release.
+func TestIsolate(t *testing.T) {
+	var i isolator.Isolator
+	until := start.Add(time.Minute)
+	i.Isolate(start, poison, until)
+	require.Equal(t, isolator.Confirmed, i.Status(start, poison))
+	require.Empty(t, i.Confirmed(start))
+	require.Equal(t, isolator.Clear, i.Status(until, poison))
+	require.False(t, i.Merge(start, isolator.CrashRecord{Fingerprint: poison}), "an invalid record")
+	i.Merge(start, isolator.CrashRecord{Fingerprint: poison, Completed: true, AgeMS: 1000})
+	require.Equal(t, isolator.Confirmed, i.Status(start, poison), "it completed before the isolation")
+	_, cleared := i.RecordCompletion(start.Add(time.Second), poison)
+	require.True(t, cleared)
+	require.Equal(t, isolator.Clear, i.Status(start.Add(time.Second), poison))
+	i.Isolate(start, poison, until)
+	i.Release(poison)
+	require.Equal(t, isolator.Clear, i.Status(start, poison))
+}
+
 // A full isolator must evict many fingerprints at once, or it would evict for each
-// new one.
+// new one. An isolated request stays.
 func TestEvictionIsRare(t *testing.T) {
 	var i isolator.Isolator
 	at := func(f isolator.Fingerprint) time.Time { return start.Add(time.Duration(f) * time.Millisecond) }
-	for f := range isolator.Fingerprint(4097) {
+	const isolated = isolator.Fingerprint(1 << 20)
+	i.Isolate(start, isolated, start.Add(time.Hour))
+	for f := range isolator.Fingerprint(4096) {
 		i.Merge(at(f), isolator.CrashRecord{Fingerprint: f, Upstream: "u"})
 	}
-	require.Len(t, i.NewestRecords(at(5000), 9999), 3073)
+	require.Len(t, i.NewestRecords(at(5000), 9999), 3072)
 	require.Equal(t, isolator.Clear, i.Status(at(5000), 1023))
 	require.Equal(t, isolator.Suspect, i.Status(at(5000), 1024))
+	require.Equal(t, isolator.Confirmed, i.Status(at(5000), isolated))
 }
 
 func TestStateIsBounded(t *testing.T) {
@@ -128,7 +285,13 @@
 	for f := range isolator.Fingerprint(5000) {
 		i.Merge(start.Add(time.Duration(f)*time.Millisecond), isolator.CrashRecord{Fingerprint: f, Upstream: "u"})
 	}
-	require.LessOrEqual(t, len(i.NewestRecords(start.Add(5*time.Second), 9999)), 4096)
-	require.Equal(t, []isolator.CrashRecord{{Fingerprint: 4999, Upstream: "u"}}, i.NewestRecords(start.Add(5*time.Second), 1))
-	require.Equal(t, isolator.Suspect, i.Status(start.Add(5*time.Second), 4999))
+	now := start.Add(5 * time.Second)
+	require.LessOrEqual(t, len(i.NewestRecords(now, 9999)), 4096)
+	require.Equal(t, isolator.Fingerprint(4999), i.NewestRecords(now, 1)[0].Fingerprint)
+	require.Equal(t, isolator.Suspect, i.Status(now, 4999))
+	for u := range 1000 {
+		now = now.Add(time.Millisecond)
+		i.RecordCrash(now, fmt.Sprint("u", u), attempts(now, 4999))
+	}
+	require.Equal(t, 16, i.Crashes(now, 4999))
 }
--- /dev/null
+++ b/pkg/isolator/record.go
@@ -0,0 +1,125 @@
+package isolator
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint identifies a request by its content, so that a repeated request has
+// the same one.
+type Fingerprint uint64
+
+// FingerprintOf returns the fingerprint of a request.
+func FingerprintOf(organisation, route string, body []byte) Fingerprint {
+	d := xxhash.New()
+	_, _ = d.WriteString(organisation + "\x00" + route + "\x00")
+	_, _ = d.Write(body)
+	return Fingerprint(d.Sum64())
+}
+
+const fingerprintBase = 36
+
+// String returns the text of the fingerprint in logs and keys.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), fingerprintBase) }
+
+// ParseFingerprint parses the text of a fingerprint.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	value, err := strconv.ParseUint(text, fingerprintBase, 64)
+	return Fingerprint(value), err
+}
+
+// Attempt is an attempt that was in flight on an upstream when it crashed.
+type Attempt struct {
+	Fingerprint Fingerprint
+	Start       time.Time
+	// End is when the attempt broke off.
+	End time.Time
+	// Choices is the number of upstreams from which the upstream was chosen.
+	Choices int
+}
+
+// CrashRecord says that a request was in flight on an upstream that crashed or, if
+// Completed is true, that it has completed. Times are ages, as the clocks of entries
+// differ.
+type CrashRecord struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	Upstream    string      `cbor:"2,keyasint,omitempty"`
+	// Ordinal counts the crashes of the upstream, from 0.
+	Ordinal int `cbor:"3,keyasint,omitempty"`
+	// AgeMS is the time since the crash or the completion, RanMS the duration of the
+	// attempt that crashed, in milliseconds.
+	AgeMS     int64 `cbor:"4,keyasint,omitempty"`
+	RanMS     int64 `cbor:"5,keyasint,omitempty"`
+	Completed bool  `cbor:"6,keyasint,omitempty"`
+	Choices   int   `cbor:"7,keyasint,omitempty"`
+}
+
+func (r CrashRecord) valid() bool { return r.Completed || r.Upstream != "" }
+
+// crash is a crash of an upstream during an attempt of a request.
+type crash struct {
+	crashName
+	start, end time.Time
+	choices    int
+}
+
+// crashName identifies a crash at all entries.
+type crashName struct {
+	upstream string
+	ordinal  int
+}
+
+func (c crash) record(now time.Time, f Fingerprint) CrashRecord {
+	return CrashRecord{
+		Fingerprint: f, Upstream: c.upstream, Ordinal: c.ordinal,
+		AgeMS: now.Sub(c.end).Milliseconds(), RanMS: c.end.Sub(c.start).Milliseconds(), Choices: c.choices,
+	}
+}
+
+// history is what is known about one request.
+type history struct {
+	// crashes are ordered by their ends, at most maxCrashes.
+	crashes     []crash
+	completedAt time.Time
+	// isolatedAt and isolatedUntil are the beginning and the end of an isolation set
+	// by Isolate.
+	isolatedAt, isolatedUntil time.Time
+	// confirmed is the result of the last evaluation, which was made at evaluatedAt
+	// with the evidence of that version.
+	confirmed   bool
+	evaluatedAt time.Time
+	version     uint64
+}
+
+// newest returns the time of the newest crash or completion.
+func (h *history) newest() time.Time {
+	newest := h.completedAt
+	if n := len(h.crashes); n > 0 && h.crashes[n-1].end.After(newest) {
+		newest = h.crashes[n-1].end
+	}
+	return newest
+}
+
+// has reports whether the request was in flight at a crash.
+func (h *history) has(name crashName) bool {
+	for _, c := range h.crashes {
+		if c.crashName == name {
+			return true
+		}
+	}
+	return false
+}
+
+// chain returns the longest series of crashes of which each attempt began after the
+// crash before it.
+func (h *history) chain() []crash {
+	var chain []crash
+	for _, c := range h.crashes {
+		if len(chain) == 0 || !c.start.Before(chain[len(chain)-1].end) {
+			chain = append(chain, c)
+		}
+	}
+	return chain
+}
