internal/gateway: requests that crash upstreams are isolated by all entries

Cause: each request was bounded by itself (max_attempts, retry budget), and nothing recognised its repeats. The crash records and the isolation of suspects in pkg/isolator were used by internal/server only.

Now an attempt whose connection breaks leads to one probe per upstream: an idle connection that is open, or a new one. A refused connection, or another process in the upstream's place that was not announced, makes the attempts in flight crash records. Suspects of an entry run on different upstreams. A confirmed request is refused at once with 503, the promise that it has not run, and the time until its isolation ends; a call that has run gets 502. The isolation is also a row of the platform's store, which an entry reads before it is ready, so that it outlives restarts of all entries. A completion ends it.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -43,11 +43,11 @@
 	// fingerprint is the same for all requests with the same content, which a
 	// caller may repeat under new IDs.
 	fingerprint isolator.Fingerprint
-	route    resolver.Route
-	org      *resolver.Organisation
-	resolver *resolver.Resolver
-	arrived  time.Time
-	deadline time.Time
+	route       resolver.Route
+	org         *resolver.Organisation
+	resolver    *resolver.Resolver
+	arrived     time.Time
+	deadline    time.Time
 
 	deployment string
 	// prefix is the hash of the prompt part that the request shares with
@@ -76,9 +76,11 @@
 	// lastEventID is the id of the last stream event that was sent.
 	responseStarted bool
 	lastEventID     string
-	usageCounted    bool
-	disconnected    bool
-	logged          bool
+	// suspect reports that the current attempt was made as one of a suspect.
+	suspect      bool
+	usageCounted bool
+	disconnected bool
+	logged       bool
 }
 
 // failure describes an attempt without a complete response.
@@ -86,6 +88,9 @@
 	verdict judge.Verdict
 	// unsent reports that the upstream received nothing of the request.
 	unsent bool
+	// connectionBroke reports that the connection broke before the end of the
+	// response.
+	connectionBroke bool
 	// busy reports that the upstream may be healthy but accepts no more
 	// requests, or no more from this entry.
 	busy bool
@@ -100,6 +105,9 @@
 // allowed. It returns nil once the caller has the complete response, and a
 // refusal otherwise.
 func (g *Gateway) forward(parent context.Context, w http.ResponseWriter, c *call) *judge.Refusal {
+	if refusal := g.refuseIsolated(c); refusal != nil {
+		return refusal
+	}
 	if refusal := g.admit(c); refusal != nil {
 		return refusal
 	}
@@ -116,9 +124,17 @@
 			return nil
 		}
 		g.recordFailure(ctx, c, upstream, f)
+		var probed <-chan struct{}
+		if f.verdict == judge.MayHaveRun {
+			probed = g.recordBroken(ctx, c, upstream, f)
+		}
 		if ctx.Err() != nil || c.disconnected {
 			return g.refuseEnded(ctx, c, f)
 		}
+		g.awaitProbe(ctx, c, probed)
+		if refusal := g.refuseIsolated(c); refusal != nil {
+			return refusal
+		}
 		if !g.mayRetry(c, f) {
 			return g.refuseFailed(c, f)
 		}
@@ -174,7 +190,10 @@
 	}
 	query.PrefixHash = c.prefix
 	st.restrictVersion(now, c, &query)
-	picked, ok := st.router.Pick(now, query)
+	picked, ok := st.pickForSuspect(now, c, query)
+	if !ok {
+		picked, ok = st.router.Pick(now, query)
+	}
 	if !ok || st.unreachableDomains[picked.FailureDomain] {
 		// The router picks an unreachable domain only if there is no other.
 		return Upstream{}, false
@@ -217,7 +236,10 @@
 	})
 	if err != nil {
 		verdict := judge.VerdictOf(err)
-		return &failure{verdict: verdict, unsent: verdict == judge.NotRun, retryCharged: silence.retryCharged.Load(), busy: pooler.IsFull(err), cause: err}
+		return &failure{
+			verdict: verdict, unsent: verdict == judge.NotRun, connectionBroke: verdict != judge.NotRun && ctx.Err() == nil,
+			retryCharged: silence.retryCharged.Load(), busy: pooler.IsFull(err), cause: err,
+		}
 	}
 	defer response.Close()
 	info := g.cfg.Codec.Response(response.Status, response.Header)
@@ -251,6 +273,7 @@
 	c.loadAtStart = st.router.EstimatedLoad(now, c.upstream.ID)
 	st.router.Begin(c.upstream.ID)
 	st.router.AdjustLoad(c.upstream.ID, load)
+	c.suspect = st.beginSuspect(now, c)
 	d := st.demandFor(c.deployment)
 	d.Running++
 	if c.sends == 0 {
@@ -274,6 +297,9 @@
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	g.state.router.End(c.upstream.ID)
+	if c.suspect {
+		g.state.endSuspect(c)
+	}
 	g.state.demandFor(c.deployment).Running--
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -154,6 +154,8 @@
 	// counts that the leader reports.
 	Entries string
 	Leases  string
+	// Isolations lists the requests that crash the upstreams that run them.
+	Isolations string
 }
 
 // Decoder decodes rows of the platform's tables.
--- /dev/null
+++ b/internal/gateway/crashes.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/waiter"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+)
+
+const (
+	// brokenAttemptTTL is how long after it broke off an attempt can be attributed to
+	// a crash of its upstream. An upstream that starts again may list its new process
+	// some seconds later.
+	brokenAttemptTTL = 15 * time.Second
+	// crashAttributionWindow is the largest time between a crash that is detected by
+	// a refused connection and the end of an attempt that it broke off.
+	crashAttributionWindow = time.Second
+	// maxBrokenAttempts bounds the broken attempts of one upstream.
+	maxBrokenAttempts = 256
+	// A probe waits probeDelay, as an upstream that crashes may accept connections for
+	// a moment, then connects. It repeats this up to maxProbes times while the
+	// upstream accepts.
+	probeDelay = 20 * time.Millisecond
+	maxProbes  = 2
+	// maxProbeWait is how long a suspect request waits for the result of a probe
+	// before its next attempt.
+	maxProbeWait = 100 * time.Millisecond
+)
+
+// crashDetector attributes attempts that broke off to crashes of their upstreams.
+// The state's lock guards it.
+type crashDetector struct {
+	// broken lists the attempts that ended without a response, by upstream ID.
+	broken map[string][]brokenAttempt
+	// crashedAt is when the last crash of an upstream was detected.
+	crashedAt map[string]time.Time
+	// probes are closed at the end of the running probes, by upstream ID.
+	probes map[string]chan struct{}
+}
+
+// brokenAttempt is an attempt that ended without a response.
+type brokenAttempt struct {
+	isolator.Attempt
+	// callerLeft reports that the attempt ended because the caller disconnected, and
+	// that its upstream may have been well.
+	callerLeft bool
+}
+
+func newCrashDetector() crashDetector {
+	return crashDetector{broken: map[string][]brokenAttempt{}, crashedAt: map[string]time.Time{}, probes: map[string]chan struct{}{}}
+}
+
+// sweep removes attempts and crashes that are too old to be attributed.
+func (d *crashDetector) sweep(now time.Time) {
+	for id, attempts := range d.broken {
+		if now.Sub(attempts[len(attempts)-1].End) > brokenAttemptTTL {
+			delete(d.broken, id)
+		}
+	}
+	for id, at := range d.crashedAt {
+		if now.Sub(at) > brokenAttemptTTL {
+			delete(d.crashedAt, id)
+		}
+	}
+}
+
+// add adds a broken attempt and reports whether it belongs to a crash that is already
+// known.
+func (d *crashDetector) add(id string, attempt brokenAttempt) bool {
+	if crashedAt, ok := d.crashedAt[id]; ok && attempt.Start.Before(crashedAt) && attempt.End.Sub(crashedAt) <= crashAttributionWindow {
+		return true
+	}
+	if len(d.broken[id]) < maxBrokenAttempts {
+		d.broken[id] = append(d.broken[id], attempt)
+	}
+	return false
+}
+
+// take removes the broken attempts of an upstream and returns those that match.
+func (d *crashDetector) take(id string, match func(brokenAttempt) bool) []isolator.Attempt {
+	var taken []isolator.Attempt
+	for _, b := range d.broken[id] {
+		if match(b) {
+			taken = append(taken, b.Attempt)
+		}
+	}
+	delete(d.broken, id)
+	return taken
+}
+
+// recordBroken records an attempt that ended without a response. If its connection
+// broke, the upstream is probed. The result is closed when the probe has ended; it is
+// nil if there is none.
+func (g *Gateway) recordBroken(ctx context.Context, c *call, u Upstream, f *failure) <-chan struct{} {
+	now := g.cfg.Now()
+	st := g.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if _, listed := st.upstreamByID[u.ID]; !listed || st.router.IsLeaving(u.ID) {
+		// Its end was announced.
+		return nil
+	}
+	attempt := brokenAttempt{
+		Attempt:    isolator.Attempt{Fingerprint: c.fingerprint, Start: c.attemptAt, End: now, Choices: st.deploymentSizes[u.Deployment]},
+		callerLeft: c.disconnected || errors.Is(context.Cause(ctx), errDisconnected),
+	}
+	if st.crashes.add(u.ID, attempt) {
+		st.recordCrash(now, u.ID, []isolator.Attempt{attempt.Attempt})
+		return nil
+	}
+	if !f.connectionBroke || ctx.Err() != nil {
+		return nil
+	}
+	done, running := st.crashes.probes[u.ID]
+	if !running {
+		done = make(chan struct{})
+		st.crashes.probes[u.ID] = done
+		go g.probe(u, done)
+	}
+	return done
+}
+
+// probe checks whether an upstream whose connection broke has crashed: its address
+// refuses connections.
+func (g *Gateway) probe(u Upstream, done chan struct{}) {
+	defer close(done)
+	crashed := false
+	for range maxProbes {
+		if !waiter.Pause(g.abortContext, probeDelay) {
+			break
+		}
+		accepted, err := g.pool.Probe(g.abortContext, u.Address)
+		if crashed = err == nil && !accepted; crashed || err != nil {
+			break
+		}
+	}
+	now := g.cfg.Now()
+	st := g.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	delete(st.crashes.probes, u.ID)
+	if !crashed {
+		return
+	}
+	g.metrics.Count("upstream_crashes")
+	st.crashes.crashedAt[u.ID] = now
+	st.router.Suspect(u.ID, now.Add(unreachableBackoff))
+	st.recordCrash(now, u.ID, st.crashes.take(u.ID, func(b brokenAttempt) bool { return now.Sub(b.End) <= crashAttributionWindow }))
+}
+
+// awaitProbe waits for the end of a probe if the call's request is a suspect, so that
+// its next attempt takes the crash into account.
+func (g *Gateway) awaitProbe(ctx context.Context, c *call, probed <-chan struct{}) {
+	if probed == nil {
+		return
+	}
+	g.state.mu.Lock()
+	status := g.state.crashStatus(g.cfg.Now(), c.fingerprint)
+	g.state.mu.Unlock()
+	if status == isolator.Clear {
+		return
+	}
+	timer := time.NewTimer(maxProbeWait)
+	defer timer.Stop()
+	select {
+	case <-probed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// recordRestart records the crash of an upstream whose process was replaced by
+// another one without having announced its end. The lock must be held.
+func (st *state) recordRestart(now time.Time, u Upstream) {
+	attempts := st.crashes.take(u.ID, func(b brokenAttempt) bool { return !b.callerLeft && now.Sub(b.End) <= brokenAttemptTTL })
+	if u.Leaving || len(attempts) == 0 {
+		return
+	}
+	st.recordCrash(now, u.ID, attempts)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,17 +40,18 @@
 // Gateway is one entry process. New creates it; Run serves until its context is
 // canceled.
 type Gateway struct {
-	cfg              Config
-	boot             uint64
-	startedAt        time.Time
-	state            *state
-	pool             *pooler.Pool
-	gossip           *gossiper.Gossiper[peerMessage]
-	metrics          *measurer.Metrics
-	entryFollower    *follower.Follower
-	configFollower   *follower.Follower
-	upstreamFollower *follower.Follower
-	leader           *leader
+	cfg               Config
+	boot              uint64
+	startedAt         time.Time
+	state             *state
+	pool              *pooler.Pool
+	gossip            *gossiper.Gossiper[peerMessage]
+	metrics           *measurer.Metrics
+	entryFollower     *follower.Follower
+	configFollower    *follower.Follower
+	upstreamFollower  *follower.Follower
+	isolationFollower *follower.Follower
+	leader            *leader
 
 	openRequests atomic.Int64
 	stopping     atomic.Bool
@@ -81,6 +82,7 @@
 	g.entryFollower = g.newFollower(follower.Config{
 		Table: cfg.Tables.Entries, PollTimeout: memberPollInterval, PollInterval: memberPollInterval, PeersSendUpdates: g.slowMemberPolls, SlowPollInterval: slowMemberPollInterval, Apply: g.applyMemberRows,
 	})
+	g.isolationFollower = g.newFollower(follower.Config{Table: cfg.Tables.Isolations, PollTimeout: isolationPollTimeout, Apply: g.state.applyIsolationRows})
 	g.leader = newLeader(g)
 	gossip, err := gossiper.Listen(gossiper.Config[peerMessage]{
 		Address: cfg.PeerListen, Interval: gossipInterval, Compose: g.roundMessages, Handle: g.receive, Now: cfg.Now, Log: cfg.Log,
@@ -148,7 +150,8 @@
 // addTasks adds the background tasks to group.
 func (g *Gateway) addTasks(group *run.Group) {
 	for _, task := range []func(context.Context) error{
-		g.configFollower.Run, g.upstreamFollower.Run, g.entryFollower.Run, g.gossip.Run, g.maintainMemberRow, g.leader.run, g.sweep,
+		g.configFollower.Run, g.upstreamFollower.Run, g.entryFollower.Run, g.isolationFollower.Run, g.gossip.Run,
+		g.maintainMemberRow, g.maintainIsolations, g.leader.run, g.sweep,
 	} {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error {
@@ -179,7 +182,9 @@
 func (g *Gateway) readinessHandler() http.Handler {
 	engine := gin.New()
 	engine.GET(g.cfg.ReadyPath, func(c *gin.Context) {
-		if g.stopping.Load() || !g.state.ready() {
+		now := g.cfg.Now()
+		_, isolationsRead := g.isolationFollower.Age(now)
+		if g.stopping.Load() || !g.state.ready(now, isolationsRead) {
 			c.Status(http.StatusServiceUnavailable)
 			return
 		}
@@ -200,7 +205,7 @@
 func (g *Gateway) updateGauges() {
 	now := g.cfg.Now()
 	g.metrics.Gauge("requests_open", g.openRequests.Load())
-	for name, f := range map[string]*follower.Follower{"config": g.configFollower, "upstreams": g.upstreamFollower, "entries": g.entryFollower} {
+	for name, f := range map[string]*follower.Follower{"config": g.configFollower, "upstreams": g.upstreamFollower, "entries": g.entryFollower, "isolations": g.isolationFollower} {
 		if age, known := f.Age(now); known {
 			g.metrics.Gauge("store_age_ms_"+name, age.Milliseconds())
 		}
@@ -213,4 +218,5 @@
 	defer st.mu.Unlock()
 	g.metrics.Gauge("entries", int64(st.memberCount()))
 	g.metrics.Gauge("upstreams", int64(len(st.upstreams)))
+	g.metrics.Gauge("isolations", int64(len(st.isolation.rows)))
 }
--- /dev/null
+++ b/internal/gateway/isolation_test.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/provider"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+const poison = isolator.Fingerprint(7)
+
+// crashOf records at an entry that an upstream crashed during attempts of the given
+// requests.
+func crashOf(g *Gateway, now time.Time, upstream string, fingerprints ...isolator.Fingerprint) {
+	var attempts []isolator.Attempt
+	for _, f := range fingerprints {
+		attempts = append(attempts, isolator.Attempt{Fingerprint: f, Start: now.Add(-50 * time.Millisecond), End: now, Choices: 18})
+	}
+	g.state.recordCrash(now, upstream, attempts)
+}
+
+// A poison request is repeated at another entry each time, and each entry sees one
+// crash only. All entries must confirm it within two seconds of the third crash,
+// although messages are lost and many other requests were in flight at the crashes.
+func TestCrashRecordsReachAllEntries(t *testing.T) {
+	for _, n := range []int{6, 81} {
+		c := newCluster(t, n)
+		c.rounds(6)
+		sent := 0
+		c.lost = func(int, int) bool { sent++; return sent%7 == 0 }
+		for crash, i := range []int{1, n / 2, n - 1} {
+			fingerprints := []isolator.Fingerprint{poison}
+			for f := range 30 {
+				fingerprints = append(fingerprints, isolator.Fingerprint(1000+100*crash+f))
+			}
+			crashOf(c.entries[i], c.clock.now, fmt.Sprint("u", crash), fingerprints...)
+			c.rounds(20)
+		}
+		for i, g := range c.entries {
+			require.Equal(t, isolator.Confirmed, g.state.crashStatus(c.clock.now, poison), "entry %d of %d", i, n)
+			require.NotEqual(t, isolator.Confirmed, g.state.crashStatus(c.clock.now, 1001), "entry %d of %d", i, n)
+		}
+		c.rounds(int(recordSendTime / gossipInterval))
+		for _, g := range c.entries {
+			require.Empty(t, g.state.nextRecords(c.clock.now), "nothing is sent when nothing is new")
+		}
+	}
+}
+
+// Many upstreams crash at once, and later a poison request comes. The records in the
+// messages of a round are bounded, and those of the poison request go first.
+func TestCrashRecordsAreBounded(t *testing.T) {
+	g, c := newGateway(t, nil)
+	for u := range 100 {
+		var fingerprints []isolator.Fingerprint
+		for f := range 32 {
+			fingerprints = append(fingerprints, isolator.Fingerprint(1000+100*u+f))
+		}
+		crashOf(g, c.now, fmt.Sprint("u", u), fingerprints...)
+	}
+	require.LessOrEqual(t, len(g.state.isolation.queue), maxQueuedRecords)
+	for crash := range 2 {
+		c.advance(time.Second)
+		crashOf(g, c.now, fmt.Sprint("p", crash), poison)
+	}
+	records := g.state.nextRecords(c.now)
+	require.Len(t, records, maxSentRecords)
+	require.Equal(t, []isolator.Fingerprint{poison, poison}, []isolator.Fingerprint{records[0].Fingerprint, records[1].Fingerprint})
+	for f := range isolator.Fingerprint(5000) {
+		require.NotEqual(t, isolator.Confirmed, g.state.crashStatus(c.now, f))
+	}
+}
+
+// Messages waited while the process did not run. Their ages are wrong, so that crashes
+// of one moment would seem to have come one after another.
+func TestRecordsOfABacklogAreIgnored(t *testing.T) {
+	g, c := newGateway(t, nil)
+	g.roundMessages(c.now)
+	deliver := func(upstream string) {
+		g.receive(c.now, netip.AddrPort{}, peerMessage{ID: "b1", Boot: 1, Group: "b1", Address: "127.0.0.1:1", Domain: "b", CrashRecords: []isolator.CrashRecord{
+			{Fingerprint: poison, Upstream: upstream, RanMS: 10, Choices: 18},
+		}})
+	}
+	c.advance(5 * time.Second)
+	deliver("u0")
+	g.roundMessages(c.now)
+	c.advance(gossipInterval)
+	deliver("u1")
+	require.Equal(t, isolator.Clear, g.state.crashStatus(c.now, poison))
+	g.roundMessages(c.now)
+	c.advance(2 * gossipInterval)
+	g.roundMessages(c.now)
+	deliver("u2")
+	require.Equal(t, isolator.Suspect, g.state.crashStatus(c.now, poison))
+}
+
+// listUpstreams lists upstreams of the deployment "model" by row key and ID.
+func listUpstreams(g *Gateway, now time.Time, ids map[string]string) {
+	for key, id := range ids {
+		g.state.upstreams[key] = Upstream{Name: key, Upstream: router.Upstream{ID: id, Deployment: "model", Address: key, FailureDomain: "a", Slots: 8}}
+	}
+	g.state.updateRouter(now)
+}
+
+// runDecoder decodes rows whose value is the ID of the upstream's process.
+type runDecoder struct{ listDecoder }
+
+func (runDecoder) Upstream(key string, value []byte) (Upstream, error) {
+	return Upstream{Name: key, Upstream: router.Upstream{ID: string(value), Deployment: "model", Address: key, FailureDomain: "a", Slots: 8}}, nil
+}
+
+// An upstream that falls silent refuses no connection. When the list shows another
+// process in its place, the attempts that ended on it were in flight at a crash, unless
+// their callers had left or the upstream had announced its end.
+func TestRestartsAreCrashes(t *testing.T) {
+	for name, test := range map[string]struct {
+		leaves, callerLeft, deleted bool
+		after                       time.Duration
+		want                        isolator.Status
+	}{
+		"restarted":         {want: isolator.Suspect, after: 4 * time.Second},
+		"gone":              {want: isolator.Suspect, after: 4 * time.Second, deleted: true},
+		"much later":        {want: isolator.Clear, after: time.Minute},
+		"announced":         {want: isolator.Clear, leaves: true},
+		"the caller left":   {want: isolator.Clear, callerLeft: true},
+		"left and replaced": {want: isolator.Clear, leaves: true, deleted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, clock := newGateway(t, nil)
+			st := g.state
+			st.cfg.Decoder = runDecoder{}
+			listUpstreams(g, clock.now, map[string]string{"k0": "k0.1", "k1": "k1.1"})
+			if test.leaves {
+				require.True(t, st.router.MarkLeaving(clock.now, "k0.1", time.Second))
+			}
+			c := &call{fingerprint: poison, attemptAt: clock.now, disconnected: test.callerLeft}
+			clock.advance(time.Second)
+			require.Nil(t, g.recordBroken(t.Context(), c, st.upstreams["k0"], &failure{verdict: judge.MayHaveRun}))
+			clock.advance(test.after)
+			g.sweepPeers(clock.now)
+			st.applyUpstreamRows(clock.now, []provider.StoreRow{{Key: "k0", Value: []byte("k0.2"), Version: 2, Deleted: test.deleted}})
+			require.Equal(t, test.want, st.crashStatus(clock.now, poison))
+		})
+	}
+}
+
+// Two suspects of an entry run on different upstreams while there are enough, so that
+// the next crash separates them.
+func TestSuspectsRunApart(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	listUpstreams(g, clock.now, map[string]string{"k0": "k0", "k1": "k1", "k2": "k2"})
+	crashOf(g, clock.now, "u0", 1, 2, 3, 4)
+	used := map[string]bool{}
+	var calls []*call
+	for f := isolator.Fingerprint(1); f <= 4; f++ {
+		c := &call{fingerprint: f, deployment: "model"}
+		u, ok := g.chooseUpstream(c)
+		require.True(t, ok)
+		c.upstream = u
+		g.beginAttempt(clock.now, c, 0)
+		used[u.ID] = true
+		calls = append(calls, c)
+	}
+	require.Len(t, used, 3, "the fourth has to share one")
+	for _, c := range calls {
+		g.endAttempt(c)
+	}
+	require.Empty(t, g.state.isolation.suspects)
+}
+
+// A confirmed request is refused at once with a promise that it has not run, unless
+// this call has run already. A completion ends the isolation.
+func TestConfirmedRequestsAreRefused(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	c := &call{fingerprint: poison}
+	for crash := range 3 {
+		require.Nil(t, g.refuseIsolated(c), "after %d crashes", crash)
+		crashOf(g, clock.now, fmt.Sprint("u", crash), poison)
+		clock.advance(time.Second)
+	}
+	refusal := g.refuseIsolated(c)
+	require.Equal(t, http.StatusServiceUnavailable, refusal.Status)
+	require.Equal(t, judge.NotRun, refusal.Verdict)
+	require.Positive(t, refusal.RetryAfterMS)
+	c.runs = 1
+	refusal = g.refuseIsolated(c)
+	require.False(t, promisesNotRun(refusal.Status))
+	require.Equal(t, judge.MayHaveRun, refusal.Verdict)
+	g.state.recordCompletion(clock.now, poison)
+	require.Nil(t, g.refuseIsolated(c))
+}
+
+// An isolation is written by the entries that observed a crash and by the leader, once
+// records of other entries have had time to arrive, and deleted when it has expired or
+// the request has completed.
+func TestIsolationsAreStored(t *testing.T) {
+	observer, clock := newGateway(t, nil)
+	other, _ := newGateway(t, nil)
+	now := clock.now
+	for crash := range 3 {
+		now = now.Add(time.Second)
+		crashOf(observer, now, fmt.Sprint("u", crash), poison)
+		other.state.mergeRecords(now, observer.state.isolation.isolator.Records(now, poison))
+	}
+	require.Empty(t, observer.state.isolationChange(now, false).Put, "at the first check")
+	require.Empty(t, other.state.isolationChange(now, true).Put)
+	now = now.Add(time.Second)
+	require.Empty(t, other.state.isolationChange(now, false).Put, "it observed no crash")
+	require.Len(t, other.state.isolationChange(now, true).Put, 1)
+	change := observer.state.isolationChange(now, false)
+	require.Len(t, change.Put, 1)
+	require.Zero(t, change.Expect[0].Version, "only the first writer's row is kept")
+	row := change.Put[0]
+	row.Version = 9
+	var value isolationRow
+	require.NoError(t, json.Unmarshal(row.Value, &value))
+	require.Equal(t, isolationRow{IsolatedMS: now.UnixMilli(), Crashes: 3, Entry: "e1"}, value)
+
+	restarted, _ := newGateway(t, nil)
+	for _, g := range []*Gateway{observer, restarted} {
+		g.state.applyIsolationRows(now, []provider.StoreRow{row, {Key: "no fingerprint", Value: row.Value}, {Key: "1", Value: []byte("no row")}})
+		require.Equal(t, isolator.Confirmed, g.state.crashStatus(now, poison))
+		change := g.state.isolationChange(now, true)
+		require.Empty(t, change.Put)
+		require.Empty(t, change.Delete)
+	}
+	expired := now.Add(isolationLifetime)
+	require.Equal(t, isolator.Clear, restarted.state.crashStatus(expired, poison))
+	require.Empty(t, restarted.state.isolationChange(expired, false).Delete)
+	change = restarted.state.isolationChange(expired, true)
+	require.Len(t, change.Delete, 1)
+	require.Equal(t, uint64(9), change.Expect[0].Version)
+	observer.state.recordCompletion(now.Add(time.Second), poison)
+	require.Len(t, observer.state.isolationChange(now.Add(time.Second), false).Delete, 1, "it completed")
+	restarted.state.applyIsolationRows(now, []provider.StoreRow{{Key: row.Key, Deleted: true}})
+	require.Equal(t, isolator.Clear, restarted.state.crashStatus(now, poison))
+}
+
+// An entry that restarts reads the isolations before it is ready, but does not wait
+// long for a table that it can't read.
+func TestReadyAfterIsolationsAreRead(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	st := g.state
+	require.False(t, st.ready(clock.now, true), "no list of upstreams")
+	st.applyUpstreamRows(clock.now, nil)
+	require.False(t, st.ready(clock.now, false))
+	require.True(t, st.ready(clock.now, true))
+	clock.advance(maxReadyDelay)
+	require.True(t, st.ready(clock.now, false))
+}
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -113,6 +113,7 @@
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.crashes.sweep(now)
 	for group, last := range st.received {
 		if silent := now.Sub(last.at); silent > peerTimeout {
 			st.replaceReceived(now, group, nil)
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenahitch/galenahitch/pkg/accountant"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
 )
 
 // messageKind is the kind of a message's contents.
@@ -65,6 +66,8 @@
 	ListVersion uint64    `cbor:"22,keyasint,omitempty"`
 	// Moves are keyed by deployment.
 	Moves map[string]moveUpdate `cbor:"20,keyasint,omitempty"`
+	// CrashRecords are new crash records of this entry and of others.
+	CrashRecords []isolator.CrashRecord `cbor:"23,keyasint,omitempty"`
 }
 
 // listRow is a row of the list of upstreams as read from the store.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -76,6 +76,7 @@
 	}
 	st.mergeUsage(now, message)
 	st.mergeMoves(now, message.Moves)
+	st.mergeRecords(now, message.CrashRecords)
 	if message.Stopping && !known {
 		// The entry finishes its accepted requests and is no longer a member.
 		st.aggregateMessage(now, message)
@@ -288,6 +289,7 @@
 	st.compareVersions()
 	st.rounds++
 	own := g.ownMessage(now)
+	own.CrashRecords = st.nextRecords(now)
 	envelopes := []gossiper.Envelope[peerMessage]{{Receivers: st.peerAddresses(st.plan.Relays), Message: own}}
 	if !st.plan.IsRelay {
 		return envelopes
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -61,13 +61,21 @@
 	return &failure{verdict: judge.MayHaveRun, cause: cause}
 }
 
+// truncatedResponse returns the failure of an attempt whose response could not be read
+// to its end.
+func truncatedResponse(ctx context.Context, err error) *failure {
+	f := brokenResponse(ctx, err)
+	f.connectionBroke = ctx.Err() == nil
+	return f
+}
+
 // forwardWhole forwards a response that is not a stream. Up to maxBufferedBytes
 // of it are read before any are sent.
 func (g *Gateway) forwardWhole(ctx context.Context, w http.ResponseWriter, c *call, r *upstreamResponse) *failure {
 	response := r.response
 	buffered, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
 	if err != nil {
-		return brokenResponse(ctx, err)
+		return truncatedResponse(ctx, err)
 	}
 	g.countUsage(c, r.sentAt)
 	c.attemptLatency = g.cfg.Now().Sub(r.sentAt)
@@ -81,7 +89,7 @@
 	}
 	if len(buffered) == maxBufferedBytes {
 		if _, err := io.Copy(w, response); err != nil {
-			return brokenResponse(ctx, err)
+			return truncatedResponse(ctx, err)
 		}
 	}
 	g.recordResponse(c, response.Status)
@@ -113,7 +121,7 @@
 			break
 		}
 		if err != nil {
-			return brokenResponse(ctx, err)
+			return truncatedResponse(ctx, err)
 		}
 	}
 	if !c.responseStarted {
@@ -184,6 +192,7 @@
 	c.runs++
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
+	g.state.recordCompletion(g.cfg.Now(), c.fingerprint)
 	g.state.recordOutcome(c, c.upstream, status >= http.StatusInternalServerError, c.attemptLatency)
 	if status < http.StatusInternalServerError {
 		g.state.router.RecordSuccess(c.upstream.ID)
--- a/internal/gateway/size_test.go
+++ b/internal/gateway/size_test.go
@@ -8,9 +8,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenahitch/galenahitch/pkg/accountant"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
 )
 
-// A message of an entry that uses 22 upstreams for 5 organisations fits one
+// A message of an entry that uses 22 upstreams for 5 organisations and has many crash records fits one
 // Ethernet frame.
 func TestMessageFitsOneFrame(t *testing.T) {
 	const frame = 1400
@@ -31,6 +32,11 @@
 	for i := range 2 {
 		n.Demand[fmt.Sprintf("huvo11%d", i)] = demand{RequestRate: 1.5, PromptTokenRate: 1.5, PrefillSpeed: 1.5, Running: 3}
 	}
+	for i := range maxSentRecords {
+		n.CrashRecords = append(n.CrashRecords, isolator.CrashRecord{
+			Fingerprint: isolator.Fingerprint(i) + 1<<63, Upstream: fmt.Sprintf("i-%010x.mmud2t75", i), AgeMS: 4000, RanMS: 900, Choices: 18,
+		})
+	}
 	encoded, err := cbor.Marshal(n)
 	require.NoError(t, err)
 	t.Logf("%d bytes", len(encoded))
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -49,9 +49,11 @@
 	mu       sync.Mutex
 	configAt time.Time
 	// upstreams are keyed by row key, upstreamByID by upstream ID.
-	upstreams     map[string]Upstream
-	upstreamByID  map[string]Upstream
-	listUpdatedAt time.Time
+	upstreams    map[string]Upstream
+	upstreamByID map[string]Upstream
+	// deploymentSizes are the numbers of listed upstreams by deployment.
+	deploymentSizes map[string]int
+	listUpdatedAt   time.Time
 	// listChanges are the recent changes of the list of upstreams that a relay
 	// sends to its members; lastChange is the number of the latest one.
 	// listSources are the relays that send changes to this entry, by entry ID.
@@ -71,6 +73,8 @@
 	unreachableDomains map[string]bool
 	promptHistory      promptHistory
 	startedAt          time.Time
+	// canServeSince is when the configuration and the list of upstreams were known.
+	canServeSince time.Time
 	// leaderlessSince is the time since which no message has named another
 	// entry as the leader.
 	leaderlessSince time.Time
@@ -79,6 +83,9 @@
 	moves             map[string]*move
 	ownOutcomes       aggregator.Totals
 	latencyThresholds map[string]*mover.LatencyThreshold
+	// crashes and isolation find the requests that crash upstreams.
+	crashes   crashDetector
+	isolation isolation
 	// aggregator, received and remoteLoad hold what other entries sent:
 	// counters, the latest message by group, and load in loadUnits by
 	// upstreamKey.
@@ -111,6 +118,7 @@
 		log:                cfg.Log,
 		upstreams:          map[string]Upstream{},
 		upstreamByID:       map[string]Upstream{},
+		deploymentSizes:    map[string]int{},
 		listSources:        map[string]*listSource{},
 		router:             router.New(router.Config{EntryID: cfg.ID, FailureDomain: cfg.FailureDomain, Seed: boot, CrossDomainPenalty: &penalty, Choices: routerChoices}),
 		throttler:          throttler.New(throttler.Config{Start: cfg.Now(), PeerTimeout: peerTimeout, ReportInterval: gossipInterval, MaxDebt: cfg.Quotas.QuotaAllowance * quotaDebtShare}),
@@ -131,6 +139,8 @@
 		moves:              map[string]*move{},
 		ownOutcomes:        aggregator.Totals{},
 		latencyThresholds:  map[string]*mover.LatencyThreshold{},
+		crashes:            newCrashDetector(),
+		isolation:          newIsolation(),
 		connectFailedAt:    map[string]time.Time{},
 		unreachableDomains: map[string]bool{},
 		random:             rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
@@ -218,6 +228,7 @@
 		old, known := st.upstreams[row.Key]
 		if row.Deleted {
 			if known {
+				st.recordRestart(now, old)
 				delete(st.upstreams, row.Key)
 				st.recordListChange(now, row)
 				st.log.Info().Str("event", "upstream_gone").Str("upstream", old.ID).Uint64("row_version", row.Version).Send()
@@ -230,6 +241,7 @@
 			continue
 		}
 		if known && old.ID != u.ID {
+			st.recordRestart(now, old)
 			st.log.Info().Str("event", "upstream_restarted").Str("upstream", old.ID).Str("now", u.ID).Bool("was_leaving", old.Leaving).Send()
 		}
 		if !known || old.ID != u.ID {
@@ -250,10 +262,12 @@
 	listed := make([]router.Upstream, 0, len(st.upstreams))
 	clear(st.idByKey)
 	clear(st.upstreamByID)
+	clear(st.deploymentSizes)
 	for _, u := range st.upstreams {
 		listed = append(listed, u.Upstream)
 		st.idByKey[upstreamKey(u.ID)] = u.ID
 		st.upstreamByID[u.ID] = u
+		st.deploymentSizes[u.Deployment]++
 	}
 	st.router.Replace(now, listed)
 	for _, u := range st.upstreams {
@@ -282,12 +296,18 @@
 	return limits
 }
 
-// ready reports whether the entry can serve: it has a configuration and has
-// read the list of upstreams.
-func (st *state) ready() bool {
+// ready reports whether the entry can serve: it has a configuration, has read the
+// list of upstreams and, unless that takes long, that of isolated requests.
+func (st *state) ready(now time.Time, isolationsRead bool) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.resolver.Load() != nil && !st.listUpdatedAt.IsZero()
+	if st.resolver.Load() == nil || st.listUpdatedAt.IsZero() {
+		return false
+	}
+	if st.canServeSince.IsZero() {
+		st.canServeSince = now
+	}
+	return isolationsRead || now.Sub(st.canServeSince) >= maxReadyDelay
 }
 
 // jitter returns a random duration between half and one and a half of d.
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/galenahitch/galenahitch/pkg/judge"
@@ -164,6 +165,33 @@
 	}, nil
 }
 
+// Probe reports whether an upstream accepts connections: an idle connection to it is
+// open, or a new one can be opened. It returns an error if that can't be told, as when
+// the upstream does not respond.
+func (p *Pool) Probe(ctx context.Context, address string) (bool, error) {
+	if c := p.popIdle(address); c != nil {
+		if c.isClean() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			h := p.upstreamConns(address)
+			h.idle = append(h.idle, c)
+			return true, nil
+		}
+		p.discard(address, c)
+	}
+	c, err := p.dialer.DialContext(ctx, "tcp4", address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return false, nil
+	case err != nil:
+		return false, err
+	}
+	if p.cfg.OnOpen != nil {
+		p.cfg.OnOpen()
+	}
+	return true, c.Close()
+}
+
 // acquire returns a usable idle connection or opens a new one.
 func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
 	for {
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -220,3 +220,31 @@
 	require.Equal(t, 2, accepted())
 	p.Sweep(func(string) bool { return false })
 }
+
+// Probe must tell an upstream that refuses connections from one that accepts them, and
+// must not use up an idle connection or open one if an idle one shows the answer.
+func TestProbe(t *testing.T) {
+	address, accepted := startUpstream(t, []string{response("1", "one"), response("2", "two")})
+	p := newPool()
+	_, err := send(t, p, address, "1")
+	require.NoError(t, err)
+	up, err := p.Probe(context.Background(), address)
+	require.NoError(t, err)
+	require.True(t, up)
+	_, err = send(t, p, address, "2")
+	require.NoError(t, err)
+	require.Equal(t, 1, accepted())
+	up, err = newPool().Probe(context.Background(), address)
+	require.NoError(t, err)
+	require.True(t, up)
+	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, free.Close())
+	up, err = p.Probe(context.Background(), free.Addr().String())
+	require.NoError(t, err)
+	require.False(t, up)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = newPool().Probe(ended, address)
+	require.Error(t, err)
+}
