internal/gateway: the retry budget holds over restarts and cuts

Cause: an entry took the whole allowance until it knew of other entries, an entry that started again had its part once more, and the parts grew at once when entries stopped or were removed, although their retries of the last window still counted.

Now an entry has no allowance until it has read the table of entries, which it waits for before it is ready (at most 2 s); the parts follow the largest number of entries in the last window; and half of the allowance is left for processes that were replaced and for entries that were cut off. The ratio of retries to requests is unchanged.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -350,22 +350,6 @@
 	return c.mayRerun() && g.hasOtherUpstream(c.deployment, append(slices.Clone(c.exclude), c.upstream.ID)) && g.chargeRetry(c.deployment)
 }
 
-// chargeRetry charges a retry to a deployment's budget. It returns false if the
-// budget is used up.
-func (g *Gateway) chargeRetry(deployment string) bool {
-	st := g.state
-	now := g.cfg.Now()
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	budget, ok := st.retryBudgets[deployment]
-	if !ok || !budget.TakeRetry(now) {
-		g.metrics.Count("retries_over_budget")
-		return false
-	}
-	g.metrics.Count("retries_charged")
-	return true
-}
-
 // refuseNoUpstream returns the refusal of a call for which there is no
 // upstream.
 func (g *Gateway) refuseNoUpstream(c *call) *judge.Refusal {
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -271,12 +271,7 @@
 		g.upstreamFollower.Update(c.clock.now, nil)
 	}
 	read := func(g *Gateway, version uint64, rows ...provider.StoreRow) {
-		// Runs a follower until it has applied the page.
-		ctx, cancel := context.WithCancel(context.Background())
-		g.cfg.Store = pageStore{page: provider.Page{Version: version, Rows: rows}, onWatch: cancel}
-		f := g.newFollower(follower.Config{Table: "upstreams", Apply: g.state.applyUpstreamRows})
-		require.NoError(t, f.Run(ctx))
-		g.upstreamFollower = f
+		readTable(t, &g.upstreamFollower, g, follower.Config{Table: "upstreams", Apply: g.state.applyUpstreamRows}, provider.Page{Version: version, Rows: rows})
 	}
 	c.rounds(4)
 	for _, g := range c.entries {
@@ -338,6 +333,17 @@
 	return MoveStatus{}, false, nil
 }
 
+// readTable replaces a follower by one that has read a table with the given content.
+func readTable(t *testing.T, replaced **follower.Follower, g *Gateway, cfg follower.Config, content provider.Page) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.cfg.Store = pageStore{page: content, onWatch: cancel}
+	f := g.newFollower(cfg)
+	require.NoError(t, f.Run(ctx))
+	*replaced = f
+}
+
 // pageStore returns one page to Read and calls onWatch in Watch, which stops the
 // follower.
 type pageStore struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,8 +183,7 @@
 	engine := gin.New()
 	engine.GET(g.cfg.ReadyPath, func(c *gin.Context) {
 		now := g.cfg.Now()
-		_, isolationsRead := g.isolationFollower.Age(now)
-		if g.stopping.Load() || !g.state.ready(now, isolationsRead) {
+		if g.stopping.Load() || !g.state.ready(now, g.tablesRead(now)) {
 			c.Status(http.StatusServiceUnavailable)
 			return
 		}
@@ -193,6 +192,13 @@
 	return engine
 }
 
+// tablesRead reports whether the tables of entries and of isolated requests were read.
+func (g *Gateway) tablesRead(now time.Time) bool {
+	_, entriesRead := g.entryFollower.Age(now)
+	_, isolationsRead := g.isolationFollower.Age(now)
+	return entriesRead && isolationsRead
+}
+
 func (g *Gateway) metricsHandler() http.Handler {
 	engine := gin.New()
 	engine.GET("/metrics", func(c *gin.Context) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -230,13 +230,10 @@
 	return memberRowTimeout
 }
 
-// applyMemberCount applies the number of entries to the quotas and the retry budgets
-// that they share, and updates the plan.
+// applyMemberCount applies the number of entries to the quotas that they share, and
+// updates the plan.
 func (st *state) applyMemberCount(now time.Time) {
 	st.throttler.SetKnownEntries(st.memberCount())
-	if r := st.resolver.Load(); r != nil {
-		st.resizeRetryBudgets(r)
-	}
 	st.updatePlan(now)
 }
 
@@ -288,6 +285,7 @@
 	st.updatePlan(now)
 	st.compareVersions()
 	st.rounds++
+	st.memberPeak.update(now, st.memberCount(), st.cfg.Quotas.RetryWindow)
 	own := g.ownMessage(now)
 	own.CrashRecords = st.nextRecords(now)
 	envelopes := []gossiper.Envelope[peerMessage]{{Receivers: st.peerAddresses(st.plan.Relays), Message: own}}
--- /dev/null
+++ b/internal/gateway/retries.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/galenahitch/galenahitch/pkg/resolver"
+	"github.com/galenahitch/galenahitch/pkg/retrier"
+)
+
+// retryReserve is the share of the retry allowance that is left for retries that no
+// running entry counts: those of processes that were replaced, and those of entries
+// that are cut off from the others.
+const retryReserve = 0.5
+
+// memberPeak is the largest number of entries within a window.
+type memberPeak struct {
+	members int
+	at      time.Time
+}
+
+// update takes the current number of entries into account and returns the peak.
+func (p *memberPeak) update(now time.Time, members int, window time.Duration) int {
+	if members >= p.members || now.Sub(p.at) > window {
+		p.members, p.at = members, now
+	}
+	return p.members
+}
+
+// configureRetryBudgets sets the limits of the retry budget of each deployment, except
+// the allowance.
+func (st *state) configureRetryBudgets(r *resolver.Resolver) {
+	for _, d := range r.Deployments() {
+		budget, ok := st.retryBudgets[d.Name]
+		if !ok {
+			budget = &retrier.Window{}
+			st.retryBudgets[d.Name] = budget
+		}
+		budget.Span = st.cfg.Quotas.RetryWindow
+		budget.Ratio = st.cfg.Quotas.RetryRatio
+	}
+}
+
+// retryAllowance returns this entry's part of the retry allowance. It is zero until the
+// entry has read how many entries there are. The lock must be held.
+func (g *Gateway) retryAllowance(now time.Time) float64 {
+	if _, read := g.entryFollower.Age(now); !read {
+		return 0
+	}
+	st := g.state
+	members := st.memberPeak.update(now, st.memberCount(), g.cfg.Quotas.RetryWindow)
+	return g.cfg.Quotas.RetryAllowance * (1 - retryReserve) / float64(members)
+}
+
+// chargeRetry charges a retry to a deployment's budget. It returns false if the budget
+// is used up.
+func (g *Gateway) chargeRetry(deployment string) bool {
+	st := g.state
+	now := g.cfg.Now()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	budget, ok := st.retryBudgets[deployment]
+	if ok {
+		budget.Allowance = g.retryAllowance(now)
+	}
+	if !ok || !budget.TakeRetry(now) {
+		g.metrics.Count("retries_over_budget")
+		return false
+	}
+	g.metrics.Count("retries_charged")
+	return true
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -66,6 +66,7 @@
 	throttler        *throttler.Throttler
 	accountant       *accountant.Accountant
 	retryBudgets     map[string]*retrier.Window
+	memberPeak       memberPeak
 	demand           map[string]*demand
 	peers            map[string]*peer
 	connectFailedAt  map[string]time.Time
@@ -200,26 +201,11 @@
 	defer st.mu.Unlock()
 	st.resolver.Store(next)
 	st.configAt = now
-	st.resizeRetryBudgets(next)
+	st.configureRetryBudgets(next)
 	st.log.Info().Str("event", "config_adopted").Uint64("version", cfg.Version).Int("routes", len(cfg.Routes)).
 		Int("organisations", len(cfg.Organisations)).Send()
 }
 
-// resizeRetryBudgets sets the retry budget of each deployment to this entry's
-// part.
-func (st *state) resizeRetryBudgets(r *resolver.Resolver) {
-	for _, d := range r.Deployments() {
-		budget, ok := st.retryBudgets[d.Name]
-		if !ok {
-			budget = &retrier.Window{}
-			st.retryBudgets[d.Name] = budget
-		}
-		budget.Span = st.cfg.Quotas.RetryWindow
-		budget.Ratio = st.cfg.Quotas.RetryRatio
-		budget.Allowance = st.cfg.Quotas.RetryAllowance / float64(st.memberCount())
-	}
-}
-
 // applyUpstreamRows applies changed rows of the table of upstreams.
 func (st *state) applyUpstreamRows(now time.Time, changed []provider.StoreRow) {
 	st.mu.Lock()
@@ -297,8 +283,9 @@
 }
 
 // ready reports whether the entry can serve: it has a configuration, has read the
-// list of upstreams and, unless that takes long, that of isolated requests.
-func (st *state) ready(now time.Time, isolationsRead bool) bool {
+// list of upstreams and, unless that takes long, the tables of isolated requests and of
+// entries.
+func (st *state) ready(now time.Time, tablesRead bool) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.resolver.Load() == nil || st.listUpdatedAt.IsZero() {
@@ -307,7 +294,7 @@
 	if st.canServeSince.IsZero() {
 		st.canServeSince = now
 	}
-	return isolationsRead || now.Sub(st.canServeSince) >= maxReadyDelay
+	return tablesRead || now.Sub(st.canServeSince) >= maxReadyDelay
 }
 
 // jitter returns a random duration between half and one and a half of d.
