pkg/retrier: the window does not follow steps of the time of day

Cause: the intervals of the window were numbered by the time of day.

TestWindowIgnoresStepsOfTheTimeOfDay failed before. The intervals are now counted from the first call by the difference of times, which follows the steady clock.

--- a/pkg/retrier/window.go
+++ b/pkg/retrier/window.go
@@ -22,9 +22,12 @@
 	// Allowance is the number of retries allowed in addition.
 	Allowance float64
 
-	interval int64
-	requests [intervals]int
-	retries  [intervals]int
+	// startedAt is the time of the first call, from which the intervals are counted:
+	// the difference of two times does not follow steps of the time of day.
+	startedAt time.Time
+	interval  int64
+	requests  [intervals]int
+	retries   [intervals]int
 }
 
 // CountRequest counts a request.
@@ -55,7 +58,10 @@
 	if w.Span <= 0 {
 		return 0
 	}
-	interval := now.UnixNano() / (w.Span.Nanoseconds() / spanIntervals)
+	if w.startedAt.IsZero() {
+		w.startedAt = now
+	}
+	interval := int64(now.Sub(w.startedAt) / (w.Span / spanIntervals))
 	for passed := min(interval-w.interval, intervals); passed > 0; passed-- {
 		i := (interval - passed + 1) % intervals
 		w.requests[i], w.retries[i] = 0, 0
--- a/pkg/retrier/window_test.go
+++ b/pkg/retrier/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -63,3 +64,25 @@
 	var none retrier.Window
 	require.False(t, none.TakeRetry(now))
 }
+
+// stepTimeOfDay returns a time whose time of day is ahead of that of now by whole
+// seconds, with the same monotonic reading. No function of package time makes one.
+func stepTimeOfDay(now time.Time, seconds uint64) time.Time {
+	// With a monotonic reading, the first word holds the seconds above 30 bits of
+	// nanoseconds.
+	*(*uint64)(unsafe.Pointer(&now)) += seconds << 30
+	return now
+}
+
+// The time of day stepped ahead by more than the span. The window was then empty, and
+// the allowance could be used a second time.
+func TestWindowIgnoresStepsOfTheTimeOfDay(t *testing.T) {
+	w := retrier.Window{Span: 10 * time.Second, Allowance: 1}
+	now := time.Now()
+	require.True(t, w.TakeRetry(now))
+	stepped := stepTimeOfDay(now.Add(time.Second), 60)
+	require.Equal(t, time.Second, stepped.Sub(now))
+	require.Equal(t, now.Unix()+61, stepped.Unix())
+	require.False(t, w.TakeRetry(stepped))
+	require.True(t, w.TakeRetry(now.Add(11*time.Second)))
+}
