internal/gateway: attempts that end after their upstream was removed count as crashes

Cause: an upstream that falls silent is removed from the list after some seconds. Requests that may not run twice wait for it until their deadline and then had no crash record, as the upstream was no longer listed. Found by reading, in a review of all ways in which an attempt ends; cases 'ends later' of TestRestartsAreCrashes fail without the change.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/waiter"
@@ -36,6 +37,9 @@
 	broken map[string][]brokenAttempt
 	// crashedAt is when the last crash of an upstream was detected.
 	crashedAt map[string]time.Time
+	// removedAt is when an upstream that had not announced its end was removed from the
+	// list.
+	removedAt map[string]time.Time
 	// probes are closed at the end of the running probes, by upstream ID.
 	probes map[string]chan struct{}
 }
@@ -49,7 +53,7 @@
 }
 
 func newCrashDetector() crashDetector {
-	return crashDetector{broken: map[string][]brokenAttempt{}, crashedAt: map[string]time.Time{}, probes: map[string]chan struct{}{}}
+	return crashDetector{broken: map[string][]brokenAttempt{}, crashedAt: map[string]time.Time{}, removedAt: map[string]time.Time{}, probes: map[string]chan struct{}{}}
 }
 
 // sweep removes attempts and crashes that are too old to be attributed.
@@ -59,10 +63,8 @@
 			delete(d.broken, id)
 		}
 	}
-	for id, at := range d.crashedAt {
-		if now.Sub(at) > brokenAttemptTTL {
-			delete(d.crashedAt, id)
-		}
+	for _, times := range []map[string]time.Time{d.crashedAt, d.removedAt} {
+		maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) > brokenAttemptTTL })
 	}
 }
 
@@ -98,14 +100,20 @@
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if _, listed := st.upstreamByID[u.ID]; !listed || st.router.IsLeaving(u.ID) {
-		// Its end was announced.
-		return nil
-	}
 	attempt := brokenAttempt{
 		Attempt:    isolator.Attempt{Fingerprint: c.fingerprint, Start: c.attemptAt, End: now, Choices: st.deploymentSizes[u.Deployment]},
 		callerLeft: c.disconnected || errors.Is(context.Cause(ctx), errDisconnected),
 	}
+	_, listed := st.upstreamByID[u.ID]
+	_, removed := st.crashes.removedAt[u.ID]
+	switch {
+	case removed && !attempt.callerLeft:
+		st.recordCrash(now, u.ID, []isolator.Attempt{attempt.Attempt})
+		return nil
+	case !listed || st.router.IsLeaving(u.ID):
+		// Its end was announced.
+		return nil
+	}
 	if st.crashes.add(u.ID, attempt) {
 		st.recordCrash(now, u.ID, []isolator.Attempt{attempt.Attempt})
 		return nil
@@ -171,12 +179,15 @@
 	}
 }
 
-// recordRestart records the crash of an upstream whose process was replaced by
-// another one without having announced its end. The lock must be held.
-func (st *state) recordRestart(now time.Time, u Upstream) {
+// recordRemoval records the crash of an upstream that was removed from the list, or
+// replaced by another process, without having announced its end. The lock must be held.
+func (st *state) recordRemoval(now time.Time, u Upstream) {
 	attempts := st.crashes.take(u.ID, func(b brokenAttempt) bool { return !b.callerLeft && now.Sub(b.End) <= brokenAttemptTTL })
-	if u.Leaving || len(attempts) == 0 {
+	if u.Leaving || st.router.IsLeaving(u.ID) {
 		return
 	}
-	st.recordCrash(now, u.ID, attempts)
+	st.crashes.removedAt[u.ID] = now
+	if len(attempts) > 0 {
+		st.recordCrash(now, u.ID, attempts)
+	}
 }
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -123,12 +123,15 @@
 // their callers had left or the upstream had announced its end.
 func TestRestartsAreCrashes(t *testing.T) {
 	for name, test := range map[string]struct {
-		leaves, callerLeft, deleted bool
-		after                       time.Duration
-		want                        isolator.Status
+		leaves, callerLeft, deleted, endsLater bool
+		after                                  time.Duration
+		want                                   isolator.Status
 	}{
 		"restarted":         {want: isolator.Suspect, after: 4 * time.Second},
 		"gone":              {want: isolator.Suspect, after: 4 * time.Second, deleted: true},
+		"ends later":        {want: isolator.Suspect, endsLater: true},
+		"gone, ends later":  {want: isolator.Suspect, endsLater: true, deleted: true},
+		"left, ends later":  {want: isolator.Clear, endsLater: true, callerLeft: true},
 		"much later":        {want: isolator.Clear, after: time.Minute},
 		"announced":         {want: isolator.Clear, leaves: true},
 		"the caller left":   {want: isolator.Clear, callerLeft: true},
@@ -144,10 +147,20 @@
 			}
 			c := &call{fingerprint: poison, attemptAt: clock.now, disconnected: test.callerLeft}
 			clock.advance(time.Second)
-			require.Nil(t, g.recordBroken(t.Context(), c, st.upstreams["k0"], &failure{verdict: judge.MayHaveRun}))
+			u := st.upstreams["k0"]
+			end := func() {
+				require.Nil(t, g.recordBroken(t.Context(), c, u, &failure{verdict: judge.MayHaveRun}))
+			}
+			if !test.endsLater {
+				end()
+			}
 			clock.advance(test.after)
 			g.sweepPeers(clock.now)
 			st.applyUpstreamRows(clock.now, []provider.StoreRow{{Key: "k0", Value: []byte("k0.2"), Version: 2, Deleted: test.deleted}})
+			if test.endsLater {
+				clock.advance(time.Second)
+				end()
+			}
 			require.Equal(t, test.want, st.crashStatus(clock.now, poison))
 		})
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -214,7 +214,7 @@
 		old, known := st.upstreams[row.Key]
 		if row.Deleted {
 			if known {
-				st.recordRestart(now, old)
+				st.recordRemoval(now, old)
 				delete(st.upstreams, row.Key)
 				st.recordListChange(now, row)
 				st.log.Info().Str("event", "upstream_gone").Str("upstream", old.ID).Uint64("row_version", row.Version).Send()
@@ -227,7 +227,7 @@
 			continue
 		}
 		if known && old.ID != u.ID {
-			st.recordRestart(now, old)
+			st.recordRemoval(now, old)
 			st.log.Info().Str("event", "upstream_restarted").Str("upstream", old.ID).Str("now", u.ID).Bool("was_leaving", old.Leaving).Send()
 		}
 		if !known || old.ID != u.ID {
