--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -80,8 +80,8 @@
 // serveCall admits a call and runs it. A call that is not idempotent continues
 // after its client disconnects, so that its outcome is recorded.
 func (s *Server) serveCall(ctx context.Context, call *serviceCall) (dispatcher.Response, *judge.Refusal) {
-	if s.crashStatus(call.fingerprint) == isolator.Confirmed {
-		return dispatcher.Response{}, judge.Refuse(judge.CodeCrashesUpstreams, judge.NotRun, "this request crashes the upstreams that run it")
+	if refusal := s.refusePoisonCall(call, judge.NotRun); refusal != nil {
+		return dispatcher.Response{}, refusal
 	}
 	now := s.now()
 	if refusal := s.state.admit(ctx, now, call.org, call.route, now.Add(call.admissionTimeout(call.route))); refusal != nil {
@@ -102,6 +102,15 @@
 	return s.callAtMostOnce(ctx, call)
 }
 
+// refusePoisonCall returns a refusal of a call that is confirmed as poison, and nil
+// otherwise.
+func (s *Server) refusePoisonCall(call *serviceCall, verdict judge.Verdict) *judge.Refusal {
+	if s.crashStatus(call.fingerprint) != isolator.Confirmed {
+		return nil
+	}
+	return judge.Refuse(judge.CodeCrashesUpstreams, verdict, "this request crashes the upstreams that run it")
+}
+
 // callWithRetries makes attempts as the verdicts allow: a call that is not
 // idempotent is retried only if the last attempt is known not to have run.
 func (s *Server) callWithRetries(ctx context.Context, call *serviceCall) (dispatcher.Response, *judge.Refusal) {
@@ -119,6 +128,9 @@
 			return dispatcher.Response{}, judge.Refuse(judge.CodeDeadline, judge.VerdictOf(err), "the request was ended")
 		}
 		decision := s.handleCallFailure(ctx, call, target, err)
+		if refusal := s.refusePoisonCall(call, judge.MayHaveRun); refusal != nil {
+			return dispatcher.Response{}, refusal
+		}
 		if !decision.Retry {
 			return dispatcher.Response{}, judge.Refuse(decision.Code, judge.VerdictOf(err), err.Error()).WithRetryAfter(decision.RetryAfter)
 		}
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -123,6 +123,40 @@
 	require.Empty(t, s.state.suspects)
 }
 
+// isolatingUpstream crashes during a call, while peers confirm the call as poison.
+type isolatingUpstream struct {
+	crashingUpstream
+	server *Server
+	calls  int
+}
+
+func (u *isolatingUpstream) Call(context.Context, dispatcher.Target, dispatcher.Call) (dispatcher.Response, error) {
+	u.calls++
+	u.server.state.mu.Lock()
+	defer u.server.state.mu.Unlock()
+	u.server.state.isolator.Isolate(u.server.now(), 7, u.server.now().Add(time.Hour))
+	return dispatcher.Response{}, judge.Errorf(judge.MayHaveRun, "EOF")
+}
+
+// A call that is confirmed as poison during one of its attempts made all others that
+// its retries allowed.
+func TestPoisonCallIsNotRetried(t *testing.T) {
+	upstream := &isolatingUpstream{}
+	s := testServer(t, "e1", nil, upstream)
+	upstream.server = s
+	call := newTestCall(s, "a", "")
+	call.fingerprint, call.route.Idempotent = 7, true
+	_, refusal := s.serveCall(context.Background(), call)
+	require.Equal(t, judge.CodeCrashesUpstreams, refusal.Code)
+	require.Equal(t, judge.MayHaveRun, refusal.Verdict)
+	require.Equal(t, 1, upstream.calls)
+	repeated := newTestCall(s, "b", "")
+	repeated.fingerprint = call.fingerprint
+	_, refusal = s.serveCall(context.Background(), repeated)
+	require.Equal(t, judge.NotRun, refusal.Verdict)
+	require.Equal(t, 1, upstream.calls)
+}
+
 // lateUpstream responds to a call during the second progress query about it.
 type lateUpstream struct {
 	dispatcher.UpstreamClient
