pkg/isolator: a neighbour is not confirmed while a peer's records are on their way

What callers would see: a request that was in flight at all crashes of a poison request is refused, until the records of another entry arrive.

A request is now no sole candidate if another one was in flight at all of its crashes but the newest, while that one is younger than 1 s. TestRecordsOfPeersMayBeOnTheirWay failed before. Two property tests look 1 s after a crash instead of at once; the bounds on crashes are the same.

--- a/pkg/isolator/doc.go
+++ b/pkg/isolator/doc.go
@@ -10,7 +10,8 @@
 //     the crash before it. The crash of many upstreams at one moment counts once.
 //   - It has not completed since. A request that completes is no poison, and its
 //     records are dropped.
-//   - No other request was in flight at all of its crashes.
+//   - No other request was in flight at all of its crashes. Records of the newest
+//     one may take propagationTime to arrive from peers.
 //   - Chance does not explain the crashes: at the rate at which upstreams crash
 //     without the request, the probability that all these attempts met a crash is
 //     below maxCoincidence.
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -25,6 +25,8 @@
 	// crashWindow is the time during which later records of an upstream are of the
 	// same crash.
 	crashWindow = 2 * time.Second
+	// propagationTime is the time that records of peers may take to arrive.
+	propagationTime = time.Second
 	// recordLifetime is how long a crash record counts, and an isolation lasts.
 	recordLifetime = time.Hour
 	// maxFingerprints bounds the requests with records, maxCrashes the crashes of one
@@ -249,7 +251,7 @@
 
 // evaluationLifetime is how long the result of an evaluation is used if no record is
 // added.
-const evaluationLifetime = time.Second
+const evaluationLifetime = 100 * time.Millisecond
 
 func (i *Isolator) isConfirmed(now time.Time, f Fingerprint, h *history) bool {
 	if h.version != i.version || now.Sub(h.evaluatedAt) > evaluationLifetime {
@@ -330,10 +332,14 @@
 }
 
 // soleCandidate reports whether no other request was in flight at all crashes of
-// f.
+// f. Records of the newest crash may still be on their way from peers.
 func (i *Isolator) soleCandidate(now time.Time, f Fingerprint) bool {
-	for other := range i.histories {
-		if other != f && i.SharesAllCrashes(now, f, other) {
+	crashes := i.histories[f].crashes
+	if newest := len(crashes) - 1; newest > 0 && now.Sub(crashes[newest].end) < propagationTime {
+		crashes = crashes[:newest]
+	}
+	for other, h := range i.histories {
+		if other != f && !slices.ContainsFunc(crashes, func(c crash) bool { return !h.has(c.crashName) }) {
 			return false
 		}
 	}
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -57,6 +57,7 @@
 			}
 			i.RecordCrash(now, fmt.Sprintf("u%d", crashes), attempts(now, inFlight...))
 			crashes++
+			now = now.Add(time.Second)
 		}
 		for f := range shared {
 			require.NotEqual(t, isolator.Confirmed, i.Status(now.Add(4*time.Second), f))
@@ -64,6 +65,27 @@
 	})
 }
 
+// A neighbour of the poison request was in flight at all its crashes, and the records of
+// the poison request are still on their way from another entry. The neighbour at this entry was
+// confirmed until the record arrived.
+func TestRecordsOfPeersMayBeOnTheirWay(t *testing.T) {
+	const neighbour = isolator.Fingerprint(2)
+	var i isolator.Isolator
+	now := start
+	for crash := range 3 {
+		now = now.Add(2 * time.Second)
+		i.RecordCrash(now, fmt.Sprint("u", crash), attempts(now, neighbour))
+		require.NotEqual(t, isolator.Confirmed, i.Status(now, neighbour), "after %d crashes", crash+1)
+		i.Merge(now.Add(300*time.Millisecond), isolator.CrashRecord{Fingerprint: poison, Upstream: fmt.Sprint("u", crash), AgeMS: 300, RanMS: 50, Choices: upstreams})
+	}
+	now = now.Add(2 * time.Second)
+	require.NotEqual(t, isolator.Confirmed, i.Status(now, neighbour))
+	i.RecordCrash(now, "u3", attempts(now, poison))
+	now = now.Add(2 * time.Second)
+	require.Equal(t, isolator.Confirmed, i.Status(now, poison))
+	require.NotEqual(t, isolator.Confirmed, i.Status(now, neighbour))
+}
+
 // A request that was in flight at every crash of a poison request can't be
 // distinguished from it. Neither may be confirmed, after any number of crashes,
 // until one crash separates them or the other request completes.
@@ -84,6 +106,7 @@
 			require.Equal(t, isolator.Clear, i.Status(now, other))
 		} else {
 			i.RecordCrash(now, "u5", attempts(now, poison))
+			now = now.Add(time.Second)
 		}
 		require.Equal(t, isolator.Confirmed, i.Status(now, poison))
 		require.NotEqual(t, isolator.Confirmed, i.Status(now.Add(4*time.Second), other))
