--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -18,6 +18,9 @@
 const (
 	// isolationLifetime is how long a request that crashes upstreams is refused.
 	isolationLifetime = time.Hour
+	// isolationRetrySpread is the mean time after the end of an isolation at which the
+	// refused callers are asked to retry.
+	isolationRetrySpread = 10 * time.Second
 	// isolationInterval is the time between two checks for requests to isolate. Crash
 	// records of other entries arrive within one.
 	isolationInterval = time.Second
@@ -115,7 +118,7 @@
 	if listed {
 		wait = max(isolationInterval, row.expires.Sub(now))
 	}
-	refusal := judge.Refuse(judge.CodeCrashesUpstreams, judge.NotRun, "a request with this content crashes the upstreams that run it").WithRetryAfter(st.jitter(wait))
+	refusal := judge.Refuse(judge.CodeCrashesUpstreams, judge.NotRun, "a request with this content crashes the upstreams that run it").WithRetryAfter(wait + st.jitter(isolationRetrySpread))
 	refusal.Status = http.StatusServiceUnavailable
 	return refusal
 }
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -203,7 +203,7 @@
 	refusal := g.refuseIsolated(c)
 	require.Equal(t, http.StatusServiceUnavailable, refusal.Status)
 	require.Equal(t, judge.NotRun, refusal.Verdict)
-	require.Positive(t, refusal.RetryAfterMS)
+	require.GreaterOrEqual(t, refusal.RetryAfterMS, isolationLifetime.Milliseconds())
 	c.runs = 1
 	refusal = g.refuseIsolated(c)
 	require.False(t, promisesNotRun(refusal.Status))
