pkg/isolator: the crash of many upstreams is tested among few and among many

The mutation that counts attempts that overlapped passed: among 18 upstreams the test against coincidence hides it. Among 1,800 it does not.

--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -113,19 +113,26 @@
 	}
 }
 
-// Power was lost in several failure domains at once: many upstreams crash at one
-// moment, and copies of a popular request run on all of them.
+// Power was lost in several failure domains at once, of a few upstreams and of many:
+// upstreams crash within a moment, and copies of a popular request run on all of them.
 func TestCrashOfManyUpstreamsConfirmsNobody(t *testing.T) {
 	const popular = isolator.Fingerprint(2)
-	var i isolator.Isolator
-	for u := range upstreams {
-		f := isolator.Fingerprint(100 + u)
-		i.RecordCrash(start, fmt.Sprint("u", u), attempts(start, popular, f))
-	}
-	for u := range upstreams {
-		require.Equal(t, isolator.Suspect, i.Status(start, isolator.Fingerprint(100+u)))
+	for _, choices := range []int{upstreams, 100 * upstreams} {
+		var i isolator.Isolator
+		now := start
+		for u := range upstreams {
+			now = now.Add(2 * time.Millisecond)
+			inFlight := attempts(now, popular, isolator.Fingerprint(100+u))
+			for n := range inFlight {
+				inFlight[n].Choices = choices
+			}
+			i.RecordCrash(now, fmt.Sprint("u", u), inFlight)
+		}
+		for u := range upstreams {
+			require.Equal(t, isolator.Suspect, i.Status(now, isolator.Fingerprint(100+u)))
+		}
+		require.Equal(t, isolator.Suspect, i.Status(now, popular))
 	}
-	require.Equal(t, isolator.Suspect, i.Status(start, popular))
 }
 
 // Upstreams crash at random times for a minute, whatever they run, and requests of
