pkg/leaser: a row of an earlier term ends the lease

Cause: if the table returns from an older copy, it may hold a row of the same holder with the fence of an earlier term. The holder took it for its own and acted with a fence that had fallen. TestEarlierTermEndsTheLease failed before. SetMinFence lets the caller raise the next fence above that of lost rows.

--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -28,6 +28,7 @@
 	observedAt time.Time
 	observed   bool
 	heldUntil  time.Time
+	minFence   uint64
 }
 
 // New returns a Leaser that does not hold the lease.
@@ -38,7 +39,9 @@
 	if l.observed && version == l.version {
 		return
 	}
-	if lease.Holder != l.cfg.Holder {
+	if lease.Holder != l.cfg.Holder || lease.Fence != l.lease.Fence {
+		// Another node has it, or the row is one of an earlier term of this node: the
+		// table has returned from an older copy.
 		l.heldUntil = time.Time{}
 	}
 	l.observed = true
@@ -63,7 +66,7 @@
 	if l.version != 0 && now.Sub(l.observedAt) < l.cfg.Lifetime {
 		return Lease{}, false
 	}
-	return Lease{Holder: l.cfg.Holder, Fence: l.lease.Fence + 1}, true
+	return l.ProposeTakeOver(), true
 }
 
 // IsReleased reports whether the last holder has released the lease.
@@ -73,9 +76,13 @@
 // must make sure that this node has not held the lease within the last Lifetime,
 // and sets Nonce.
 func (l *Leaser) ProposeTakeOver() Lease {
-	return Lease{Holder: l.cfg.Holder, Fence: l.lease.Fence + 1}
+	return Lease{Holder: l.cfg.Holder, Fence: max(l.lease.Fence+1, l.minFence)}
 }
 
+// SetMinFence sets the lowest fence of the next take-over. It is needed if the table
+// may return from an older copy, whose fence is too low.
+func (l *Leaser) SetMinFence(fence uint64) { l.minFence = fence }
+
 // RecordWrite records a write that took effect. SentAt is the time before the
 // write was sent; the lifetime of the lease starts there.
 func (l *Leaser) RecordWrite(sentAt time.Time, version uint64, lease Lease) {
--- a/pkg/leaser/leaser_test.go
+++ b/pkg/leaser/leaser_test.go
@@ -103,3 +103,15 @@
 	require.True(t, l.Holds(now))
 	require.False(t, l.IsReleased())
 }
+
+// The table returned from a copy in which this node had the lease in an earlier term.
+// It went on acting with the fence of that term.
+func TestEarlierTermEndsTheLease(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	l := leaser.New(leaser.Config{Holder: "a", Lifetime: 4 * time.Second, Margin: time.Second})
+	l.Observe(now, 10, leaser.Lease{Holder: "b", Fence: 4})
+	l.RecordWrite(now, 11, leaser.Lease{Holder: "a", Fence: 5})
+	require.True(t, l.Holds(now))
+	l.Observe(now, 5, leaser.Lease{Holder: "a", Fence: 3})
+	require.False(t, l.Holds(now))
+}
