internal/provider, follower, gateway, platform: versions of the store carry its era

What callers saw: after the store had returned from an older copy, a configuration written since was in force at no entry, and a draining upstream went on getting requests. Versions go back and are given out again, and were compared all the same.

Cause: a version was a number. provider.Version is now the era and the number, in that order. Changes since a version of an earlier era are not used: the table is read whole. Rows that the copy lacks are kept for a grace period in which their writers write them again.

What the entries write is restored: member rows at once, isolations and the states of moves by the leader; an order of a move that is written again keeps the move. A fence is above the version of the row that it replaced, so that it never falls and has one holder over any number of eras.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -63,18 +63,20 @@
 
 	mu             sync.Mutex
 	rows           map[string]provider.StoreRow
-	version        uint64
+	version        provider.Version
 	lastResponseAt time.Time
 	failedSince    time.Time
-	// missing holds the ends of the grace periods of missing rows, by key.
+	// missing holds the ends of the grace periods of missing rows, by key. lost are
+	// those that a copy lacked to which the store returned.
 	missing map[string]time.Time
+	lost    map[string]bool
 	// graceEnd is the end of the grace period after the last outage.
 	graceEnd time.Time
 }
 
 // New returns a follower with an empty copy.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, rows: map[string]provider.StoreRow{}, missing: map[string]time.Time{}}
+	return &Follower{cfg: cfg, rows: map[string]provider.StoreRow{}, missing: map[string]time.Time{}, lost: map[string]bool{}}
 }
 
 // Age returns the time since the last response of the store, and whether there
@@ -86,7 +88,7 @@
 }
 
 // Version returns the version of the store that the copy reflects.
-func (f *Follower) Version() uint64 {
+func (f *Follower) Version() provider.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.version
@@ -104,8 +106,9 @@
 		}
 		if err != nil {
 			if errorx.IsOfType(err, provider.Compacted) {
-				loaded = false
-				f.cfg.Log.Info().Str("event", "store_history_lost").Str("table", f.cfg.Table).Uint64("version", f.Version()).Send()
+				// The store responds, so a backoff from failures before does not apply.
+				loaded, backoff = false, minBackoff
+				f.cfg.Log.Info().Str("event", "store_history_lost").Str("table", f.cfg.Table).Uint64("version", f.Version().Number()).Uint64("era", f.Version().Era()).Send()
 			} else {
 				f.recordFailure(now, err)
 			}
@@ -168,7 +171,7 @@
 		if row.Version <= f.version || f.lastResponseAt.IsZero() || exists && old.Version >= row.Version || row.Deleted && !exists {
 			continue
 		}
-		delete(f.missing, row.Key)
+		f.forgetMissing(row.Key)
 		if row.Deleted {
 			delete(f.rows, row.Key)
 		} else {
@@ -212,7 +215,7 @@
 	defer f.mu.Unlock()
 	if f.failedSince.IsZero() {
 		f.failedSince = now
-		f.cfg.Log.Warn().Str("event", "store_lost").Str("table", f.cfg.Table).Uint64("version", f.version).Err(err).Send()
+		f.cfg.Log.Warn().Str("event", "store_lost").Str("table", f.cfg.Table).Uint64("version", f.version.Number()).Uint64("era", f.version.Era()).Err(err).Send()
 	}
 }
 
@@ -235,31 +238,41 @@
 	f.recordRecovery(now)
 	f.lastResponseAt = now
 	if page.Version < f.version {
-		f.cfg.Log.Warn().Str("event", "store_answer_stale").Str("table", f.cfg.Table).Uint64("version", page.Version).Uint64("known", f.version).Send()
+		f.cfg.Log.Warn().Str("event", "store_answer_stale").Str("table", f.cfg.Table).Uint64("version", page.Version.Number()).Uint64("era", page.Version.Era()).Uint64("known", f.version.Number()).Uint64("known_era", f.version.Era()).Send()
 		return nil, false
 	}
+	newEra := f.version > 0 && page.Version.Era() > f.version.Era()
+	if newEra {
+		f.graceEnd = now.Add(f.cfg.GracePeriod)
+		f.cfg.Log.Info().Str("event", "table_era").Str("table", f.cfg.Table).Uint64("era", page.Version.Era()).Uint64("previous", f.version.Era()).
+			Uint64("version", page.Version.Number()).Uint64("previous_version", f.version.Number()).Int("rows", len(page.Rows)).Int("known", len(f.rows)).Send()
+	}
 	f.version = page.Version
 	var changed []provider.StoreRow
 	seen := map[string]bool{}
 	for _, row := range page.Rows {
 		seen[row.Key] = true
 		if old, ok := f.rows[row.Key]; ok && old.Version >= row.Version && !row.Deleted {
-			delete(f.missing, row.Key)
+			f.forgetMissing(row.Key)
 			continue
 		}
 		if row.Deleted {
 			if f.rows[row.Key].Version <= row.Version {
+				delete(f.lost, row.Key)
 				changed = append(changed, f.removeRow(now, row)...)
 			}
 			continue
 		}
-		delete(f.missing, row.Key)
+		f.forgetMissing(row.Key)
 		f.rows[row.Key] = row
 		changed = append(changed, row)
 	}
 	if whole {
 		for _, key := range slices.Sorted(maps.Keys(f.rows)) {
 			if !seen[key] && f.rows[key].Version <= page.Version {
+				if newEra {
+					f.lost[key] = true
+				}
 				changed = append(changed, f.removeRow(now, provider.StoreRow{Table: f.cfg.Table, Key: key, Version: page.Version, Deleted: true})...)
 			}
 		}
@@ -267,6 +280,11 @@
 	return append(changed, f.removeExpired(now)...), true
 }
 
+func (f *Follower) forgetMissing(key string) {
+	delete(f.missing, key)
+	delete(f.lost, key)
+}
+
 // massExpiry reports whether so many rows are missing that they must have expired
 // during an outage of the store: their writers cannot all have exited.
 func (f *Follower) massExpiry() bool {
@@ -296,7 +314,7 @@
 		return nil
 	}
 	delete(f.rows, row.Key)
-	delete(f.missing, row.Key)
+	f.forgetMissing(row.Key)
 	return []provider.StoreRow{row}
 }
 
@@ -307,8 +325,8 @@
 	keep := f.massExpiry()
 	for _, key := range slices.Sorted(maps.Keys(f.missing)) {
 		graceEnd := f.missing[key]
-		if !keep || !now.Before(graceEnd) {
-			delete(f.missing, key)
+		if !keep && !f.lost[key] || !now.Before(graceEnd) {
+			f.forgetMissing(key)
 			delete(f.rows, key)
 			removed = append(removed, provider.StoreRow{Table: f.cfg.Table, Key: key, Version: f.version, Deleted: true})
 		}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -55,7 +55,9 @@
 
 func (s *scriptedStore) Read(context.Context, string) (provider.Page, error) { return s.next(true, 0) }
 
-func (s *scriptedStore) Watch(_ context.Context, _ string, _ uint64, wait time.Duration) (provider.Page, error) {
+func (s *scriptedStore) Era() uint64 { return 0 }
+
+func (s *scriptedStore) Watch(_ context.Context, _ string, _ provider.Version, wait time.Duration) (provider.Page, error) {
 	return s.next(false, wait)
 }
 
@@ -101,19 +103,19 @@
 	return s
 }
 
-func row(key string, version uint64) provider.StoreRow {
+func row(key string, version provider.Version) provider.StoreRow {
 	return provider.StoreRow{Table: "servers", Key: key, Value: []byte(key), Version: version}
 }
 
-func deletedRow(key string, version uint64) provider.StoreRow {
+func deletedRow(key string, version provider.Version) provider.StoreRow {
 	return provider.StoreRow{Table: "servers", Key: key, Version: version, Deleted: true}
 }
 
-func fullTable(version uint64, rows ...provider.StoreRow) step {
+func fullTable(version provider.Version, rows ...provider.StoreRow) step {
 	return step{wantRead: true, page: provider.Page{Version: version, Rows: rows}}
 }
 
-func changes(version uint64, rows ...provider.StoreRow) step {
+func changes(version provider.Version, rows ...provider.StoreRow) step {
 	return step{wantTimeout: pollTimeout, page: provider.Page{Version: version, Rows: rows}}
 }
 
@@ -160,6 +162,25 @@
 	require.Equal(t, []string{"b", "c"}, slices.Sorted(maps.Keys(s.rows)))
 }
 
+// inEra returns a version of an era.
+func inEra(era, number uint64) provider.Version { return provider.NewVersion(era, number) }
+
+// The store returned from an older copy: its versions are lower, and it lacks a row
+// that is written again. The rows of before were kept, and all changes since dropped.
+func TestNewEraReplacesTheCopy(t *testing.T) {
+	s := runScript(
+		t,
+		fullTable(inEra(1, 50), row("a", inEra(1, 10)), row("b", inEra(1, 45)), row("c", inEra(1, 46)), row("d", inEra(1, 20))),
+		step{wantTimeout: pollTimeout, err: provider.Compacted.New("a new era")},
+		fullTable(inEra(2, 30), row("a", inEra(2, 10)), row("d", inEra(2, 20))),
+		step{wantTimeout: missingPollTimeout, elapsed: time.Second, page: provider.Page{Version: inEra(2, 32), Rows: []provider.StoreRow{row("b", inEra(2, 31)), deletedRow("d", inEra(2, 32))}}},
+		step{wantTimeout: missingPollTimeout, elapsed: time.Second, page: provider.Page{Version: inEra(1, 99), Rows: []provider.StoreRow{row("x", inEra(1, 99))}}},
+		fullTable(inEra(2, 32), row("a", inEra(2, 10)), row("b", inEra(2, 31))),
+		step{wantTimeout: missingPollTimeout, elapsed: time.Second, page: provider.Page{Version: inEra(2, 32)}},
+	)
+	require.Equal(t, []string{"+a", "+b", "+c", "+d", "+a", "+d", "+b", "-d", "-c"}, s.applied)
+}
+
 // Updates from peers are merged if they are newer than the copy, and older pages
 // that arrive later do not undo them.
 func TestUpdatesFromPeersAreMergedByVersion(t *testing.T) {
--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/gossiper"
+	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/pkg/aggregator"
 )
 
@@ -45,7 +46,7 @@
 	// listAge is the time since the relay last read the list of upstreams,
 	// listVersion the store version that its list reflects.
 	listAge     time.Duration
-	listVersion uint64
+	listVersion provider.Version
 }
 
 // aggregate is the sum of messages over several entries.
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -270,7 +270,7 @@
 		g.upstreamFollower = g.newFollower(follower.Config{Table: "upstreams", Apply: g.state.applyUpstreamRows})
 		g.upstreamFollower.Update(c.clock.now, nil)
 	}
-	read := func(g *Gateway, version uint64, rows ...provider.StoreRow) {
+	read := func(g *Gateway, version provider.Version, rows ...provider.StoreRow) {
 		readTable(t, &g.upstreamFollower, g, follower.Config{Table: "upstreams", Apply: g.state.applyUpstreamRows}, provider.Page{Version: version, Rows: rows})
 	}
 	c.rounds(4)
@@ -297,7 +297,7 @@
 	require.True(t, member.relaysSendList(c.clock.now))
 	var manyRows []provider.StoreRow
 	for i := range 4000 {
-		manyRows = append(manyRows, provider.StoreRow{Key: fmt.Sprint("v", i), Value: []byte("ready"), Version: uint64(10 + i)})
+		manyRows = append(manyRows, provider.StoreRow{Key: fmt.Sprint("v", i), Value: []byte("ready"), Version: provider.Version(10 + i)})
 	}
 	for _, id := range member.state.plan.Relays {
 		c.entries[c.byAddress[member.state.peers[id].address]].upstreamFollower.Update(c.clock.now, manyRows)
@@ -354,7 +354,7 @@
 
 func (s pageStore) Read(context.Context, string) (provider.Page, error) { return s.page, nil }
 
-func (s pageStore) Watch(context.Context, string, uint64, time.Duration) (provider.Page, error) {
+func (s pageStore) Watch(context.Context, string, provider.Version, time.Duration) (provider.Page, error) {
 	s.onWatch()
 	return provider.Page{}, errNoStore
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -34,10 +34,12 @@
 	return provider.Page{}, errNoStore
 }
 
-func (noStore) Watch(context.Context, string, uint64, time.Duration) (provider.Page, error) {
+func (noStore) Watch(context.Context, string, provider.Version, time.Duration) (provider.Page, error) {
 	return provider.Page{}, errNoStore
 }
 
+func (noStore) Era() uint64 { return 0 }
+
 func (noStore) Commit(context.Context, provider.Commit) (provider.CommitResult, error) {
 	return provider.CommitResult{}, errNoStore
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 		Apply:          g.state.applyUpstreamRows,
 	})
 	g.entryFollower = g.newFollower(follower.Config{
-		Table: cfg.Tables.Entries, PollTimeout: memberPollInterval, PollInterval: memberPollInterval, PeersSendUpdates: g.slowMemberPolls, SlowPollInterval: slowMemberPollInterval, Apply: g.applyMemberRows,
+		Table: cfg.Tables.Entries, GracePeriod: memberRowGrace, PollTimeout: memberPollInterval, PollInterval: memberPollInterval, PeersSendUpdates: g.slowMemberPolls, SlowPollInterval: slowMemberPollInterval, Apply: g.applyMemberRows,
 	})
 	g.isolationFollower = g.newFollower(follower.Config{Table: cfg.Tables.Isolations, PollTimeout: isolationPollTimeout, Apply: g.state.applyIsolationRows})
 	g.leader = newLeader(g)
@@ -93,7 +93,10 @@
 
 // newFollower returns a follower of a table of the store.
 func (g *Gateway) newFollower(cfg follower.Config) *follower.Follower {
-	cfg.Store, cfg.GracePeriod, cfg.Now, cfg.Log = g.cfg.Store, missingRowGrace, g.cfg.Now, g.cfg.Log
+	cfg.Store, cfg.Now, cfg.Log = g.cfg.Store, g.cfg.Now, g.cfg.Log
+	if cfg.GracePeriod == 0 {
+		cfg.GracePeriod = missingRowGrace
+	}
 	return follower.New(cfg)
 }
 
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -56,6 +56,8 @@
 	observed map[isolator.Fingerprint]time.Time
 	// rows are the isolations in the store.
 	rows map[isolator.Fingerprint]isolationRow
+	// lost are the isolations that the store lacks since it returned from an older copy.
+	lost map[isolator.Fingerprint]isolationRow
 	// confirmed are the requests that the previous check found confirmed.
 	confirmed map[isolator.Fingerprint]bool
 	// lastRoundAt and backlogUntil detect that the process did not run.
@@ -79,14 +81,14 @@
 	Crashes    int    `json:"crashes"`
 	Entry      string `json:"entry"`
 
-	version uint64
+	version provider.Version
 	expires time.Time
 }
 
 func newIsolation() isolation {
 	return isolation{
 		suspects: map[string]map[isolator.Fingerprint]int{}, observed: map[isolator.Fingerprint]time.Time{},
-		rows: map[isolator.Fingerprint]isolationRow{}, confirmed: map[isolator.Fingerprint]bool{},
+		rows: map[isolator.Fingerprint]isolationRow{}, lost: map[isolator.Fingerprint]isolationRow{}, confirmed: map[isolator.Fingerprint]bool{},
 	}
 }
 
@@ -268,10 +270,16 @@
 			continue
 		}
 		if row.Deleted {
+			old := is.rows[f]
 			delete(is.rows, f)
+			if old.version.Era() < row.Version.Era() {
+				is.lost[f] = old
+				continue
+			}
 			is.isolator.Release(f)
 			continue
 		}
+		delete(is.lost, f)
 		var isolated isolationRow
 		if err := json.Unmarshal(row.Value, &isolated); err != nil {
 			st.log.Warn().Str("event", "isolation_row_invalid").Str("row", row.Key).Err(err).Send()
@@ -318,14 +326,16 @@
 		if !previous[f] || !observed && !leader || len(change.Put) >= maxIsolations {
 			continue
 		}
-		row := isolationRow{IsolatedMS: st.agreedTime(now).UnixMilli(), Crashes: is.isolator.Crashes(now, f), Entry: st.cfg.ID}
-		value, err := json.Marshal(row)
-		if err != nil {
-			st.log.Error().Str("event", "isolation_not_encoded").Str("fingerprint", f.String()).Err(err).Send()
-			continue
+		change = st.putIsolation(change, f, isolationRow{IsolatedMS: st.agreedTime(now).UnixMilli(), Crashes: is.isolator.Crashes(now, f), Entry: st.cfg.ID})
+	}
+	for f, row := range is.lost {
+		_, observed := is.observed[f]
+		switch {
+		case is.isolator.Status(now, f) != isolator.Confirmed:
+			delete(is.lost, f)
+		case (observed || leader) && len(change.Put) < maxIsolations:
+			change = st.putIsolation(change, f, row)
 		}
-		change.Expect = append(change.Expect, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String()})
-		change.Put = append(change.Put, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String(), Value: value})
 	}
 	for f, row := range is.rows {
 		_, observed := is.observed[f]
@@ -342,6 +352,19 @@
 	return change
 }
 
+// putIsolation adds a row of the table of isolated requests to a change, unless there is
+// one.
+func (st *state) putIsolation(change provider.Commit, f isolator.Fingerprint, row isolationRow) provider.Commit {
+	value, err := json.Marshal(row)
+	if err != nil {
+		st.log.Error().Str("event", "isolation_not_encoded").Str("fingerprint", f.String()).Err(err).Send()
+		return change
+	}
+	change.Expect = append(change.Expect, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String()})
+	change.Put = append(change.Put, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String(), Value: value})
+	return change
+}
+
 // isLeaderNow reports whether this entry may act as the leader.
 func (g *Gateway) isLeaderNow(now time.Time) bool {
 	g.state.mu.Lock()
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -251,7 +251,7 @@
 	require.Empty(t, restarted.state.isolationChange(expired, false).Delete)
 	change = restarted.state.isolationChange(expired, true)
 	require.Len(t, change.Delete, 1)
-	require.Equal(t, uint64(9), change.Expect[0].Version)
+	require.Equal(t, provider.Version(9), change.Expect[0].Version)
 	observer.state.recordCompletion(now.Add(time.Second), poison)
 	require.Len(t, observer.state.isolationChange(now.Add(time.Second), false).Delete, 1, "it completed")
 	restarted.state.applyIsolationRows(now, []provider.StoreRow{{Key: row.Key, Deleted: true}})
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -45,6 +45,11 @@
 	usage *usageReporter
 	fleet *fleetManager
 	moves *moveManager
+	// era is the era of the store that the leader's work is based on. eraSeenAt is when
+	// it was first seen, zero if the process has seen no other.
+	era       uint64
+	eraKnown  bool
+	eraSeenAt time.Time
 	// roundMu is held in round and in release, which a stopping process calls
 	// concurrently.
 	roundMu sync.Mutex
@@ -56,7 +61,7 @@
 	l.lease = leaser.New(leaser.Config{Holder: processName(g.cfg.ID, g.boot), Lifetime: lifetime, Margin: leaseMargin})
 	l.usage = newUsageReporter(g, l)
 	l.fleet = newFleetManager(g, l)
-	l.moves = &moveManager{g: g, rowVersions: map[string]uint64{}}
+	l.moves = &moveManager{g: g, rowVersions: map[string]provider.Version{}}
 	return l
 }
 
@@ -98,6 +103,9 @@
 func (l *leader) round(ctx context.Context) {
 	l.roundMu.Lock()
 	defer l.roundMu.Unlock()
+	if l.eraKnown {
+		l.observeEra(l.g.cfg.Now(), l.g.cfg.Store.Era())
+	}
 	l.acquireOrRenew(ctx)
 	l.fleet.measureAll()
 	l.moves.readOldMoves(ctx)
@@ -110,6 +118,20 @@
 	l.fleet.reconcile(ctx)
 }
 
+// observeEra resets what is based on rows of an earlier era of the store.
+func (l *leader) observeEra(now time.Time, era uint64) {
+	if !l.eraKnown {
+		l.era, l.eraKnown = era, true
+		return
+	}
+	if era <= l.era {
+		return
+	}
+	l.g.cfg.Log.Info().Str("event", "leader_era").Uint64("era", era).Uint64("previous", l.era).Send()
+	l.era, l.eraSeenAt = era, now
+	l.moves.forgetRows()
+}
+
 func (l *leader) holdsLease() bool {
 	l.g.state.mu.Lock()
 	defer l.g.state.mu.Unlock()
@@ -141,16 +163,20 @@
 	g.state.mu.Lock()
 	sentAt := g.cfg.Now()
 	lease, ok := l.lease.ProposeWrite(sentAt)
-	if l.lease.IsReleased() && sentAt.Sub(g.startedAt) >= g.cfg.MinLeaderGap {
+	version := l.lease.Version()
+	// After the store has returned from an older copy, the row may be missing, or show a
+	// release, although another entry has acquired the lease since.
+	eraSettled := sentAt.Sub(l.eraSeenAt) >= g.cfg.MinLeaderGap
+	if l.lease.IsReleased() && sentAt.Sub(g.startedAt) >= g.cfg.MinLeaderGap && eraSettled {
 		lease, ok = l.lease.ProposeTakeOver(), true
 	}
-	version := l.lease.Version()
+	ok = ok && (version != 0 || eraSettled)
 	wasLeader := l.lease.Holds(sentAt)
 	g.state.mu.Unlock()
 	if !ok {
 		return
 	}
-	result, err := l.writeLease(ctx, lease, version)
+	result, err := l.writeLease(ctx, lease, provider.Version(version))
 	if err != nil || !result.Applied {
 		// The row shows whether the write took effect.
 		if readErr := l.readLease(ctx); readErr != nil {
@@ -159,15 +185,15 @@
 		return
 	}
 	g.state.mu.Lock()
-	l.lease.RecordWrite(sentAt, result.Version, lease)
+	l.lease.RecordWrite(sentAt, uint64(result.Version), lease)
 	g.state.mu.Unlock()
 	if !wasLeader {
-		g.cfg.Log.Info().Str("event", "duty_taken").Uint64("fence", lease.Fence).Uint64("row_version", result.Version).Send()
+		g.cfg.Log.Info().Str("event", "duty_taken").Uint64("fence", lease.Fence).Uint64("row_version", result.Version.Number()).Send()
 	}
 }
 
 // writeLease writes the lease's row if the row still has the given version.
-func (l *leader) writeLease(ctx context.Context, lease leaser.Lease, version uint64) (provider.CommitResult, error) {
+func (l *leader) writeLease(ctx context.Context, lease leaser.Lease, version provider.Version) (provider.CommitResult, error) {
 	lease.Nonce = processName(l.g.cfg.ID, uint64(l.g.cfg.Now().UnixNano()))
 	value, err := json.Marshal(lease)
 	if err != nil {
@@ -186,6 +212,7 @@
 	if err != nil {
 		return err
 	}
+	l.observeEra(g.cfg.Now(), page.Version.Era())
 	var lease leaser.Lease
 	version := uint64(0)
 	for _, row := range page.Rows {
@@ -195,11 +222,20 @@
 		if err := json.Unmarshal(row.Value, &lease); err != nil {
 			return err
 		}
-		version = row.Version
+		version = uint64(row.Version)
+	}
+	minFence := version + 1
+	if version == 0 {
+		minFence = uint64(page.Version) + 1
 	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	l.lease.Observe(sentAt, version, lease)
+	if l.era > 0 {
+		// A take-over replaces a row of this version. In the order of eras and numbers
+		// no two replace the same one, and a later one replaces a newer one.
+		l.lease.SetMinFence(minFence)
+	}
 	l.usage.addAgreedRows(page)
 	return nil
 }
@@ -218,6 +254,6 @@
 	g.state.mu.Lock()
 	released, version := leaser.Lease{Fence: l.lease.Fence()}, l.lease.Version()
 	g.state.mu.Unlock()
-	result, err := l.writeLease(ctx, released, version)
+	result, err := l.writeLease(ctx, released, provider.Version(version))
 	g.cfg.Log.Info().Str("event", "duty_released").Uint64("fence", released.Fence).Bool("written", err == nil && result.Applied).Err(err).Send()
 }
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -69,7 +69,7 @@
 	lastChange uint64
 	// requiredVersion is the store version that this entry's own list must have
 	// reached, because this entry missed changes from the relay.
-	requiredVersion uint64
+	requiredVersion provider.Version
 }
 
 // receiveList applies the changes of the list of upstreams in a relay's message and
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -21,6 +21,11 @@
 	// slowMemberPollInterval replaces memberPollInterval among many entries, most of
 	// which need only the rows of their relays.
 	slowMemberPollInterval = 20 * time.Second
+	// memberRowGrace is how long entries without a row are kept after the store was
+	// away, and eraWriteDelay the mean time after which entries write their rows again
+	// if it has returned from an older copy.
+	memberRowGrace = 10 * time.Second
+	eraWriteDelay  = time.Second
 	// memberRowRetryDelay is the delay after a failed write of the row.
 	memberRowRetryDelay = 500 * time.Millisecond
 )
@@ -147,13 +152,23 @@
 			g.cfg.Log.Warn().Str("event", "entry_row_not_written").Err(err).Send()
 			delay = memberRowRetryDelay
 		}
-		if !waiter.Pause(ctx, g.state.jitter(delay)) {
-			break
-		}
+		g.pauseMemberWrites(ctx, g.state.jitter(delay))
 	}
 	return nil
 }
 
+// pauseMemberWrites waits for the next write of the entry's row, which is soon if the
+// store begins a new era.
+func (g *Gateway) pauseMemberWrites(ctx context.Context, delay time.Duration) {
+	era, start := g.cfg.Store.Era(), g.cfg.Now()
+	for g.cfg.Now().Sub(start) < delay && waiter.Pause(ctx, min(delay, memberRowRetryDelay)) {
+		if g.cfg.Store.Era() != era {
+			waiter.Pause(ctx, g.state.jitter(eraWriteDelay))
+			return
+		}
+	}
+}
+
 func (g *Gateway) writeMemberRow(ctx context.Context, sequence int) error {
 	own := memberRow{Address: g.cfg.PeerListen, Boot: g.boot, Domain: g.cfg.FailureDomain, Capacity: g.cfg.Capacity, Sequence: sequence}
 	st := g.state
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/pkg/accountant"
 	"github.com/galenahitch/galenahitch/pkg/isolator"
 )
@@ -60,10 +61,10 @@
 	// is the number of the last one, counted from the start of the sender's
 	// process. ListAgeMS is how long ago the sender read the list, ListVersion
 	// the store version that its list reflects.
-	ListChanges []listRow `cbor:"18,keyasint,omitempty"`
-	LastChange  uint64    `cbor:"21,keyasint,omitempty"`
-	ListAgeMS   int64     `cbor:"19,keyasint,omitempty"`
-	ListVersion uint64    `cbor:"22,keyasint,omitempty"`
+	ListChanges []listRow        `cbor:"18,keyasint,omitempty"`
+	LastChange  uint64           `cbor:"21,keyasint,omitempty"`
+	ListAgeMS   int64            `cbor:"19,keyasint,omitempty"`
+	ListVersion provider.Version `cbor:"22,keyasint,omitempty"`
 	// Moves are keyed by deployment.
 	Moves map[string]moveUpdate `cbor:"20,keyasint,omitempty"`
 	// CrashRecords are new crash records of this entry and of others.
@@ -72,10 +73,10 @@
 
 // listRow is a row of the list of upstreams as read from the store.
 type listRow struct {
-	Key     string `cbor:"1,keyasint"`
-	Value   []byte `cbor:"2,keyasint,omitempty"`
-	Version uint64 `cbor:"3,keyasint"`
-	Deleted bool   `cbor:"4,keyasint,omitempty"`
+	Key     string           `cbor:"1,keyasint"`
+	Value   []byte           `cbor:"2,keyasint,omitempty"`
+	Version provider.Version `cbor:"3,keyasint"`
+	Deleted bool             `cbor:"4,keyasint,omitempty"`
 }
 
 // usageRecord is the usage of one process and the age of these counts.
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -34,7 +34,7 @@
 type move struct {
 	order MoveOrder
 	// epoch is the version of the order's row. A later order has a larger epoch.
-	epoch     uint64
+	epoch     provider.Version
 	startedAt time.Time
 	state     charter.State
 	reason    string
@@ -56,24 +56,38 @@
 
 // moveUpdate is the state of a move in messages between entries.
 type moveUpdate struct {
-	To             string        `cbor:"1,keyasint"`
-	FinishWithinMS int64         `cbor:"2,keyasint"`
-	Epoch          uint64        `cbor:"3,keyasint"`
-	ElapsedMS      int64         `cbor:"4,keyasint"`
-	State          charter.State `cbor:"5,keyasint"`
-	Reason         string        `cbor:"6,keyasint,omitempty"`
+	To             string           `cbor:"1,keyasint"`
+	FinishWithinMS int64            `cbor:"2,keyasint"`
+	Epoch          provider.Version `cbor:"3,keyasint"`
+	ElapsedMS      int64            `cbor:"4,keyasint"`
+	State          charter.State    `cbor:"5,keyasint"`
+	Reason         string           `cbor:"6,keyasint,omitempty"`
 }
 
 // startMove starts a move by an operator's order, unless the entry has this order or
 // a later one. If atStartup is true, the order's row existed when this process
 // started.
-func (st *state) startMove(now time.Time, order MoveOrder, epoch uint64, atStartup bool) {
-	if m, ok := st.moves[order.Deployment]; ok && m.epoch >= epoch {
+func (st *state) startMove(now time.Time, order MoveOrder, epoch provider.Version, atStartup bool) {
+	m, known := st.moves[order.Deployment]
+	if known && m.epoch >= epoch {
+		return
+	}
+	if known && m.order == order && m.epoch.Era() < epoch.Era() {
+		st.keepMove(m, epoch)
 		return
 	}
 	st.moves[order.Deployment] = &move{order: order, epoch: epoch, startedAt: now, state: mover.Moving, statusUnread: atStartup, comparedCounts: map[string]versionCounts{}}
 	st.log.Info().Str("event", "move_ordered").Str("deployment", order.Deployment).Str("to", order.To).
-		Dur("within", order.FinishWithin).Uint64("epoch", epoch).Bool("first_read", atStartup).Send()
+		Dur("within", order.FinishWithin).Uint64("epoch", uint64(epoch)).Bool("first_read", atStartup).Send()
+}
+
+// keepMove continues a move whose order was written again after the store had returned
+// from an older copy. Counters are named by epoch and begin anew.
+func (st *state) keepMove(m *move, epoch provider.Version) {
+	st.log.Info().Str("event", "move_kept").Str("deployment", m.order.Deployment).Str("to", m.order.To).Str("state", string(m.state)).
+		Uint64("epoch", uint64(epoch)).Uint64("previous", uint64(m.epoch)).Send()
+	st.deleteOutcomes(m)
+	m.epoch, m.writtenState, m.comparedCounts = epoch, "", map[string]versionCounts{}
 }
 
 // moveUpdates returns the moves for this entry's messages, by deployment. Moves whose
@@ -105,7 +119,7 @@
 		if startedAt := now.Add(-time.Duration(update.ElapsedMS) * time.Millisecond); startedAt.Before(m.startedAt) {
 			m.startedAt = startedAt
 		}
-		merged := mover.Merge(mover.Move{Epoch: m.epoch, State: m.state, Reason: m.reason}, mover.Move{Epoch: m.epoch, State: update.State, Reason: update.Reason})
+		merged := mover.Merge(mover.Move{Epoch: uint64(m.epoch), State: m.state, Reason: m.reason}, mover.Move{Epoch: uint64(m.epoch), State: update.State, Reason: update.Reason})
 		st.setMoveState(m, merged.State, merged.Reason)
 	}
 }
@@ -118,7 +132,12 @@
 	}
 	m.state, m.reason = state, reason
 	st.log.Info().Str("event", "move_"+string(state)).Str("deployment", m.order.Deployment).Str("to", m.order.To).
-		Uint64("epoch", m.epoch).Int("outcomes", m.newOutcomes).Str("reason", reason).Send()
+		Uint64("epoch", uint64(m.epoch)).Int("outcomes", m.newOutcomes).Str("reason", reason).Send()
+	st.deleteOutcomes(m)
+}
+
+// deleteOutcomes deletes the counters of a move.
+func (st *state) deleteOutcomes(m *move) {
 	prefix := outcomeKey(m, "", "", "")
 	for _, totals := range append([]aggregator.Totals{st.ownOutcomes, st.groupTotals, st.otherGroupTotals}, st.allMemberTotals()...) {
 		for name := range totals {
@@ -140,7 +159,7 @@
 // outcomeKey returns the name of an outcome counter of a move. With an empty route it
 // returns the prefix of all counters of the move.
 func outcomeKey(m *move, route, version, count string) string {
-	key := outcomePrefix + strconv.FormatUint(m.epoch, 36) + "/"
+	key := outcomePrefix + strconv.FormatUint(uint64(m.epoch), 36) + "/"
 	if route == "" {
 		return key
 	}
@@ -188,7 +207,7 @@
 		request.AvoidVersion = m.order.To
 	default:
 		share := st.newVersionShare(now, m)
-		if !mover.Selected(c.request.ID, mover.Move{ID: strconv.FormatUint(m.epoch, 36)}, share) {
+		if !mover.Selected(c.request.ID, mover.Move{ID: strconv.FormatUint(uint64(m.epoch), 36)}, share) {
 			request.AvoidVersion = m.order.To
 			return
 		}
@@ -303,7 +322,19 @@
 type moveManager struct {
 	g *Gateway
 	// rowVersions are the versions of the status rows, by deployment.
-	rowVersions map[string]uint64
+	rowVersions map[string]provider.Version
+}
+
+// forgetRows forgets the status rows of an earlier era of the store. The states are
+// written again.
+func (mm *moveManager) forgetRows() {
+	clear(mm.rowVersions)
+	st := mm.g.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, m := range st.moves {
+		m.writtenState = ""
+	}
 }
 
 // readOldMoves reads the status of moves that were ordered before this process
@@ -340,7 +371,7 @@
 	for _, row := range page.Rows {
 		status, ok, err := mm.g.cfg.Decoder.MoveStatus(row.Key, row.Value)
 		if err != nil {
-			mm.g.cfg.Log.Warn().Str("event", "move_status_invalid").Str("row", row.Key).Uint64("row_version", row.Version).Err(err).Send()
+			mm.g.cfg.Log.Warn().Str("event", "move_status_invalid").Str("row", row.Key).Uint64("row_version", row.Version.Number()).Err(err).Send()
 		}
 		if !ok || err != nil {
 			continue
@@ -425,6 +456,6 @@
 		st.setMoveState(m, state, "the new version is good")
 	}
 	mm.g.cfg.Log.Info().Str("event", "move_reported").Str("deployment", deployment).Str("to", to).Str("state", string(state)).
-		Uint64("row_version", result.Version).Send()
+		Uint64("row_version", result.Version.Number()).Send()
 	return true
 }
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -128,7 +128,7 @@
 	}
 	s.commits++
 	s.row = change.Put[0]
-	s.row.Version = uint64(100 + s.commits)
+	s.row.Version = provider.Version(100 + s.commits)
 	if s.loseAt--; s.loseAt == 0 {
 		return provider.CommitResult{}, errNoStore
 	}
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	page := provider.Page{Version: 1}
 	for i, id := range others {
-		page.Rows = append(page.Rows, provider.StoreRow{Key: id, Value: []byte(`{"address":"127.0.0.1:1","boot":1}`), Version: uint64(i + 1)})
+		page.Rows = append(page.Rows, provider.StoreRow{Key: id, Value: []byte(`{"address":"127.0.0.1:1","boot":1}`), Version: provider.Version(i + 1)})
 	}
 	readTable(t, &g.entryFollower, g, follower.Config{Table: "entries", Apply: g.applyMemberRows}, page)
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -60,7 +60,7 @@
 	listChanges []listChange
 	lastChange  uint64
 	// maxChangeVersion is the newest row version among the changes.
-	maxChangeVersion uint64
+	maxChangeVersion provider.Version
 	listSources      map[string]*listSource
 	router           *router.Router
 	throttler        *throttler.Throttler
@@ -160,7 +160,7 @@
 		}
 		cfg, err := st.cfg.Decoder.Config(row.Value)
 		if err != nil {
-			st.log.Error().Str("event", "config_invalid").Uint64("row_version", row.Version).Err(err).Send()
+			st.log.Error().Str("event", "config_invalid").Uint64("row_version", row.Version.Number()).Err(err).Send()
 			continue
 		}
 		st.applyConfig(now, cfg)
@@ -171,7 +171,7 @@
 func (st *state) applyMoveRow(now time.Time, row provider.StoreRow) {
 	order, ok, err := st.cfg.Decoder.Move(row.Key, row.Value)
 	if err != nil {
-		st.log.Error().Str("event", "move_order_invalid").Str("row", row.Key).Uint64("row_version", row.Version).Err(err).Send()
+		st.log.Error().Str("event", "move_order_invalid").Str("row", row.Key).Uint64("row_version", row.Version.Number()).Err(err).Send()
 	}
 	if !ok || err != nil {
 		return
@@ -217,13 +217,13 @@
 				st.recordRemoval(now, old)
 				delete(st.upstreams, row.Key)
 				st.recordListChange(now, row)
-				st.log.Info().Str("event", "upstream_gone").Str("upstream", old.ID).Uint64("row_version", row.Version).Send()
+				st.log.Info().Str("event", "upstream_gone").Str("upstream", old.ID).Uint64("row_version", row.Version.Number()).Send()
 			}
 			continue
 		}
 		u, err := st.cfg.Decoder.Upstream(row.Key, row.Value)
 		if err != nil {
-			st.log.Warn().Str("event", "upstream_row_invalid").Str("row", row.Key).Uint64("row_version", row.Version).Err(err).Send()
+			st.log.Warn().Str("event", "upstream_row_invalid").Str("row", row.Key).Uint64("row_version", row.Version.Number()).Err(err).Send()
 			continue
 		}
 		if known && old.ID != u.ID {
