--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,6 +214,7 @@
 func (g *Gateway) updateGauges() {
 	now := g.cfg.Now()
 	g.metrics.Gauge("requests_open", g.openRequests.Load())
+	g.metrics.Gauge("store_era", int64(g.cfg.Store.Era()))
 	for name, f := range map[string]*follower.Follower{"config": g.configFollower, "upstreams": g.upstreamFollower, "entries": g.entryFollower, "isolations": g.isolationFollower} {
 		if age, known := f.Age(now); known {
 			g.metrics.Gauge("store_age_ms_"+name, age.Milliseconds())
