--- /dev/null
+++ b/internal/gateway/crashrecords.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+)
+
+const (
+	// A crash record is sent in recordSends messages, and not once it is older than
+	// recordSendTime. A message has at most maxSentRecords records, and at most
+	// maxQueuedRecords wait.
+	recordSends      = 3
+	recordSendTime   = 5 * time.Second
+	maxSentRecords   = 10
+	maxQueuedRecords = 512
+	// Messages that arrive after this entry did not run for maxRoundDelay may have
+	// waited as long, and their ages are wrong. They are ignored for backlogTime.
+	maxRoundDelay = time.Second
+	backlogTime   = 200 * time.Millisecond
+)
+
+// queuedRecord is a crash record that waits to be sent.
+type queuedRecord struct {
+	isolator.CrashRecord
+	queuedAt time.Time
+	sends    int
+	// crashes is the number of crashes of the request. Records of requests with many
+	// are sent first.
+	crashes int
+}
+
+// queueRecords queues new crash records for other entries. If a request has several
+// crashes, all its records are sent again, as other entries may lack some.
+func (st *state) queueRecords(now time.Time, records []isolator.CrashRecord) {
+	is := &st.isolation
+	for _, record := range records {
+		crashes := is.isolator.Crashes(now, record.Fingerprint)
+		all := []isolator.CrashRecord{record}
+		if crashes > 1 && !record.Completed {
+			all = is.isolator.Records(now, record.Fingerprint)
+		}
+		is.queue = slices.DeleteFunc(is.queue, func(q queuedRecord) bool { return q.Fingerprint == record.Fingerprint && crashes > 1 })
+		for _, r := range all {
+			is.queue = append(is.queue, queuedRecord{CrashRecord: r, queuedAt: now, crashes: crashes})
+		}
+	}
+	slices.SortStableFunc(is.queue, func(a, b queuedRecord) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.sends, b.sends), b.queuedAt.Compare(a.queuedAt))
+	})
+	is.queue = is.queue[:min(len(is.queue), maxQueuedRecords)]
+}
+
+// nextRecords returns the crash records to send in this round.
+func (st *state) nextRecords(now time.Time) []isolator.CrashRecord {
+	is := &st.isolation
+	if !is.lastRoundAt.IsZero() && now.Sub(is.lastRoundAt) > maxRoundDelay {
+		is.backlogUntil = now.Add(backlogTime)
+	}
+	is.lastRoundAt = now
+	is.queue = slices.DeleteFunc(is.queue, func(q queuedRecord) bool {
+		return q.sends >= recordSends || now.Sub(q.queuedAt) > recordSendTime
+	})
+	var records []isolator.CrashRecord
+	for i := range is.queue[:min(len(is.queue), maxSentRecords)] {
+		q := &is.queue[i]
+		q.sends++
+		record := q.CrashRecord
+		record.AgeMS += now.Sub(q.queuedAt).Milliseconds()
+		records = append(records, record)
+	}
+	return records
+}
+
+// mergeRecords merges the crash records of another entry.
+func (st *state) mergeRecords(now time.Time, records []isolator.CrashRecord) {
+	is := &st.isolation
+	if now.Before(is.backlogUntil) || !is.lastRoundAt.IsZero() && now.Sub(is.lastRoundAt) > maxRoundDelay {
+		return
+	}
+	var added []isolator.CrashRecord
+	for _, record := range records {
+		if is.isolator.Merge(now, record) {
+			added = append(added, record)
+		}
+	}
+	if len(added) > 0 {
+		st.queueRecords(now, added)
+	}
+}
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -12,8 +12,10 @@
 // Files that serve requests:
 //
 //   - ingress.go accepts and refuses requests; call.go sends a request to
-//     upstreams until one attempt succeeds; silence.go cancels attempts on
-//     silent upstreams.
+//     upstreams until one attempt succeeds; retries.go limits the attempts of all
+//     entries; silence.go cancels attempts on silent upstreams.
+//   - crashes.go attributes failed attempts to crashes of upstreams, and
+//     isolation.go refuses requests that cause them.
 //   - response.go and events.go forward responses and event streams.
 //   - demand.go and prompts.go measure the demand and the shared prompt parts.
 //   - stop.go drains the process.
@@ -23,12 +25,14 @@
 //   - state.go holds the state; membership.go maintains the list of entries.
 //   - peers.go sends and receives the messages of message.go, which
 //     aggregate.go adds up and listing.go fills with upstreams.
+//   - crashrecords.go sends crash records, and isolationstore.go keeps confirmed
+//     requests in the store.
 //   - reachability.go detects unreachable failure domains and computes the
 //     agreed time.
 //   - moves.go splits requests between two versions and compares them.
 //
 // One entry is the leader, which holds a lease in the store (leader.go). It
-// reports usage (usage.go), orders VMs (fleet.go) and writes the states of
+// reports usage (usage.go, usageeras.go), orders VMs (fleet.go) and writes the states of
 // moves (moves.go) on behalf of all entries.
 //
 //	g, err := gateway.New(gateway.Config{...})
--- /dev/null
+++ b/internal/gateway/isolationstore.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/provider"
+	"github.com/galenahitch/galenahitch/internal/waiter"
+	"github.com/galenahitch/galenahitch/pkg/isolator"
+)
+
+const (
+	// maxIsolations bounds the rows that one commit changes.
+	maxIsolations = 50
+	// isolationPollTimeout limits one long poll of the table of isolated requests.
+	isolationPollTimeout = 25 * time.Second
+)
+
+// isolationRow is a row of the table of isolated requests. Its key is the
+// fingerprint.
+type isolationRow struct {
+	// IsolatedMS is when the request was confirmed, in Unix milliseconds.
+	IsolatedMS int64  `json:"isolated_ms"`
+	Crashes    int    `json:"crashes"`
+	Entry      string `json:"entry"`
+
+	version provider.Version
+	expires time.Time
+}
+
+// applyIsolationRows applies changed rows of the table of isolated requests.
+func (st *state) applyIsolationRows(now time.Time, changed []provider.StoreRow) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	is := &st.isolation
+	for _, row := range changed {
+		f, err := isolator.ParseFingerprint(row.Key)
+		if err != nil {
+			st.log.Warn().Str("event", "isolation_row_invalid").Str("row", row.Key).Err(err).Send()
+			continue
+		}
+		if row.Deleted {
+			old := is.rows[f]
+			delete(is.rows, f)
+			if old.version.Era() < row.Version.Era() {
+				is.lost[f] = old
+				continue
+			}
+			is.isolator.Release(f)
+			continue
+		}
+		delete(is.lost, f)
+		var isolated isolationRow
+		if err := json.Unmarshal(row.Value, &isolated); err != nil {
+			st.log.Warn().Str("event", "isolation_row_invalid").Str("row", row.Key).Err(err).Send()
+			continue
+		}
+		age := min(isolationLifetime, max(0, st.agreedTime(now).Sub(time.UnixMilli(isolated.IsolatedMS))))
+		isolated.version, isolated.expires = row.Version, now.Add(isolationLifetime-age)
+		is.rows[f] = isolated
+		is.isolator.Isolate(now, f, isolated.expires)
+		st.log.Info().Str("event", "isolation_listed").Str("fingerprint", row.Key).Str("entry", isolated.Entry).Int("crashes", isolated.Crashes).Dur("age", age).Send()
+	}
+}
+
+// maintainIsolations writes confirmed requests to the store and deletes expired rows,
+// until ctx ends.
+func (g *Gateway) maintainIsolations(ctx context.Context) error {
+	for waiter.Pause(ctx, g.state.jitter(isolationInterval)) {
+		now := g.cfg.Now()
+		change := g.state.isolationChange(now, g.isLeaderNow(now))
+		if len(change.Put)+len(change.Delete) == 0 {
+			continue
+		}
+		result, err := g.cfg.Store.Commit(ctx, change)
+		g.cfg.Log.Info().Str("event", "isolations_written").Int("added", len(change.Put)).Int("deleted", len(change.Delete)).
+			Bool("applied", err == nil && result.Applied).Err(err).Send()
+	}
+	return nil
+}
+
+// isolationChange returns the change of the table of isolated requests that this entry
+// has to make. A request is added if two checks in a row have found it confirmed, by
+// the entries that observed a crash of it and by the leader. Rows are deleted by the
+// leader.
+func (st *state) isolationChange(now time.Time, leader bool) provider.Commit {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	is := &st.isolation
+	previous := is.confirmed
+	is.confirmed = map[isolator.Fingerprint]bool{}
+	var change provider.Commit
+	for _, f := range is.isolator.Confirmed(now) {
+		is.confirmed[f] = true
+		_, observed := is.observed[f]
+		if !previous[f] || !observed && !leader || len(change.Put) >= maxIsolations {
+			continue
+		}
+		change = st.putIsolation(change, f, isolationRow{IsolatedMS: st.agreedTime(now).UnixMilli(), Crashes: is.isolator.Crashes(now, f), Entry: st.cfg.ID})
+	}
+	for f, row := range is.lost {
+		_, observed := is.observed[f]
+		switch {
+		case is.isolator.Status(now, f) != isolator.Confirmed:
+			delete(is.lost, f)
+		case (observed || leader) && len(change.Put) < maxIsolations:
+			change = st.putIsolation(change, f, row)
+		}
+	}
+	for f, row := range is.rows {
+		_, observed := is.observed[f]
+		if len(change.Delete) < maxIsolations && (leader || observed) && is.isolator.Status(now, f) != isolator.Confirmed {
+			change.Expect = append(change.Expect, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String(), Version: row.version})
+			change.Delete = append(change.Delete, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String()})
+		}
+	}
+	for f, at := range is.observed {
+		if now.Sub(at) > isolationLifetime {
+			delete(is.observed, f)
+		}
+	}
+	return change
+}
+
+// putIsolation adds a row of the table of isolated requests to a change, unless there is
+// one.
+func (st *state) putIsolation(change provider.Commit, f isolator.Fingerprint, row isolationRow) provider.Commit {
+	value, err := json.Marshal(row)
+	if err != nil {
+		st.log.Error().Str("event", "isolation_not_encoded").Str("fingerprint", f.String()).Err(err).Send()
+		return change
+	}
+	change.Expect = append(change.Expect, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String()})
+	change.Put = append(change.Put, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String(), Value: value})
+	return change
+}
+
+// isLeaderNow reports whether this entry may act as the leader.
+func (g *Gateway) isLeaderNow(now time.Time) bool {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	return g.isLeader(now)
+}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -23,19 +23,10 @@
 	// maxOpenUsageWindows is the number of ended windows that may be unreported. A new
 	// leader reports no older ones.
 	maxOpenUsageWindows = 4
-	// usageKeyPrefix is the prefix of the keys of agreed counts, eraKeyPrefix that of the
-	// keys of eraRows.
+	// usageKeyPrefix is the prefix of the keys of agreed counts.
 	usageKeyPrefix = "usage/"
-	eraKeyPrefix   = "era/"
-	// eraMargin is the largest difference of the agreed times of two entries.
-	eraMargin = time.Second
 )
 
-// eraRow says when the entries first saw an era of the store, in Unix milliseconds.
-type eraRow struct {
-	BeganMS int64 `json:"began_ms"`
-}
-
 // usageReporter reports organisations' usage. The counts of a window are written to
 // the store once before they are reported, so that all reports of a window are equal,
 // whichever leader sends them.
@@ -69,69 +60,6 @@
 	}
 }
 
-// addEraRow adds the time in an eraRow of the table of leases.
-func (u *usageReporter) addEraRow(row provider.StoreRow) {
-	text, found := strings.CutPrefix(row.Key, eraKeyPrefix)
-	if !found {
-		return
-	}
-	era, err := strconv.ParseUint(text, 10, 64)
-	var value eraRow
-	if err == nil {
-		err = json.Unmarshal(row.Value, &value)
-	}
-	if err != nil {
-		u.g.cfg.Log.Error().Str("event", "era_row_invalid").Str("row", row.Key).Err(err).Send()
-		return
-	}
-	u.eras[era] = time.UnixMilli(value.BeganMS)
-}
-
-// mayBeReported reports whether the usage of a window may have been reported on the
-// basis of a row that the store lost when it returned from an older copy. It returns
-// false in ok if that is not known yet.
-func (u *usageReporter) mayBeReported(ctx context.Context, w accountant.Window) (reported, ok bool) {
-	era := u.leader.era
-	if era == 0 {
-		return false, true
-	}
-	began, known := u.eras[era]
-	if !known {
-		if began, known = u.writeEraRow(ctx, era); !known {
-			return false, false
-		}
-	}
-	return !u.g.state.accountant.WindowEnd(w).Add(usageSettleTime).After(began.Add(eraMargin)), true
-}
-
-// writeEraRow writes the time at which an era began, unless another leader has, and
-// returns the time in the store.
-func (u *usageReporter) writeEraRow(ctx context.Context, era uint64) (time.Time, bool) {
-	st := u.g.state
-	st.mu.Lock()
-	now := st.agreedTime(u.g.cfg.Now())
-	st.mu.Unlock()
-	value, err := json.Marshal(eraRow{BeganMS: now.UnixMilli()})
-	if err != nil {
-		u.g.cfg.Log.Error().Str("event", "era_row_not_encoded").Err(err).Send()
-		return time.Time{}, false
-	}
-	row := provider.StoreRow{Table: u.g.cfg.Tables.Leases, Key: eraKeyPrefix + strconv.FormatUint(era, 10), Value: value}
-	result, err := u.g.cfg.Store.Commit(ctx, provider.Commit{Expect: []provider.StoreRow{{Table: row.Table, Key: row.Key}}, Put: []provider.StoreRow{row}})
-	if err != nil {
-		u.g.cfg.Log.Warn().Str("event", "era_row_not_written").Uint64("era", era).Err(err).Send()
-		return time.Time{}, false
-	}
-	if result.Applied {
-		u.addEraRow(row)
-	}
-	for _, current := range result.Current {
-		u.addEraRow(current)
-	}
-	began, known := u.eras[era]
-	return began, known
-}
-
 func windowFromKey(key string) (accountant.Window, bool) {
 	number, found := strings.CutPrefix(key, usageKeyPrefix)
 	if !found {
