internal/gateway: a configuration poll waits for 5 s

What callers would see: an entry serves an old configuration for up to 25 s.

Cause: a poll waits for 25 s on a connection that may have gone silent while new ones work. TestConfigurationOverASilentConnection failed before (not in force after 12 s). The calls of an entry to the store rise by 0.16 a second, beside one or two a second for the list of upstreams.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,7 @@
 	idleTimeout = 60 * time.Second
 	// configPollTimeout and upstreamPollTimeout limit one long poll of the
 	// store.
-	configPollTimeout   = 25 * time.Second
+	configPollTimeout   = 5 * time.Second
 	upstreamPollTimeout = 5 * time.Second
 	// missingRowGrace is how long upstreams without a row are kept after the
 	// store was unreachable. Running upstreams write their rows again within two
