pkg/isolator: completions don't crowd out crash records

What callers would see: on the product's own interface, a poison request crashes more upstreams while requests that shared a crash complete.

Cause: an exchange carries the 64 newest records, and since completions are records too, the many that follow a crash took the place of the crash records of other requests. Found by reading the change once more; TestCompletionsLeaveRoomForCrashes failed before.

--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -38,6 +39,8 @@
 	maxUpstreams = 16384
 	// maxLoggedCrashes bounds the crashes that are known.
 	maxLoggedCrashes = 4096
+	// completionShare is the largest share of completions among the newest records.
+	completionShare = 0.25
 	// keptShare is the share of a full table that is kept, so that it is seldom cleaned
 	// up at any rate of new records.
 	keptShare = 0.75
@@ -382,14 +385,27 @@
 	return records
 }
 
-// NewestRecords returns the newest records that count at now, at most n.
+// NewestRecords returns the newest records that count at now, at most n. Completions
+// take at most completionShare of them.
 func (i *Isolator) NewestRecords(now time.Time, n int) []CrashRecord {
-	var all []CrashRecord
+	var crashes, completions []CrashRecord
 	for f := range i.histories {
-		all = append(all, i.Records(now, f)...)
+		for _, record := range i.Records(now, f) {
+			if record.Completed {
+				completions = append(completions, record)
+			} else {
+				crashes = append(crashes, record)
+			}
+		}
 	}
-	slices.SortFunc(all, func(a, b CrashRecord) int { return int(a.AgeMS - b.AgeMS) })
-	return all[:min(n, len(all))]
+	completions = newestOf(completions, int(completionShare*float64(n)))
+	return append(newestOf(crashes, n-len(completions)), completions...)
+}
+
+// newestOf returns the newest n records.
+func newestOf(records []CrashRecord, n int) []CrashRecord {
+	slices.SortFunc(records, func(a, b CrashRecord) int { return cmp.Compare(a.AgeMS, b.AgeMS) })
+	return records[:min(n, len(records))]
 }
 
 // Crashes returns the number of crashes of a request that count at now.
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -296,6 +296,24 @@
 	require.Equal(t, isolator.Clear, i.Status(start, poison))
 }
 
+// Many requests that were in flight at a crash complete soon after it. Their completions
+// were newer than all crash records and took the place of these in messages.
+func TestCompletionsLeaveRoomForCrashes(t *testing.T) {
+	var i isolator.Isolator
+	now := start
+	for f := isolator.Fingerprint(100); f < 300; f++ {
+		i.RecordCrash(now, "u0", attempts(now, f))
+	}
+	i.RecordCrash(now.Add(time.Second), "u1", attempts(now.Add(time.Second), poison))
+	for f := isolator.Fingerprint(100); f < 300; f++ {
+		now = now.Add(20 * time.Millisecond)
+		i.RecordCompletion(now, f)
+	}
+	records := i.NewestRecords(now, 64)
+	require.Contains(t, records, isolator.CrashRecord{Fingerprint: poison, Upstream: "u1", AgeMS: 3000, RanMS: ran.Milliseconds(), Choices: upstreams})
+	require.Len(t, records, 1+64/4, "completions take a quarter")
+}
+
 // A full isolator must evict many fingerprints at once, or it would evict for each
 // new one. An isolated request stays.
 func TestEvictionIsRare(t *testing.T) {
@@ -319,7 +337,7 @@
 	}
 	now := start.Add(5 * time.Second)
 	require.LessOrEqual(t, len(i.NewestRecords(now, 9999)), 4096)
-	require.Equal(t, isolator.Fingerprint(4999), i.NewestRecords(now, 1)[0].Fingerprint)
+	require.Equal(t, []isolator.CrashRecord{{Fingerprint: 4999, Upstream: "u", AgeMS: 1}}, i.NewestRecords(now, 1))
 	require.Equal(t, isolator.Suspect, i.Status(now, 4999))
 	for u := range 1000 {
 		now = now.Add(time.Millisecond)
