pkg/isolator: four crashes confirm a request if nothing else crashed

Cause: with attempts of some 0.2 s among six upstreams the test against coincidence needed a fifth crash, whatever else had crashed; and while records of the newest crash may be on their way, a request with a neighbour at all the others was a suspect that ran at once.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -57,6 +57,13 @@
 	return st.isolation.isolator.Status(now, f)
 }
 
+// isSuspect reports whether a request was in flight at crashes and is not confirmed. The
+// lock must be held.
+func (st *state) isSuspect(now time.Time, f isolator.Fingerprint) bool {
+	status := st.crashStatus(now, f)
+	return status == isolator.Suspect || status == isolator.Pending
+}
+
 // refuseIsolated returns a refusal if the request crashes the upstreams that run it,
 // and nil otherwise.
 func (g *Gateway) refuseIsolated(c *call) *judge.Refusal {
@@ -122,7 +129,7 @@
 // suspectUpstreams returns the upstreams on which other suspects of this entry run, if
 // the request is a suspect. The lock must be held.
 func (st *state) suspectUpstreams(now time.Time, f isolator.Fingerprint) []string {
-	if len(st.isolation.suspects) == 0 || st.crashStatus(now, f) != isolator.Suspect {
+	if len(st.isolation.suspects) == 0 || !st.isSuspect(now, f) {
 		return nil
 	}
 	var ids []string
@@ -137,7 +144,7 @@
 // beginSuspect and endSuspect count an attempt of a suspect request on its upstream.
 // beginSuspect reports whether the request is a suspect. The lock must be held.
 func (st *state) beginSuspect(now time.Time, c *call) bool {
-	if st.crashStatus(now, c.fingerprint) != isolator.Suspect {
+	if !st.isSuspect(now, c.fingerprint) {
 		return false
 	}
 	suspects, ok := st.isolation.suspects[c.upstream.ID]
--- a/pkg/isolator/doc.go
+++ b/pkg/isolator/doc.go
@@ -10,12 +10,14 @@
 //     the crash before it. The crash of many upstreams at one moment counts once.
 //   - It has not completed since. A request that completes is no poison, and its
 //     records are dropped.
-//   - No other request was in flight at all of its crashes. Records of the newest
-//     one may take propagationTime to arrive from peers.
+//   - No other request was in flight at all of its crashes. It is pending while
+//     another one was in flight at all but the newest, whose records may take
+//     propagationTime to arrive from peers.
 //   - Chance does not explain the crashes: at the rate at which upstreams crash
 //     without the request, the probability that all these attempts but the first met
 //     a crash is below maxCoincidence. At least assumedCrashes crashes within
-//     rateWindow count for that rate.
+//     rateWindow count for that rate. Or it crashed undisputedCrashes upstreams, and
+//     nothing else crashed in that time.
 //
 // So a crash of many upstreams, or some that crash again and again, confirms no
 // request that merely ran there.
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -15,6 +15,9 @@
 	// maxCoincidence is the probability of a coincidence below which a request is
 	// confirmed.
 	maxCoincidence = 1e-6
+	// undisputedCrashes is the number of successive crashes from which on a request is
+	// confirmed if nothing else has crashed.
+	undisputedCrashes = 4
 	// assumedCrashes are added to the crashes of other requests within rateWindow: the
 	// crashes of a request may be the first ones of many.
 	assumedCrashes = 5
@@ -55,6 +58,9 @@
 	Clear Status = iota
 	// Suspect: it runs with no other suspect on its upstream.
 	Suspect
+	// Pending: it is confirmed unless records that are on their way from peers show
+	// another request at its newest crash.
+	Pending
 	// Confirmed: it crashes upstreams and must not run again.
 	Confirmed
 )
@@ -263,33 +269,42 @@
 		return Confirmed
 	}
 	h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return now.Sub(c.end) > recordLifetime })
-	switch {
-	case len(h.crashes) == 0:
+	if len(h.crashes) == 0 {
 		return Clear
-	case i.isConfirmed(now, f, h):
-		return Confirmed
-	default:
-		return Suspect
 	}
+	return i.evaluate(now, f, h)
 }
 
 // evaluationLifetime is how long the result of an evaluation is used if no record is
 // added.
 const evaluationLifetime = 100 * time.Millisecond
 
-func (i *Isolator) isConfirmed(now time.Time, f Fingerprint, h *history) bool {
+// evaluate returns the status of a request that has crash records.
+func (i *Isolator) evaluate(now time.Time, f Fingerprint, h *history) Status {
 	if h.version != i.version || now.Sub(h.evaluatedAt) > evaluationLifetime {
-		chain := h.chain()
-		h.confirmed = len(chain) >= minCrashes && i.soleCandidate(now, f) && i.coincidence(now, h, chain) < maxCoincidence
+		h.status = i.weigh(now, f, h)
 		h.version, h.evaluatedAt = i.version, now
 	}
-	return h.confirmed
+	return h.status
+}
+
+func (i *Isolator) weigh(now time.Time, f Fingerprint, h *history) Status {
+	chain := h.chain()
+	if len(chain) < minCrashes || i.coincidence(now, h, chain) >= maxCoincidence || i.isShared(f, h.crashes) {
+		return Suspect
+	}
+	newest := len(h.crashes) - 1
+	if now.Sub(h.crashes[newest].end) < propagationTime && i.isShared(f, h.crashes[:newest]) {
+		return Pending
+	}
+	return Confirmed
 }
 
 // coincidence returns the probability that each attempt of a chain after the first met
 // the crash of its upstream by chance: any crash has requests in flight. The rate of
 // other crashes is that during the chain or that since rateWindow before it, whichever
-// is higher.
+// is higher. The probability is taken as 0 from undisputedCrashes on if there are no
+// other crashes.
 func (i *Isolator) coincidence(now time.Time, h *history, chain []crash) float64 {
 	first, last := chain[0].end, chain[len(chain)-1].end
 	during, since := 0, assumedCrashes
@@ -303,6 +318,9 @@
 			since++
 		}
 	}
+	if len(chain) >= undisputedCrashes && since == assumedCrashes {
+		return 0
+	}
 	perSecond := func(crashes int, span time.Duration) float64 {
 		return float64(crashes) / max(minExposure, span).Seconds()
 	}
@@ -352,19 +370,15 @@
 	return !slices.ContainsFunc(i.crashNames(now, f), func(name crashName) bool { return !ok || !h.has(name) })
 }
 
-// soleCandidate reports whether no other request was in flight at all crashes of
-// f. Records of the newest crash may still be on their way from peers.
-func (i *Isolator) soleCandidate(now time.Time, f Fingerprint) bool {
-	crashes := i.histories[f].crashes
-	if newest := len(crashes) - 1; newest > 0 && now.Sub(crashes[newest].end) < propagationTime {
-		crashes = crashes[:newest]
-	}
+// isShared reports whether another request was in flight at all of the given crashes of
+// f.
+func (i *Isolator) isShared(f Fingerprint, crashes []crash) bool {
 	for other, h := range i.histories {
 		if other != f && !slices.ContainsFunc(crashes, func(c crash) bool { return !h.has(c.crashName) }) {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Records returns the records of a request that count at now.
@@ -416,7 +430,7 @@
 func (i *Isolator) Confirmed(now time.Time) []Fingerprint {
 	var confirmed []Fingerprint
 	for f, h := range i.histories {
-		if len(h.crashes) >= minCrashes && !h.isolatedUntil.After(now) && i.isConfirmed(now, f, h) {
+		if len(h.crashes) >= minCrashes && !h.isolatedUntil.After(now) && i.evaluate(now, f, h) == Confirmed {
 			confirmed = append(confirmed, f)
 		}
 	}
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -83,6 +83,7 @@
 	now = now.Add(2 * time.Second)
 	require.NotEqual(t, isolator.Confirmed, i.Status(now, neighbour))
 	i.RecordCrash(now, "u3", attempts(now, poison))
+	require.Equal(t, isolator.Pending, i.Status(now, poison), "the neighbour may have been there")
 	now = now.Add(2 * time.Second)
 	require.Equal(t, isolator.Confirmed, i.Status(now, poison))
 	require.NotEqual(t, isolator.Confirmed, i.Status(now, neighbour))
@@ -194,6 +195,25 @@
 	}
 }
 
+// A poison request runs for some time on each of few upstreams, one directly after the
+// other. It crashed a fifth one.
+func TestFourCrashesSufficeIfNothingElseCrashes(t *testing.T) {
+	for _, ran := range []time.Duration{10 * time.Millisecond, 200 * time.Millisecond, 5 * time.Second} {
+		var i isolator.Isolator
+		now := start
+		for crash := range 4 {
+			attempt := isolator.Attempt{Fingerprint: poison, Start: now, End: now.Add(ran), Choices: 6}
+			now = attempt.End
+			i.RecordCrash(now, fmt.Sprint("u", crash), []isolator.Attempt{attempt})
+		}
+		require.Equal(t, isolator.Confirmed, i.Status(now, poison), "after attempts of %v", ran)
+		i.RecordCrash(now, "u9", []isolator.Attempt{{Fingerprint: 2, Start: now.Add(-time.Second), End: now, Choices: 6}})
+		if ran > time.Second {
+			require.Equal(t, isolator.Suspect, i.Status(now, poison), "another upstream crashed")
+		}
+	}
+}
+
 // Four requests crash upstreams at the same time. Each must be confirmed.
 func TestSeveralPoisonRequests(t *testing.T) {
 	var i isolator.Isolator
--- a/pkg/isolator/record.go
+++ b/pkg/isolator/record.go
@@ -86,9 +86,9 @@
 	// isolatedAt and isolatedUntil are the beginning and the end of an isolation set
 	// by Isolate.
 	isolatedAt, isolatedUntil time.Time
-	// confirmed is the result of the last evaluation, which was made at evaluatedAt
-	// with the evidence of that version.
-	confirmed   bool
+	// status is the result of the last evaluation, which was made at evaluatedAt with
+	// the evidence of that version.
+	status      Status
 	evaluatedAt time.Time
 	version     uint64
 }
