internal/gateway: the newest broken attempts are kept

What callers would see: a poison request is not recognised at an upstream on which many attempts break off for other reasons.

TestNewestAttemptsAreAttributed failed before.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -18,7 +18,7 @@
 	// crashAttributionWindow is the largest time between a crash that is detected by
 	// a refused connection and the end of an attempt that it broke off.
 	crashAttributionWindow = time.Second
-	// maxBrokenAttempts bounds the broken attempts of one upstream.
+	// maxBrokenAttempts bounds the broken attempts of one upstream; the newest are kept.
 	maxBrokenAttempts = 256
 	// A probe waits probeDelay, as an upstream that crashes may accept connections for
 	// a moment, then connects. It repeats this up to maxProbes times while the
@@ -71,15 +71,20 @@
 // add adds a broken attempt and reports whether it belongs to a crash that is already
 // known.
 func (d *crashDetector) add(id string, attempt brokenAttempt) bool {
-	if crashedAt, ok := d.crashedAt[id]; ok && attempt.Start.Before(crashedAt) && attempt.End.Sub(crashedAt) <= crashAttributionWindow {
+	if d.isKnown(id, attempt.Start, attempt.End) {
 		return true
 	}
-	if len(d.broken[id]) < maxBrokenAttempts {
-		d.broken[id] = append(d.broken[id], attempt)
-	}
+	broken := append(d.broken[id], attempt)
+	d.broken[id] = broken[max(0, len(broken)-maxBrokenAttempts):]
 	return false
 }
 
+// isKnown reports whether an attempt ended in a crash that is already known.
+func (d *crashDetector) isKnown(id string, start, end time.Time) bool {
+	crashedAt, ok := d.crashedAt[id]
+	return ok && start.Before(crashedAt) && end.Sub(crashedAt) <= crashAttributionWindow
+}
+
 // take removes the broken attempts of an upstream and returns those that match.
 func (d *crashDetector) take(id string, match func(brokenAttempt) bool) []isolator.Attempt {
 	var taken []isolator.Attempt
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -190,6 +190,24 @@
 	require.Empty(t, g.state.isolation.suspects)
 }
 
+// Many attempts on an upstream broke off for other reasons. Those of the last moments
+// before its crash were not attributed to it.
+func TestNewestAttemptsAreAttributed(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	st := g.state
+	listUpstreams(g, clock.now, map[string]string{"k0": "k0.1"})
+	u := st.upstreams["k0"]
+	broke := &failure{verdict: judge.MayHaveRun}
+	for f := range isolator.Fingerprint(2 * maxBrokenAttempts) {
+		g.recordBroken(t.Context(), &call{fingerprint: 1000 + f, attemptAt: clock.now}, u, broke)
+	}
+	clock.advance(2 * time.Second)
+	g.recordBroken(t.Context(), &call{fingerprint: poison, attemptAt: clock.now}, u, broke)
+	require.Len(t, st.crashes.broken["k0.1"], maxBrokenAttempts)
+	st.recordRemoval(clock.now, u)
+	require.Equal(t, isolator.Suspect, st.crashStatus(clock.now, poison))
+}
+
 // A confirmed request is refused at once with a promise that it has not run, unless
 // this call has run already. A completion ends the isolation.
 func TestConfirmedRequestsAreRefused(t *testing.T) {
