internal/gateway: suspects don't go to upstreams that have failed

What callers saw: none observed. A request that shared an upstream with a poison one is sent to an upstream that just failed, while live ones could take it.

Cause: a suspect avoids upstreams with other suspects; if all live ones have some, the router falls back to upstreams that have failed. It now shares a live one. TestSuspectsAvoidFailedUpstreams failed before.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -123,7 +123,9 @@
 		return router.Upstream{}, false
 	}
 	query.Exclude = append(slices.Clone(query.Exclude), ids...)
-	return st.router.Pick(now, query)
+	picked, ok := st.router.Pick(now, query)
+	// If all others are excluded, the router picks an upstream that has failed.
+	return picked, ok && st.router.IsAvailable(now, picked.ID)
 }
 
 // suspectUpstreams returns the upstreams on which other suspects of this entry run, if
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -208,6 +208,24 @@
 	require.Equal(t, isolator.Suspect, st.crashStatus(clock.now, poison))
 }
 
+// All live upstreams run a suspect. Another suspect was sent to an upstream that had
+// just failed, instead of sharing a live one.
+func TestSuspectsAvoidFailedUpstreams(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	st := g.state
+	listUpstreams(g, clock.now, map[string]string{"k0": "k0", "k1": "k1", "k2": "k2"})
+	st.router.Suspect("k2", clock.now.Add(time.Minute))
+	crashOf(g, clock.now, "u0", 1, 2, 3)
+	for f := isolator.Fingerprint(1); f <= 3; f++ {
+		c := &call{fingerprint: f, deployment: "model"}
+		u, ok := g.chooseUpstream(c)
+		require.True(t, ok)
+		require.NotEqual(t, "k2", u.ID)
+		c.upstream = u
+		g.beginAttempt(clock.now, c, 0)
+	}
+}
+
 // A confirmed request is refused at once with a promise that it has not run, unless
 // this call has run already. A completion ends the isolation.
 func TestConfirmedRequestsAreRefused(t *testing.T) {
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -65,6 +65,13 @@
 	return eligible
 }
 
+// IsAvailable reports whether an upstream may get work: it is listed, and neither a
+// suspect nor leaving.
+func (r *Router) IsAvailable(now time.Time, id string) bool {
+	rec, ok := r.records[id]
+	return ok && rec.listed && r.available(now, rec)
+}
+
 func (r *Router) available(now time.Time, rec *record) bool {
 	if rec.state == "suspect" && !now.Before(rec.suspectUntil) {
 		r.applyEvent(rec.ID, "recover")
