internal/server, gateway: the attempts in flight at a crash are one failure of the upstream

What callers would see: an upstream that has started again gets no requests for up to 30 s after a poison request crashed it.

Cause: each attempt that broke off counted as one more failure in a row, after the probe had found the crash. The upstream is a suspect for some seconds by the probe already. Found by reading; TestACrashIsOneFailure failed before in both packages.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -321,7 +321,9 @@
 		st.connectFailedAt[u.FailureDomain] = now
 		st.router.Suspect(u.ID, now.Add(unreachableBackoff))
 	default:
-		st.router.RecordFailure(now, u.ID)
+		if !st.crashes.isKnown(u.ID, c.attemptAt, now) {
+			st.router.RecordFailure(now, u.ID)
+		}
 		st.recordOutcome(c, u, true, c.attemptLatency)
 	}
 	listAge := now.Sub(st.listUpdatedAt)
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -226,6 +226,25 @@
 	}
 }
 
+// Attempts that broke off in a crash counted as failures of the upstream one by one, so
+// that its process got no requests for up to 30 s.
+func TestACrashIsOneFailure(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	st := g.state
+	listUpstreams(g, clock.now, map[string]string{"k0": "k0", "k1": "k1"})
+	u := st.upstreams["k0"]
+	started := clock.now
+	clock.advance(time.Second)
+	st.crashes.crashedAt["k0"] = clock.now
+	st.router.Suspect("k0", clock.now.Add(unreachableBackoff))
+	for f := range isolator.Fingerprint(32) {
+		c := &call{fingerprint: f, deployment: "model", attemptAt: started, upstream: u}
+		g.recordFailure(t.Context(), c, u, &failure{verdict: judge.MayHaveRun, connectionBroke: true})
+	}
+	clock.advance(unreachableBackoff)
+	require.True(t, st.router.IsAvailable(clock.now, "k0"))
+}
+
 // A confirmed request is refused at once with a promise that it has not run, unless
 // this call has run already. A completion ends the isolation.
 func TestConfirmedRequestsAreRefused(t *testing.T) {
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -306,7 +306,7 @@
 	exempt := s.isExempt(target)
 	crashed := !exempt && s.probeAfterFailure(ctx, r, target, endedAt, cause)
 	r.excludeUpstream(target.ID)
-	s.recordFailure(target, exempt)
+	s.recordFailure(target, exempt || crashed)
 	s.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", r.id).Str("upstream", target.ID).
 		Bool("announced", exempt).Int("parts", r.buffer.Len()).Err(cause).Send()
 	decision := s.decideRetry(now, r, cause, exempt, crashed)
@@ -320,7 +320,7 @@
 }
 
 // recordFailure counts a failed attempt against its upstream, unless the failure is
-// exempt.
+// exempt: the upstream is being reclaimed, or has crashed and is a suspect already.
 func (s *Server) recordFailure(target dispatcher.Target, exempt bool) {
 	s.metrics.Count("attempts_failed")
 	if exempt {
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -234,11 +234,9 @@
 	if !exempt && judge.VerdictOf(cause) == judge.NotRun {
 		s.suspect(target.ID)
 	}
-	if !exempt && judge.VerdictOf(cause) != judge.NotRun {
-		s.probeAfterCall(ctx, call, target)
-	}
+	crashed := !exempt && judge.VerdictOf(cause) != judge.NotRun && s.probeAfterCall(ctx, call, target)
 	call.excludedIDs = append(call.excludedIDs, target.ID)
-	s.recordFailure(target, exempt)
+	s.recordFailure(target, exempt || crashed)
 	s.cfg.Log.Info().Str("event", "call_failed").Str("request_id", call.requestID).Str("upstream", target.ID).
 		Str("verdict", string(judge.VerdictOf(cause))).Err(cause).Send()
 	now := s.now()
@@ -250,19 +248,20 @@
 }
 
 // probeAfterCall probes an upstream after a failed call. An upstream that is not
-// healthy becomes a suspect. If its address refuses connections it has crashed,
-// and the call gets a crash record.
-func (s *Server) probeAfterCall(ctx context.Context, call *serviceCall, target dispatcher.Target) {
+// healthy becomes a suspect. If its address refuses connections it has crashed, and
+// the call gets a crash record. It reports whether the upstream has crashed.
+func (s *Server) probeAfterCall(ctx context.Context, call *serviceCall, target dispatcher.Target) bool {
 	endedAt := s.now()
 	result := s.probe(ctx, target, "")
 	if result == probeHealthy {
-		return
+		return false
 	}
 	s.suspect(target.ID)
 	if result != probeCrashed {
-		return
+		return false
 	}
 	s.recordCrash(nil, isolator.Attempt{Fingerprint: call.fingerprint, Start: call.attemptAt, End: endedAt}, target.ID)
+	return true
 }
 
 // recordCallSuccess records a success of the upstream and refills the retry budget.
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -138,6 +139,21 @@
 	return dispatcher.Response{}, judge.Errorf(judge.MayHaveRun, "EOF")
 }
 
+// Runs that broke off in a crash counted as failures of the upstream one by one, so that
+// it got no requests for up to 30 s.
+func TestACrashIsOneFailure(t *testing.T) {
+	s := testServer(t, "e1", nil, &crashingUpstream{})
+	for id := range 32 {
+		call := newTestCall(s, fmt.Sprint(id), "")
+		s.handleCallFailure(context.Background(), call, dispatcher.Target{ID: "u0"}, judge.Errorf(judge.MayHaveRun, "EOF"))
+	}
+	for _, status := range s.state.router.Statuses() {
+		if status.ID == "u0" {
+			require.LessOrEqual(t, status.SuspectUntil.Sub(s.now()), suspectDuration)
+		}
+	}
+}
+
 // A call that is confirmed as poison during one of its attempts made all others that
 // its retries allowed.
 func TestPoisonCallIsNotRetried(t *testing.T) {
