internal/gateway: suspects don't count against a version

What callers would see: a good version is taken back because a request that crashes upstreams of any version was sent to it again.

Cause: each of its attempts counted as a failure of the version that ran it. Attempts of suspects no longer count; first attempts, and those of requests that shared the first crash, still do. TestSuspectsDoNotCountForVersions failed before.

--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -245,6 +245,22 @@
 	require.True(t, st.router.IsAvailable(clock.now, "k0"))
 }
 
+// A poison request failed on the new version each time it ran there again, which counted
+// against the version.
+func TestSuspectsDoNotCountForVersions(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	st := g.state
+	st.startMove(clock.now, moveToV2, 77, false)
+	u := Upstream{Upstream: router.Upstream{ID: "n0", Deployment: "model", Version: moveToV2.To}}
+	for suspect, want := range map[bool]int{true: 0, false: 2} {
+		clear(st.ownOutcomes)
+		c := &call{deployment: "model", suspect: suspect, attemptAt: clock.now}
+		c.route.Name = "chat"
+		g.recordFailure(t.Context(), c, u, &failure{verdict: judge.MayHaveRun})
+		require.Len(t, st.ownOutcomes, want, "suspect: %v", suspect)
+	}
+}
+
 // A confirmed request is refused at once with a promise that it has not run, unless
 // this call has run already. A completion ends the isolation.
 func TestConfirmedRequestsAreRefused(t *testing.T) {
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -234,7 +234,8 @@
 }
 
 // recordOutcome counts the outcome of an attempt on an upstream. Latency is the time
-// to the first event or the response, zero if there was none. The lock must be held.
+// to the first event or the response, zero if there was none. Suspects don't count for
+// the comparison of versions. The lock must be held.
 func (st *state) recordOutcome(c *call, u Upstream, failed bool, latency time.Duration) {
 	m, moving := st.moves[c.deployment]
 	isNew := moving && u.Version == m.order.To
@@ -247,7 +248,7 @@
 	if latency > 0 && !isNew {
 		threshold.Observe(latency)
 	}
-	if !moving || m.state != mover.Moving {
+	if !moving || m.state != mover.Moving || c.suspect {
 		return
 	}
 	version := versionCurrent
