internal/gateway: a call that can't be retried is answered at once

What callers would see: the 502 of a request that had been in flight at a crash and may not run again came up to 100 ms late, as it waited for the result of a probe that only a retry needs. Found by reading; the limits that need no budget are checked first now.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -131,11 +131,15 @@
 		if ctx.Err() != nil || c.disconnected {
 			return g.refuseEnded(ctx, c, f)
 		}
+		if !c.allowsRetry(f) {
+			return g.refuseFailed(c, f)
+		}
 		g.awaitProbe(ctx, c, probed)
 		if refusal := g.refuseIsolated(c); refusal != nil {
 			return refusal
 		}
-		if !g.mayRetry(c, f) {
+		// The budget does not count attempts of which the upstream received nothing.
+		if !f.unsent && !f.retryCharged && !g.chargeRetry(c.deployment) {
 			return g.refuseFailed(c, f)
 		}
 		c.exclude = append(c.exclude, upstream.ID)
@@ -333,17 +337,13 @@
 		Str("fingerprint", c.fingerprint.String()).Dur("took", now.Sub(c.attemptAt)).Dur("list_age", listAge).Err(f.cause).Send()
 }
 
-// mayRetry reports whether the call may be sent to another upstream. It charges
-// the retry to the budget, unless the upstream received nothing or the retry is
-// charged already.
-func (g *Gateway) mayRetry(c *call, f *failure) bool {
+// allowsRetry reports whether the limits of the call and its route allow another attempt
+// after one that failed.
+func (c *call) allowsRetry(f *failure) bool {
 	if c.sends >= maxSends || c.responseStarted && c.route.Kind != resolver.Streaming {
 		return false
 	}
-	if f.verdict != judge.NotRun && (!c.route.Retryable() || c.runs >= c.route.MaxAttempts) {
-		return false
-	}
-	return f.unsent || f.retryCharged || g.chargeRetry(c.deployment)
+	return f.verdict == judge.NotRun || c.route.Retryable() && c.runs < c.route.MaxAttempts
 }
 
 // chargeRerun reports whether a request that an upstream has run may be run
