internal/gateway: a completion ends an isolation at all entries

What callers would see: a request that has completed is refused by some entries for an hour.

Cause: the row was deleted by entries that had seen a crash and by the leader only, if they received the message about the completion, and its deletion left the crash records in place. An entry that sees a completion now deletes the row, and the deletion drops the records. So an operator can end an isolation, too. TestCompletionEndsTheIsolationEverywhere and TestIsolationsAreStored failed before.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -33,7 +33,8 @@
 	queue []queuedRecord
 	// suspects are the suspect requests in flight, by upstream ID.
 	suspects map[string]map[isolator.Fingerprint]int
-	// observed are the requests of which this entry recorded a crash itself.
+	// observed are the requests of which this entry recorded a crash or a completion
+	// itself.
 	observed map[isolator.Fingerprint]time.Time
 	// rows are the isolations in the store.
 	rows map[isolator.Fingerprint]isolationRow
@@ -110,6 +111,7 @@
 // that its request does not crash upstreams. The lock must be held.
 func (st *state) recordCompletion(now time.Time, f isolator.Fingerprint) {
 	if record, cleared := st.isolation.isolator.RecordCompletion(now, f); cleared {
+		st.isolation.observed[f] = now
 		st.queueRecords(now, []isolator.CrashRecord{record})
 	}
 }
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -325,8 +325,32 @@
 	require.Equal(t, provider.Version(9), change.Expect[0].Version)
 	observer.state.recordCompletion(now.Add(time.Second), poison)
 	require.Len(t, observer.state.isolationChange(now.Add(time.Second), false).Delete, 1, "it completed")
-	restarted.state.applyIsolationRows(now, []provider.StoreRow{{Key: row.Key, Deleted: true}})
-	require.Equal(t, isolator.Clear, restarted.state.crashStatus(now, poison))
+	for _, g := range []*Gateway{restarted, other} {
+		g.state.applyIsolationRows(now, []provider.StoreRow{row})
+		g.state.applyIsolationRows(now, []provider.StoreRow{{Key: row.Key, Version: 10, Deleted: true}})
+		require.Equal(t, isolator.Clear, g.state.crashStatus(now, poison))
+	}
+}
+
+// A request completes at an entry that saw none of its crashes. Its isolation stayed in
+// the store, and entries that missed the message about it went on refusing the request.
+func TestCompletionEndsTheIsolationEverywhere(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	other, _ := newGateway(t, nil)
+	now := clock.now
+	for crash := range 4 {
+		now = now.Add(time.Second)
+		crashOf(other, now, fmt.Sprint("u", crash), poison)
+	}
+	row := provider.StoreRow{Key: poison.String(), Value: fmt.Appendf(nil, `{"isolated_ms":%d}`, now.UnixMilli()), Version: 5}
+	for _, g := range []*Gateway{g, other} {
+		g.state.applyIsolationRows(now, []provider.StoreRow{row})
+	}
+	g.state.recordCompletion(now.Add(time.Second), poison)
+	change := g.state.isolationChange(now.Add(time.Second), false)
+	require.Len(t, change.Delete, 1)
+	other.state.applyIsolationRows(now.Add(time.Second), []provider.StoreRow{{Key: row.Key, Version: 6, Deleted: true}})
+	require.Equal(t, isolator.Clear, other.state.crashStatus(now.Add(time.Second), poison))
 }
 
 // An entry that restarts reads the isolations before it is ready, but does not wait
--- a/internal/gateway/isolationstore.go
+++ b/internal/gateway/isolationstore.go
@@ -47,7 +47,7 @@
 				is.lost[f] = old
 				continue
 			}
-			is.isolator.Release(f)
+			is.isolator.Release(now, f)
 			continue
 		}
 		delete(is.lost, f)
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -226,13 +226,15 @@
 	if !ok {
 		h = i.addHistory(now, f)
 	}
-	if at.Sub(h.completedAt) < crashWindow && !slices.ContainsFunc(h.crashes, func(c crash) bool { return !c.end.After(at) }) {
+	isCleared := !slices.ContainsFunc(h.crashes, func(c crash) bool { return !c.end.After(at) })
+	isReleased := !h.isolatedUntil.After(now) || at.Before(h.isolatedAt)
+	if isCleared && isReleased && at.Sub(h.completedAt) < crashWindow {
 		return false
 	}
 	if at.After(h.completedAt) {
 		h.completedAt = at
 	}
-	if at.After(h.isolatedAt) {
+	if !isReleased {
 		h.isolatedUntil = time.Time{}
 	}
 	h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return !c.end.After(at) })
@@ -251,11 +253,10 @@
 	i.version++
 }
 
-// Release ends an isolation that was set by Isolate.
-func (i *Isolator) Release(f Fingerprint) {
-	if h, ok := i.histories[f]; ok {
-		h.isolatedUntil = time.Time{}
-		i.version++
+// Release drops the records and the isolation of a request, as a completion does.
+func (i *Isolator) Release(now time.Time, f Fingerprint) {
+	if _, ok := i.histories[f]; ok {
+		i.complete(now, f, now)
 	}
 }
 
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -312,7 +312,7 @@
 	require.True(t, cleared)
 	require.Equal(t, isolator.Clear, i.Status(start.Add(time.Second), poison))
 	i.Isolate(start, poison, until)
-	i.Release(poison)
+	i.Release(start, poison)
 	require.Equal(t, isolator.Clear, i.Status(start, poison))
 }
 
