internal/gateway: what is kept about isolated requests is bounded

Cause: the requests whose crashes an entry had observed were kept for an hour, whatever their number (20,000 after 200 crashes of upstreams with 100 requests each), and the table of isolations had no bound. The entry now keeps those that the isolator knows, at most 4,096 and those that are listed, and the leader deletes the oldest rows beyond 1,024. TestIsolationStateIsBounded failed before.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -35,7 +35,7 @@
 	suspects map[string]map[isolator.Fingerprint]int
 	// observed are the requests of which this entry recorded a crash or a completion
 	// itself.
-	observed map[isolator.Fingerprint]time.Time
+	observed map[isolator.Fingerprint]bool
 	// rows are the isolations in the store.
 	rows map[isolator.Fingerprint]isolationRow
 	// lost are the isolations that the store lacks since it returned from an older copy.
@@ -48,7 +48,7 @@
 
 func newIsolation() isolation {
 	return isolation{
-		suspects: map[string]map[isolator.Fingerprint]int{}, observed: map[isolator.Fingerprint]time.Time{},
+		suspects: map[string]map[isolator.Fingerprint]int{}, observed: map[isolator.Fingerprint]bool{},
 		rows: map[isolator.Fingerprint]isolationRow{}, lost: map[isolator.Fingerprint]isolationRow{}, confirmed: map[isolator.Fingerprint]bool{},
 	}
 }
@@ -98,7 +98,7 @@
 func (st *state) recordCrash(now time.Time, id string, attempts []isolator.Attempt) {
 	added := st.isolation.isolator.RecordCrash(now, id, attempts)
 	for _, record := range added {
-		st.isolation.observed[record.Fingerprint] = now
+		st.isolation.observed[record.Fingerprint] = true
 	}
 	st.queueRecords(now, added)
 	if len(added) > 0 {
@@ -111,7 +111,7 @@
 // that its request does not crash upstreams. The lock must be held.
 func (st *state) recordCompletion(now time.Time, f isolator.Fingerprint) {
 	if record, cleared := st.isolation.isolator.RecordCompletion(now, f); cleared {
-		st.isolation.observed[f] = now
+		st.isolation.observed[f] = true
 		st.queueRecords(now, []isolator.CrashRecord{record})
 	}
 }
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -332,6 +332,33 @@
 	}
 }
 
+// A day of crashes must not grow the entry's memory or the store's table.
+func TestIsolationStateIsBounded(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	st := g.state
+	now := clock.now
+	for u := range 200 {
+		var fingerprints []isolator.Fingerprint
+		for f := range 100 {
+			fingerprints = append(fingerprints, isolator.Fingerprint(1000*u+f))
+		}
+		now = now.Add(time.Second)
+		crashOf(g, now, fmt.Sprint("u", u), fingerprints...)
+	}
+	st.isolationChange(now, false)
+	require.LessOrEqual(t, len(st.isolation.observed), 4096)
+	var rows []provider.StoreRow
+	for f := range isolator.Fingerprint(maxIsolationRows + 2*maxIsolations) {
+		at := now.Add(time.Duration(f) * time.Millisecond).UnixMilli()
+		rows = append(rows, provider.StoreRow{Key: (1<<40 + f).String(), Value: fmt.Appendf(nil, `{"isolated_ms":%d}`, at), Version: provider.Version(1 + f)})
+	}
+	st.applyIsolationRows(now.Add(time.Second), rows)
+	change := st.isolationChange(now.Add(2*time.Second), true)
+	require.Len(t, change.Delete, maxIsolations)
+	require.Equal(t, (isolator.Fingerprint(1) << 40).String(), change.Delete[0].Key, "the oldest first")
+	require.Empty(t, st.isolationChange(now.Add(2*time.Second), false).Delete, "the leader does it")
+}
+
 // A request completes at an entry that saw none of its crashes. Its isolation stayed in
 // the store, and entries that missed the message about it went on refusing the request.
 func TestCompletionEndsTheIsolationEverywhere(t *testing.T) {
--- a/internal/gateway/isolationstore.go
+++ b/internal/gateway/isolationstore.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/provider"
@@ -13,6 +15,8 @@
 const (
 	// maxIsolations bounds the rows that one commit changes.
 	maxIsolations = 50
+	// maxIsolationRows bounds the table of isolated requests.
+	maxIsolationRows = 1024
 	// isolationPollTimeout limits one long poll of the table of isolated requests.
 	isolationPollTimeout = 25 * time.Second
 )
@@ -81,59 +85,71 @@
 }
 
 // isolationChange returns the change of the table of isolated requests that this entry
-// has to make. A request is added if two checks in a row have found it confirmed, by
-// the entries that observed a crash of it and by the leader. Rows are deleted by the
-// leader.
+// has to make.
 func (st *state) isolationChange(now time.Time, leader bool) provider.Commit {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	var change provider.Commit
+	st.addIsolations(now, leader, &change)
+	st.deleteIsolations(now, leader, &change)
+	is := &st.isolation
+	for f := range is.observed {
+		_, listed := is.rows[f]
+		_, lost := is.lost[f]
+		if !listed && !lost && st.crashStatus(now, f) == isolator.Clear {
+			delete(is.observed, f)
+		}
+	}
+	return change
+}
+
+// addIsolations adds the rows of requests that two checks in a row have found confirmed,
+// and of those that the store has lost. They are written by the entries that observed
+// the requests and by the leader. The lock must be held.
+func (st *state) addIsolations(now time.Time, leader bool, change *provider.Commit) {
 	is := &st.isolation
 	previous := is.confirmed
 	is.confirmed = map[isolator.Fingerprint]bool{}
-	var change provider.Commit
 	for _, f := range is.isolator.Confirmed(now) {
 		is.confirmed[f] = true
-		_, observed := is.observed[f]
-		if !previous[f] || !observed && !leader || len(change.Put) >= maxIsolations {
-			continue
+		if previous[f] && (leader || is.observed[f]) && len(change.Put) < maxIsolations {
+			st.putIsolation(change, f, isolationRow{IsolatedMS: st.agreedTime(now).UnixMilli(), Crashes: is.isolator.Crashes(now, f), Entry: st.cfg.ID})
 		}
-		change = st.putIsolation(change, f, isolationRow{IsolatedMS: st.agreedTime(now).UnixMilli(), Crashes: is.isolator.Crashes(now, f), Entry: st.cfg.ID})
 	}
 	for f, row := range is.lost {
-		_, observed := is.observed[f]
 		switch {
-		case is.isolator.Status(now, f) != isolator.Confirmed:
+		case st.crashStatus(now, f) != isolator.Confirmed:
 			delete(is.lost, f)
-		case (observed || leader) && len(change.Put) < maxIsolations:
-			change = st.putIsolation(change, f, row)
+		case (leader || is.observed[f]) && len(change.Put) < maxIsolations:
+			st.putIsolation(change, f, row)
 		}
 	}
-	for f, row := range is.rows {
-		_, observed := is.observed[f]
-		if len(change.Delete) < maxIsolations && (leader || observed) && is.isolator.Status(now, f) != isolator.Confirmed {
-			change.Expect = append(change.Expect, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String(), Version: row.version})
+}
+
+// deleteIsolations deletes the rows of requests that are no longer confirmed and, beyond
+// maxIsolationRows, the oldest ones. The lock must be held.
+func (st *state) deleteIsolations(now time.Time, leader bool, change *provider.Commit) {
+	is := &st.isolation
+	oldest := slices.SortedFunc(maps.Keys(is.rows), func(a, b isolator.Fingerprint) int { return is.rows[a].expires.Compare(is.rows[b].expires) })
+	for i, f := range oldest {
+		excess := leader && i < len(oldest)-maxIsolationRows
+		ended := (leader || is.observed[f]) && st.crashStatus(now, f) != isolator.Confirmed
+		if (excess || ended) && len(change.Delete) < maxIsolations {
+			change.Expect = append(change.Expect, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String(), Version: is.rows[f].version})
 			change.Delete = append(change.Delete, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String()})
 		}
 	}
-	for f, at := range is.observed {
-		if now.Sub(at) > isolationLifetime {
-			delete(is.observed, f)
-		}
-	}
-	return change
 }
 
-// putIsolation adds a row of the table of isolated requests to a change, unless there is
-// one.
-func (st *state) putIsolation(change provider.Commit, f isolator.Fingerprint, row isolationRow) provider.Commit {
+// putIsolation adds a row to a change, unless the table has one.
+func (st *state) putIsolation(change *provider.Commit, f isolator.Fingerprint, row isolationRow) {
 	value, err := json.Marshal(row)
 	if err != nil {
 		st.log.Error().Str("event", "isolation_not_encoded").Str("fingerprint", f.String()).Err(err).Send()
-		return change
+		return
 	}
 	change.Expect = append(change.Expect, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String()})
 	change.Put = append(change.Put, provider.StoreRow{Table: st.cfg.Tables.Isolations, Key: f.String(), Value: value})
-	return change
 }
 
 // isLeaderNow reports whether this entry may act as the leader.
