internal/gateway: the rows that say when an era began are deleted

Cause: each return of the store added a row and an entry of a map, and none was ever deleted. The rows of the last two eras before the current one are kept, and the map holds what the table has. TestLeadersOverEras checks both bounds, and failed before.

--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
@@ -211,6 +212,16 @@
 			}
 		}
 		require.Equal(rt, 1, leaders, "leaders after the faults")
+		for _, g := range entries {
+			require.LessOrEqual(rt, len(g.leader.usage.eras), maxEraRows+1)
+		}
+		eraRows := 0
+		for key := range store.rows {
+			if strings.HasPrefix(key, "leases/"+eraKeyPrefix) {
+				eraRows++
+			}
+		}
+		require.LessOrEqual(rt, eraRows, maxEraRows+1, "rows about eras")
 	})
 }
 
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -236,6 +236,7 @@
 		// no two replace the same one, and a later one replaces a newer one.
 		l.lease.SetMinFence(minFence)
 	}
+	clear(l.usage.eras)
 	l.usage.addAgreedRows(page)
 	return nil
 }
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -35,7 +35,8 @@
 	leader          *leader
 	agreedCounts    map[accountant.Window]accountant.Counts
 	reportedWindows map[accountant.Window]bool
-	// eras are the times at which eras of the store began, as far as they are known.
+	// eras are the times at which eras of the store began, as the table of leases has
+	// them.
 	eras map[uint64]time.Time
 }
 
--- a/internal/gateway/usageeras.go
+++ b/internal/gateway/usageeras.go
@@ -14,6 +14,8 @@
 const (
 	// eraKeyPrefix is the prefix of the keys of eraRows.
 	eraKeyPrefix = "era/"
+	// maxEraRows is the number of eras before the current one whose rows are kept.
+	maxEraRows = 2
 	// eraMargin is the largest difference of the agreed times of two entries.
 	eraMargin = time.Second
 )
@@ -23,6 +25,8 @@
 	BeganMS int64 `json:"began_ms"`
 }
 
+func eraKey(era uint64) string { return eraKeyPrefix + strconv.FormatUint(era, 10) }
+
 // addEraRow adds the time in an eraRow of the table of leases.
 func (u *usageReporter) addEraRow(row provider.StoreRow) {
 	text, found := strings.CutPrefix(row.Key, eraKeyPrefix)
@@ -70,8 +74,15 @@
 		u.g.cfg.Log.Error().Str("event", "era_row_not_encoded").Err(err).Send()
 		return time.Time{}, false
 	}
-	row := provider.StoreRow{Table: u.g.cfg.Tables.Leases, Key: eraKeyPrefix + strconv.FormatUint(era, 10), Value: value}
-	result, err := u.g.cfg.Store.Commit(ctx, provider.Commit{Expect: []provider.StoreRow{{Table: row.Table, Key: row.Key}}, Put: []provider.StoreRow{row}})
+	row := provider.StoreRow{Table: u.g.cfg.Tables.Leases, Key: eraKey(era), Value: value}
+	change := provider.Commit{Expect: []provider.StoreRow{{Table: row.Table, Key: row.Key}}, Put: []provider.StoreRow{row}}
+	for old := range u.eras {
+		if old+maxEraRows < era {
+			change.Delete = append(change.Delete, provider.StoreRow{Table: row.Table, Key: eraKey(old)})
+			delete(u.eras, old)
+		}
+	}
+	result, err := u.g.cfg.Store.Commit(ctx, change)
 	if err != nil {
 		u.g.cfg.Log.Warn().Str("event", "era_row_not_written").Uint64("era", era).Err(err).Send()
 		return time.Time{}, false
