internal/gateway: agreed counts of old windows are dropped

Cause: an entry that reads the table of leases without reporting usage kept the counts of all windows that it ever read. TestAgreedCountsAreBounded failed before.

--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -264,3 +264,14 @@
 	st.applyIsolationRows(c.now, []provider.StoreRow{lost})
 	require.Nil(t, g.refuseIsolated(&call{fingerprint: poison}), "its row was deleted")
 }
+
+// An entry that reads the agreed counts of usage again and again, and never reports them,
+// kept those of all windows.
+func TestAgreedCountsAreBounded(t *testing.T) {
+	g, _ := newGateway(t, nil)
+	for w := range 1000 {
+		g.leader.usage.addAgreedRows(provider.Page{Rows: []provider.StoreRow{{Key: fmt.Sprint(usageKeyPrefix, w), Value: []byte(`{"luna":1}`)}}})
+	}
+	require.LessOrEqual(t, len(g.leader.usage.agreedCounts), 2*keptUsageWindows+1)
+	require.Contains(t, g.leader.usage.agreedCounts, int64(999))
+}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -46,6 +47,7 @@
 
 // addAgreedRows adds the agreed counts in the rows of the table of leases.
 func (u *usageReporter) addAgreedRows(page provider.Page) {
+	newest := accountant.Window(0)
 	for _, row := range page.Rows {
 		u.addEraRow(row)
 		window, ok := windowFromKey(row.Key)
@@ -58,7 +60,9 @@
 			continue
 		}
 		u.agreedCounts[window] = counts
+		newest = max(newest, window)
 	}
+	maps.DeleteFunc(u.agreedCounts, func(w accountant.Window, _ accountant.Counts) bool { return w < newest-2*keptUsageWindows })
 }
 
 func windowFromKey(key string) (accountant.Window, bool) {
