internal/gateway: only relays forward crash records

Cause: every entry queued the records that it received, so that members of a group sent back to their relays, three times each, what these had sent to all of them. Messages are bounded either way; this is processor time on the smallest entries in the seconds after a crash. TestOnlyRelaysForwardRecords failed before; TestCrashRecordsReachAllEntries (6 and 81 entries, one message of seven lost) passes.

--- a/internal/gateway/crashrecords.go
+++ b/internal/gateway/crashrecords.go
@@ -74,7 +74,7 @@
 	return records
 }
 
-// mergeRecords merges the crash records of another entry.
+// mergeRecords merges the crash records of another entry. A relay forwards new ones.
 func (st *state) mergeRecords(now time.Time, records []isolator.CrashRecord) {
 	is := &st.isolation
 	if now.Before(is.backlogUntil) || !is.lastRoundAt.IsZero() && now.Sub(is.lastRoundAt) > maxRoundDelay {
@@ -86,7 +86,7 @@
 			added = append(added, record)
 		}
 	}
-	if len(added) > 0 {
+	if st.plan.IsRelay && len(added) > 0 {
 		st.queueRecords(now, added)
 	}
 }
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -56,6 +56,24 @@
 	}
 }
 
+// Entries that are no relays sent the records of all others back to their relays.
+func TestOnlyRelaysForwardRecords(t *testing.T) {
+	c := newCluster(t, 81)
+	c.rounds(6)
+	crashOf(c.entries[80], c.clock.now, "u0", poison)
+	for range 6 {
+		c.round()
+		for i, g := range c.entries {
+			if i != 80 && !g.state.plan.IsRelay {
+				require.Empty(t, g.state.isolation.queue, "entry %d", i)
+			}
+		}
+	}
+	for i, g := range c.entries {
+		require.Equal(t, isolator.Suspect, g.state.crashStatus(c.clock.now, poison), "entry %d", i)
+	}
+}
+
 // Many upstreams crash at once, and later a poison request comes. The records in the
 // messages of a round are bounded, and those of the poison request go first.
 func TestCrashRecordsAreBounded(t *testing.T) {
