internal/gateway, server: decisions about crashes and retries log their inputs

A line existed for the refusal of a request, with the number of crashes only. Now each of these says what it rests on and how old that is: a probe, a crash and how it was found, a request that is confirmed, refused or cleared, an isolation that ends or is lost with an era, records that are ignored, a retry that the budget refuses. The evidence is kept with the evaluation, so that a refusal costs no new one. No decision changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -139,7 +139,7 @@
 			return refusal
 		}
 		// The budget does not count attempts of which the upstream received nothing.
-		if !f.unsent && !f.retryCharged && !g.chargeRetry(c.deployment) {
+		if !f.unsent && !f.retryCharged && !g.chargeRetry(c.request.ID, c.deployment) {
 			return g.refuseFailed(c, f)
 		}
 		c.exclude = append(c.exclude, upstream.ID)
@@ -334,7 +334,7 @@
 	st.mu.Unlock()
 	g.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", c.request.ID).Str("upstream", u.ID).
 		Str("verdict", string(f.verdict)).Bool("busy", f.busy).Bool("unsent", f.unsent).Int("sends", c.sends).Int("runs", c.runs).
-		Str("fingerprint", c.fingerprint.String()).Dur("took", now.Sub(c.attemptAt)).Dur("list_age", listAge).Err(f.cause).Send()
+		Str("fingerprint", c.fingerprint.String()).Bool("suspect", c.suspect).Dur("took", now.Sub(c.attemptAt)).Dur("list_age", listAge).Err(f.cause).Send()
 }
 
 // allowsRetry reports whether the limits of the call and its route allow another attempt
@@ -349,7 +349,7 @@
 // chargeRerun reports whether a request that an upstream has run may be run
 // again, and charges the retry to the budget if so.
 func (g *Gateway) chargeRerun(c *call) bool {
-	return c.mayRerun() && g.hasOtherUpstream(c.deployment, append(slices.Clone(c.exclude), c.upstream.ID)) && g.chargeRetry(c.deployment)
+	return c.mayRerun() && g.hasOtherUpstream(c.deployment, append(slices.Clone(c.exclude), c.upstream.ID)) && g.chargeRetry(c.request.ID, c.deployment)
 }
 
 // refuseNoUpstream returns the refusal of a call for which there is no
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -30,6 +30,13 @@
 	maxProbeWait = 100 * time.Millisecond
 )
 
+// How a crash was found: its address refuses connections, or the list has no row or
+// another process for it.
+const (
+	foundRefused = "refused"
+	foundRemoved = "removed"
+)
+
 // crashDetector attributes attempts that broke off to crashes of their upstreams.
 // The state's lock guards it.
 type crashDetector struct {
@@ -113,14 +120,14 @@
 	_, removed := st.crashes.removedAt[u.ID]
 	switch {
 	case removed && !attempt.callerLeft:
-		st.recordCrash(now, u.ID, []isolator.Attempt{attempt.Attempt})
+		st.recordCrash(now, u.ID, foundRemoved, []isolator.Attempt{attempt.Attempt})
 		return nil
 	case !listed || st.router.IsLeaving(u.ID):
 		// Its end was announced.
 		return nil
 	}
 	if st.crashes.add(u.ID, attempt) {
-		st.recordCrash(now, u.ID, []isolator.Attempt{attempt.Attempt})
+		st.recordCrash(now, u.ID, foundRefused, []isolator.Attempt{attempt.Attempt})
 		return nil
 	}
 	if !f.connectionBroke || ctx.Err() != nil {
@@ -139,17 +146,20 @@
 // refuses connections.
 func (g *Gateway) probe(u Upstream, done chan struct{}) {
 	defer close(done)
-	crashed := false
+	crashed, start := false, g.cfg.Now()
+	var err error
 	for range maxProbes {
 		if !waiter.Pause(g.abortContext, probeDelay) {
 			break
 		}
-		accepted, err := g.pool.Probe(g.abortContext, u.Address)
+		var accepted bool
+		accepted, err = g.pool.Probe(g.abortContext, u.Address)
 		if crashed = err == nil && !accepted; crashed || err != nil {
 			break
 		}
 	}
 	now := g.cfg.Now()
+	g.cfg.Log.Info().Str("event", "upstream_probed").Str("upstream", u.ID).Bool("crashed", crashed).Dur("took", now.Sub(start)).Err(err).Send()
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -160,7 +170,7 @@
 	g.metrics.Count("upstream_crashes")
 	st.crashes.crashedAt[u.ID] = now
 	st.router.Suspect(u.ID, now.Add(unreachableBackoff))
-	st.recordCrash(now, u.ID, st.crashes.take(u.ID, func(b brokenAttempt) bool { return now.Sub(b.End) <= crashAttributionWindow }))
+	st.recordCrash(now, u.ID, foundRefused, st.crashes.take(u.ID, func(b brokenAttempt) bool { return now.Sub(b.End) <= crashAttributionWindow }))
 }
 
 // awaitProbe waits for the end of a probe if the call's request is a suspect, so that
@@ -193,6 +203,6 @@
 	}
 	st.crashes.removedAt[u.ID] = now
 	if len(attempts) > 0 {
-		st.recordCrash(now, u.ID, attempts)
+		st.recordCrash(now, u.ID, foundRemoved, attempts)
 	}
 }
--- a/internal/gateway/crashrecords.go
+++ b/internal/gateway/crashrecords.go
@@ -77,7 +77,11 @@
 // mergeRecords merges the crash records of another entry. A relay forwards new ones.
 func (st *state) mergeRecords(now time.Time, records []isolator.CrashRecord) {
 	is := &st.isolation
+	if len(records) == 0 {
+		return
+	}
 	if now.Before(is.backlogUntil) || !is.lastRoundAt.IsZero() && now.Sub(is.lastRoundAt) > maxRoundDelay {
+		st.log.Warn().Str("event", "crash_records_ignored").Int("records", len(records)).Dur("round_age", now.Sub(is.lastRoundAt)).Send()
 		return
 	}
 	var added []isolator.CrashRecord
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -75,12 +77,12 @@
 		st.mu.Unlock()
 		return nil
 	}
-	crashes := st.isolation.isolator.Crashes(now, c.fingerprint)
+	evidence := st.isolation.isolator.Evidence(now, c.fingerprint)
 	row, listed := st.isolation.rows[c.fingerprint]
 	st.mu.Unlock()
 	g.metrics.Count("requests_isolated")
-	g.cfg.Log.Info().Str("event", "request_isolated").Str("request_id", c.request.ID).Str("fingerprint", c.fingerprint.String()).
-		Int("crashes", crashes).Bool("listed", listed).Int("runs", c.runs).Send()
+	withEvidence(g.cfg.Log.Info().Str("event", "request_isolated"), c.fingerprint, evidence).Str("request_id", c.request.ID).
+		Bool("listed", listed).Str("listed_by", row.Entry).Int("runs", c.runs).Send()
 	if c.runs > 0 {
 		return judge.Refuse(judge.CodeCrashesUpstreams, judge.MayHaveRun, isolatedMessage)
 	}
@@ -93,16 +95,22 @@
 	return refusal
 }
 
-// recordCrash records the crash of an upstream during attempts of this entry. The lock
-// must be held.
-func (st *state) recordCrash(now time.Time, id string, attempts []isolator.Attempt) {
+// withEvidence adds the evidence about a request to a log line.
+func withEvidence(line *zerolog.Event, f isolator.Fingerprint, e isolator.Evidence) *zerolog.Event {
+	return line.Str("fingerprint", f.String()).Int("crashes", e.Crashes).Int("successive", e.Successive).Int("other_crashes", e.OtherCrashes).
+		Float64("coincidence", e.Coincidence).Dur("first_age", e.FirstAge).Dur("newest_age", e.NewestAge).Dur("listed_age", e.ListedAge)
+}
+
+// recordCrash records the crash of an upstream during attempts of this entry, and how it
+// was found. The lock must be held.
+func (st *state) recordCrash(now time.Time, id, found string, attempts []isolator.Attempt) {
 	added := st.isolation.isolator.RecordCrash(now, id, attempts)
 	for _, record := range added {
 		st.isolation.observed[record.Fingerprint] = true
 	}
 	st.queueRecords(now, added)
 	if len(added) > 0 {
-		st.log.Info().Str("event", "upstream_crashed").Str("upstream", id).Int("attempts", len(attempts)).
+		st.log.Info().Str("event", "upstream_crashed").Str("upstream", id).Str("found", found).Int("attempts", len(attempts)).
 			Str("fingerprint", added[0].Fingerprint.String()).Int("crashes", st.isolation.isolator.Crashes(now, added[0].Fingerprint)).Send()
 	}
 }
@@ -110,7 +118,9 @@
 // recordCompletion records that an upstream has run the call to its end, which shows
 // that its request does not crash upstreams. The lock must be held.
 func (st *state) recordCompletion(now time.Time, f isolator.Fingerprint) {
+	evidence := st.isolation.isolator.Evidence(now, f)
 	if record, cleared := st.isolation.isolator.RecordCompletion(now, f); cleared {
+		withEvidence(st.log.Info().Str("event", "request_cleared"), f, evidence).Send()
 		st.isolation.observed[f] = true
 		st.queueRecords(now, []isolator.CrashRecord{record})
 	}
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -25,7 +25,7 @@
 	for _, f := range fingerprints {
 		attempts = append(attempts, isolator.Attempt{Fingerprint: f, Start: now.Add(-50 * time.Millisecond), End: now, Choices: 18})
 	}
-	g.state.recordCrash(now, upstream, attempts)
+	g.state.recordCrash(now, upstream, foundRefused, attempts)
 }
 
 // A poison request is repeated at another entry each time, and each entry sees one
--- a/internal/gateway/isolationstore.go
+++ b/internal/gateway/isolationstore.go
@@ -49,8 +49,10 @@
 			delete(is.rows, f)
 			if old.version.Era() < row.Version.Era() {
 				is.lost[f] = old
+				st.log.Info().Str("event", "isolation_lost").Str("fingerprint", row.Key).Uint64("era", row.Version.Era()).Uint64("previous", old.version.Era()).Send()
 				continue
 			}
+			withEvidence(st.log.Info().Str("event", "isolation_ended"), f, is.isolator.Evidence(now, f)).Str("listed_by", old.Entry).Send()
 			is.isolator.Release(now, f)
 			continue
 		}
@@ -112,6 +114,9 @@
 	is.confirmed = map[isolator.Fingerprint]bool{}
 	for _, f := range is.isolator.Confirmed(now) {
 		is.confirmed[f] = true
+		if !previous[f] {
+			withEvidence(st.log.Info().Str("event", "request_confirmed"), f, is.isolator.Evidence(now, f)).Bool("observed", is.observed[f]).Send()
+		}
 		if previous[f] && (leader || is.observed[f]) && len(change.Put) < maxIsolations {
 			st.putIsolation(change, f, isolationRow{IsolatedMS: st.agreedTime(now).UnixMilli(), Crashes: is.isolator.Crashes(now, f), Entry: st.cfg.ID})
 		}
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -40,30 +40,38 @@
 	}
 }
 
-// retryAllowance returns this entry's part of the retry allowance. It is zero until the
-// entry has read how many entries there are. The lock must be held.
-func (g *Gateway) retryAllowance(now time.Time) float64 {
+// retryAllowance returns this entry's part of the retry allowance and the number of
+// entries that share it. It is zero until the entry has read how many there are. The
+// lock must be held.
+func (g *Gateway) retryAllowance(now time.Time) (allowance float64, members int) {
 	if _, read := g.entryFollower.Age(now); !read {
-		return 0
+		return 0, 0
 	}
 	st := g.state
-	members := st.memberPeak.update(now, st.memberCount(), g.cfg.Quotas.RetryWindow)
-	return g.cfg.Quotas.RetryAllowance * (1 - retryReserve) / float64(members)
+	members = st.memberPeak.update(now, st.memberCount(), g.cfg.Quotas.RetryWindow)
+	return g.cfg.Quotas.RetryAllowance * (1 - retryReserve) / float64(members), members
 }
 
-// chargeRetry charges a retry to a deployment's budget. It returns false if the budget
-// is used up.
-func (g *Gateway) chargeRetry(deployment string) bool {
+// chargeRetry charges a retry of a request to a deployment's budget. It returns false if
+// the budget is used up.
+func (g *Gateway) chargeRetry(requestID, deployment string) bool {
 	st := g.state
 	now := g.cfg.Now()
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	budget, ok := st.retryBudgets[deployment]
+	members := 0
 	if ok {
-		budget.Allowance = g.retryAllowance(now)
+		budget.Allowance, members = g.retryAllowance(now)
 	}
 	if !ok || !budget.TakeRetry(now) {
 		g.metrics.Count("retries_over_budget")
+		line := g.cfg.Log.Info().Str("event", "retry_refused").Str("request_id", requestID).Str("deployment", deployment).Int("members", members)
+		if ok {
+			age, _ := g.entryFollower.Age(now)
+			line = line.Float64("allowance", budget.Allowance).Float64("ratio", budget.Ratio).Dur("entries_age", age)
+		}
+		line.Send()
 		return false
 	}
 	g.metrics.Count("retries_charged")
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -13,7 +13,7 @@
 // takeRetries charges retries until the budget refuses one and returns their number.
 func takeRetries(g *Gateway) int {
 	taken := 0
-	for g.chargeRetry("model") {
+	for g.chargeRetry("r", "model") {
 		taken++
 	}
 	return taken
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -42,11 +42,11 @@
 	if !c.mayRerun() {
 		return ctx, s
 	}
-	deployment := c.deployment
+	requestID, deployment := c.request.ID, c.deployment
 	exclude := append(slices.Clone(c.exclude), c.upstream.ID)
 	s.gapTimeout = max(minSilence, gapFactor*c.route.TargetGap)
 	s.timer = time.AfterFunc(max(minSilence, firstByteFactor*c.route.TargetLatency), func() {
-		if g.hasOtherUpstream(deployment, exclude) && g.chargeRetry(deployment) {
+		if g.hasOtherUpstream(deployment, exclude) && g.chargeRetry(requestID, deployment) {
 			s.retryCharged.Store(true)
 			cancel(errSilent)
 		}
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -26,9 +26,9 @@
 	rateWindow = 10 * time.Second
 	// minExposure is the shortest duration that an attempt or a chain counts as.
 	minExposure = 10 * time.Millisecond
-	// crashWindow is the time during which later records of an upstream are of the
-	// same crash.
-	crashWindow = 2 * time.Second
+	// sameCrashWindow is the time during which later records of an upstream are of
+	// the same crash.
+	sameCrashWindow = 2 * time.Second
 	// propagationTime is the time that records of peers may take to arrive.
 	propagationTime = time.Second
 	// recordLifetime is how long a crash record counts, and an isolation lasts.
@@ -38,7 +38,7 @@
 	maxFingerprints = 4096
 	maxCrashes      = 16
 	// maxUpstreams is the number of crashed upstreams above which only those that
-	// crashed within crashWindow are kept.
+	// crashed within sameCrashWindow are kept.
 	maxUpstreams = 16384
 	// maxLoggedCrashes bounds the crashes that are known.
 	maxLoggedCrashes = 4096
@@ -73,8 +73,8 @@
 	// those whose requests have completed since.
 	lastCrashes map[string]lastCrash
 	crashes     map[crashName]time.Time
-	// version changes with each change of the evidence.
-	version uint64
+	// revision changes with each change of the records.
+	revision uint64
 }
 
 type lastCrash struct {
@@ -100,7 +100,7 @@
 	switch {
 	case !known:
 		i.setLastCrash(upstream, lastCrash{at: end})
-	case end.Sub(last.at) > crashWindow:
+	case end.Sub(last.at) > sameCrashWindow:
 		last = lastCrash{ordinal: last.ordinal + 1, at: end}
 		i.setLastCrash(upstream, last)
 	}
@@ -112,7 +112,7 @@
 		i.lastCrashes = map[string]lastCrash{}
 	}
 	if len(i.lastCrashes) >= maxUpstreams {
-		maps.DeleteFunc(i.lastCrashes, func(_ string, other lastCrash) bool { return last.at.Sub(other.at) > crashWindow })
+		maps.DeleteFunc(i.lastCrashes, func(_ string, other lastCrash) bool { return last.at.Sub(other.at) > sameCrashWindow })
 	}
 	i.lastCrashes[upstream] = last
 }
@@ -166,7 +166,7 @@
 	if len(h.crashes) > maxCrashes {
 		h.crashes = slices.Delete(h.crashes, 0, 1)
 	}
-	i.version++
+	i.revision++
 	return true
 }
 
@@ -228,7 +228,7 @@
 	}
 	isCleared := !slices.ContainsFunc(h.crashes, func(c crash) bool { return !c.end.After(at) })
 	isReleased := !h.isolatedUntil.After(now) || at.Before(h.isolatedAt)
-	if isCleared && isReleased && at.Sub(h.completedAt) < crashWindow {
+	if isCleared && isReleased && at.Sub(h.completedAt) < sameCrashWindow {
 		return false
 	}
 	if at.After(h.completedAt) {
@@ -238,7 +238,7 @@
 		h.isolatedUntil = time.Time{}
 	}
 	h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return !c.end.After(at) })
-	i.version++
+	i.revision++
 	return true
 }
 
@@ -250,7 +250,7 @@
 		h = i.addHistory(now, f)
 	}
 	h.isolatedAt, h.isolatedUntil = now, until
-	i.version++
+	i.revision++
 }
 
 // Release drops the records and the isolation of a request, as a completion does.
@@ -282,16 +282,21 @@
 
 // evaluate returns the status of a request that has crash records.
 func (i *Isolator) evaluate(now time.Time, f Fingerprint, h *history) Status {
-	if h.version != i.version || now.Sub(h.evaluatedAt) > evaluationLifetime {
+	if h.revision != i.revision || now.Sub(h.evaluatedAt) > evaluationLifetime {
 		h.status = i.weigh(now, f, h)
-		h.version, h.evaluatedAt = i.version, now
+		h.revision, h.evaluatedAt = i.revision, now
 	}
 	return h.status
 }
 
 func (i *Isolator) weigh(now time.Time, f Fingerprint, h *history) Status {
 	chain := h.chain()
-	if len(chain) < minCrashes || i.coincidence(now, h, chain) >= maxCoincidence || i.isShared(f, h.crashes) {
+	h.successive, h.otherCrashes, h.coincidence = len(chain), 0, 1
+	if len(chain) < minCrashes {
+		return Suspect
+	}
+	h.otherCrashes, h.coincidence = i.coincidence(now, h, chain)
+	if h.coincidence >= maxCoincidence || i.isShared(f, h.crashes) {
 		return Suspect
 	}
 	newest := len(h.crashes) - 1
@@ -301,37 +306,70 @@
 	return Confirmed
 }
 
-// coincidence returns the probability that each attempt of a chain after the first met
-// the crash of its upstream by chance: any crash has requests in flight. The rate of
-// other crashes is that during the chain or that since rateWindow before it, whichever
-// is higher. The probability is taken as 0 from undisputedCrashes on if there are no
-// other crashes.
-func (i *Isolator) coincidence(now time.Time, h *history, chain []crash) float64 {
+// Evidence is what the status of a request rests on.
+type Evidence struct {
+	// Crashes is the number of crashes during the request, Successive that of the
+	// longest series, OtherCrashes that of crashes without it since rateWindow before
+	// the series.
+	Crashes, Successive, OtherCrashes int
+	// Coincidence is the probability of the series by chance, 1 for fewer than
+	// minCrashes.
+	Coincidence float64
+	// FirstAge and NewestAge are the times since the first and the newest crash.
+	FirstAge, NewestAge time.Duration
+	// ListedAge is the time since Isolate was called, zero if it was not.
+	ListedAge time.Duration
+}
+
+// Evidence returns the evidence about a request at now.
+func (i *Isolator) Evidence(now time.Time, f Fingerprint) Evidence {
+	h, ok := i.histories[f]
+	if !ok {
+		return Evidence{}
+	}
+	e := Evidence{Crashes: len(h.crashes)}
+	if h.isolatedUntil.After(now) {
+		e.ListedAge = now.Sub(h.isolatedAt)
+	}
+	if len(h.crashes) > 0 {
+		i.evaluate(now, f, h)
+		e.Successive, e.OtherCrashes, e.Coincidence = h.successive, h.otherCrashes, h.coincidence
+		e.FirstAge, e.NewestAge = now.Sub(h.crashes[0].end), now.Sub(h.crashes[len(h.crashes)-1].end)
+	}
+	return e
+}
+
+// coincidence returns the number of crashes of other requests since rateWindow before a
+// chain, and the probability that each attempt of the chain after the first met the
+// crash of its upstream by chance: any crash has requests in flight. The rate of other
+// crashes is that during the chain or that since rateWindow before it, whichever is
+// higher. The probability is taken as 0 from undisputedCrashes on if there are no other
+// crashes.
+func (i *Isolator) coincidence(now time.Time, h *history, chain []crash) (others int, probability float64) {
 	first, last := chain[0].end, chain[len(chain)-1].end
-	during, since := 0, assumedCrashes
+	during := 0
 	for name, at := range i.unexplainedCrashes(now) {
-		switch {
-		case at.After(last) || at.Before(first.Add(-rateWindow)) || h.has(name):
-		case at.Before(first):
-			since++
-		default:
+		if at.After(last) || at.Before(first.Add(-rateWindow)) || h.has(name) {
+			continue
+		}
+		others++
+		if !at.Before(first) {
 			during++
-			since++
 		}
 	}
-	if len(chain) >= undisputedCrashes && since == assumedCrashes {
-		return 0
+	if len(chain) >= undisputedCrashes && others == 0 {
+		return 0, 0
 	}
 	perSecond := func(crashes int, span time.Duration) float64 {
 		return float64(crashes) / max(minExposure, span).Seconds()
 	}
-	rate := max(perSecond(during, last.Sub(first)), perSecond(since, last.Sub(first)+rateWindow))
-	probability := 1.0
+	rate := max(perSecond(during, last.Sub(first)), perSecond(others+assumedCrashes, last.Sub(first)+rateWindow))
+	probability = 1.0
 	for _, c := range chain[1:] {
 		exposure := max(minExposure, c.end.Sub(c.start)).Seconds()
 		probability *= 1 - math.Exp(-rate/float64(max(1, c.choices))*exposure)
 	}
-	return probability
+	return others, probability
 }
 
 // unexplainedCrashes returns the times of all crashes, without those that isolated
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -293,6 +293,8 @@
 	}
 	require.Equal(t, isolator.Confirmed, i.Status(now, poison))
 	require.Equal(t, []isolator.Fingerprint{poison}, i.Confirmed(now))
+	require.Equal(t, isolator.Evidence{Crashes: 4, Successive: 4, FirstAge: 4 * time.Second, NewestAge: time.Second}, i.Evidence(now, poison))
+	require.Zero(t, i.Evidence(now, 2))
 	require.Equal(t, isolator.Clear, i.Status(start.Add(2*time.Hour), poison), "crash records expire after an hour")
 }
 
--- a/pkg/isolator/record.go
+++ b/pkg/isolator/record.go
@@ -87,10 +87,13 @@
 	// by Isolate.
 	isolatedAt, isolatedUntil time.Time
 	// status is the result of the last evaluation, which was made at evaluatedAt with
-	// the evidence of that version.
-	status      Status
-	evaluatedAt time.Time
-	version     uint64
+	// the records of that revision. successive, otherCrashes and coincidence are those
+	// of Evidence.
+	status                   Status
+	evaluatedAt              time.Time
+	revision                 uint64
+	successive, otherCrashes int
+	coincidence              float64
 }
 
 // newest returns the time of the newest crash or completion.
