--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -76,8 +76,8 @@
 	// lastEventID is the id of the last stream event that was sent.
 	responseStarted bool
 	lastEventID     string
-	// suspect reports that the current attempt was made as one of a suspect.
-	suspect      bool
+	// isSuspect reports that the current attempt is one of a suspect request.
+	isSuspect    bool
 	usageCounted bool
 	disconnected bool
 	logged       bool
@@ -105,7 +105,7 @@
 // allowed. It returns nil once the caller has the complete response, and a
 // refusal otherwise.
 func (g *Gateway) forward(parent context.Context, w http.ResponseWriter, c *call) *judge.Refusal {
-	if refusal := g.refuseIsolated(c); refusal != nil {
+	if refusal := g.refuseQuarantined(c); refusal != nil {
 		return refusal
 	}
 	if refusal := g.admit(c); refusal != nil {
@@ -135,7 +135,7 @@
 			return g.refuseFailed(c, f)
 		}
 		g.awaitProbe(ctx, c, probed)
-		if refusal := g.refuseIsolated(c); refusal != nil {
+		if refusal := g.refuseQuarantined(c); refusal != nil {
 			return refusal
 		}
 		// The budget does not count attempts of which the upstream received nothing.
@@ -277,7 +277,7 @@
 	c.loadAtStart = st.router.EstimatedLoad(now, c.upstream.ID)
 	st.router.Begin(c.upstream.ID)
 	st.router.AdjustLoad(c.upstream.ID, load)
-	c.suspect = st.beginSuspect(now, c)
+	c.isSuspect = st.beginSuspect(now, c)
 	d := st.demandFor(c.deployment)
 	d.Running++
 	if c.sends == 0 {
@@ -301,7 +301,7 @@
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	g.state.router.End(c.upstream.ID)
-	if c.suspect {
+	if c.isSuspect {
 		g.state.endSuspect(c)
 	}
 	g.state.demandFor(c.deployment).Running--
@@ -334,7 +334,7 @@
 	st.mu.Unlock()
 	g.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", c.request.ID).Str("upstream", u.ID).
 		Str("verdict", string(f.verdict)).Bool("busy", f.busy).Bool("unsent", f.unsent).Int("sends", c.sends).Int("runs", c.runs).
-		Str("fingerprint", c.fingerprint.String()).Bool("suspect", c.suspect).Dur("took", now.Sub(c.attemptAt)).Dur("list_age", listAge).Err(f.cause).Send()
+		Str("fingerprint", c.fingerprint.String()).Bool("suspect", c.isSuspect).Dur("took", now.Sub(c.attemptAt)).Dur("list_age", listAge).Err(f.cause).Send()
 }
 
 // allowsRetry reports whether the limits of the call and its route allow another attempt
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -154,8 +154,8 @@
 	// counts that the leader reports.
 	Entries string
 	Leases  string
-	// Isolations lists the requests that crash the upstreams that run them.
-	Isolations string
+	// Quarantine lists the requests that crash the upstreams that run them.
+	Quarantine string
 }
 
 // Decoder decodes rows of the platform's tables.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -113,7 +113,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	attempt := brokenAttempt{
-		Attempt:    isolator.Attempt{Fingerprint: c.fingerprint, Start: c.attemptAt, End: now, Choices: st.deploymentSizes[u.Deployment]},
+		Attempt:    isolator.Attempt{Fingerprint: c.fingerprint, Start: c.attemptAt, End: now, DeploymentSize: st.deploymentSizes[u.Deployment]},
 		callerLeft: c.disconnected || errors.Is(context.Cause(ctx), errDisconnected),
 	}
 	_, listed := st.upstreamByID[u.ID]
--- a/internal/gateway/crashrecords.go
+++ b/internal/gateway/crashrecords.go
@@ -35,37 +35,37 @@
 // queueRecords queues new crash records for other entries. If a request has several
 // crashes, all its records are sent again, as other entries may lack some.
 func (st *state) queueRecords(now time.Time, records []isolator.CrashRecord) {
-	is := &st.isolation
+	q := &st.quarantine
 	for _, record := range records {
-		crashes := is.isolator.Crashes(now, record.Fingerprint)
+		crashes := q.isolator.Crashes(now, record.Fingerprint)
 		all := []isolator.CrashRecord{record}
 		if crashes > 1 && !record.Completed {
-			all = is.isolator.Records(now, record.Fingerprint)
+			all = q.isolator.Records(now, record.Fingerprint)
 		}
-		is.queue = slices.DeleteFunc(is.queue, func(q queuedRecord) bool { return q.Fingerprint == record.Fingerprint && crashes > 1 })
+		q.queue = slices.DeleteFunc(q.queue, func(q queuedRecord) bool { return q.Fingerprint == record.Fingerprint && crashes > 1 })
 		for _, r := range all {
-			is.queue = append(is.queue, queuedRecord{CrashRecord: r, queuedAt: now, crashes: crashes})
+			q.queue = append(q.queue, queuedRecord{CrashRecord: r, queuedAt: now, crashes: crashes})
 		}
 	}
-	slices.SortStableFunc(is.queue, func(a, b queuedRecord) int {
+	slices.SortStableFunc(q.queue, func(a, b queuedRecord) int {
 		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.sends, b.sends), b.queuedAt.Compare(a.queuedAt))
 	})
-	is.queue = is.queue[:min(len(is.queue), maxQueuedRecords)]
+	q.queue = q.queue[:min(len(q.queue), maxQueuedRecords)]
 }
 
 // nextRecords returns the crash records to send in this round.
 func (st *state) nextRecords(now time.Time) []isolator.CrashRecord {
-	is := &st.isolation
-	if !is.lastRoundAt.IsZero() && now.Sub(is.lastRoundAt) > maxRoundDelay {
-		is.backlogUntil = now.Add(backlogTime)
+	q := &st.quarantine
+	if !q.lastRoundAt.IsZero() && now.Sub(q.lastRoundAt) > maxRoundDelay {
+		q.backlogUntil = now.Add(backlogTime)
 	}
-	is.lastRoundAt = now
-	is.queue = slices.DeleteFunc(is.queue, func(q queuedRecord) bool {
+	q.lastRoundAt = now
+	q.queue = slices.DeleteFunc(q.queue, func(q queuedRecord) bool {
 		return q.sends >= recordSends || now.Sub(q.queuedAt) > recordSendTime
 	})
 	var records []isolator.CrashRecord
-	for i := range is.queue[:min(len(is.queue), maxSentRecords)] {
-		q := &is.queue[i]
+	for i := range q.queue[:min(len(q.queue), maxSentRecords)] {
+		q := &q.queue[i]
 		q.sends++
 		record := q.CrashRecord
 		record.AgeMS += now.Sub(q.queuedAt).Milliseconds()
@@ -76,17 +76,17 @@
 
 // mergeRecords merges the crash records of another entry. A relay forwards new ones.
 func (st *state) mergeRecords(now time.Time, records []isolator.CrashRecord) {
-	is := &st.isolation
+	q := &st.quarantine
 	if len(records) == 0 {
 		return
 	}
-	if now.Before(is.backlogUntil) || !is.lastRoundAt.IsZero() && now.Sub(is.lastRoundAt) > maxRoundDelay {
-		st.log.Warn().Str("event", "crash_records_ignored").Int("records", len(records)).Dur("round_age", now.Sub(is.lastRoundAt)).Send()
+	if now.Before(q.backlogUntil) || !q.lastRoundAt.IsZero() && now.Sub(q.lastRoundAt) > maxRoundDelay {
+		st.log.Warn().Str("event", "crash_records_ignored").Int("records", len(records)).Dur("round_age", now.Sub(q.lastRoundAt)).Send()
 		return
 	}
 	var added []isolator.CrashRecord
 	for _, record := range records {
-		if is.isolator.Merge(now, record) {
+		if q.isolator.Merge(now, record) {
 			added = append(added, record)
 		}
 	}
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -15,7 +15,7 @@
 //     upstreams until one attempt succeeds; retries.go limits the attempts of all
 //     entries; silence.go cancels attempts on silent upstreams.
 //   - crashes.go attributes failed attempts to crashes of upstreams, and
-//     isolation.go refuses requests that cause them.
+//     quarantine.go refuses requests that cause them.
 //   - response.go and events.go forward responses and event streams.
 //   - demand.go and prompts.go measure the demand and the shared prompt parts.
 //   - stop.go drains the process.
@@ -25,7 +25,7 @@
 //   - state.go holds the state; membership.go maintains the list of entries.
 //   - peers.go sends and receives the messages of message.go, which
 //     aggregate.go adds up and listing.go fills with upstreams.
-//   - crashrecords.go sends crash records, and isolationstore.go keeps confirmed
+//   - crashrecords.go sends crash records, and quarantinestore.go keeps confirmed
 //     requests in the store.
 //   - reachability.go detects unreachable failure domains and computes the
 //     agreed time.
--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -243,26 +243,26 @@
 	require.Equal(t, mover.Moving, st.moves["model"].state, "the operator repeats the order")
 }
 
-// The store lost the row of an isolation when it returned from an older copy. The
+// The store lost the row of a quarantined request when it returned from an older copy. The
 // request was sent to upstreams again.
-func TestLostIsolationIsWrittenAgain(t *testing.T) {
+func TestLostQuarantineIsWrittenAgain(t *testing.T) {
 	g, c := newGateway(t, nil)
 	st := g.state
-	row := provider.StoreRow{Key: poison.String(), Value: []byte(`{"isolated_ms":1700000000000,"crashes":4}`), Version: provider.NewVersion(1, 90)}
-	st.applyIsolationRows(c.now, []provider.StoreRow{row})
+	row := provider.StoreRow{Key: poison.String(), Value: []byte(`{"since_ms":1700000000000,"crashes":4}`), Version: provider.NewVersion(1, 90)}
+	st.applyQuarantineRows(c.now, []provider.StoreRow{row})
 	lost := provider.StoreRow{Key: row.Key, Version: provider.NewVersion(2, 50), Deleted: true}
-	st.applyIsolationRows(c.now, []provider.StoreRow{lost})
-	require.NotNil(t, g.refuseIsolated(&call{fingerprint: poison}))
-	require.Empty(t, st.isolationChange(c.now, false).Put)
-	change := st.isolationChange(c.now, true)
+	st.applyQuarantineRows(c.now, []provider.StoreRow{lost})
+	require.NotNil(t, g.refuseQuarantined(&call{fingerprint: poison}))
+	require.Empty(t, st.quarantineChange(c.now, false).Put)
+	change := st.quarantineChange(c.now, true)
 	require.Len(t, change.Put, 1)
 	require.Zero(t, change.Expect[0].Version)
 	row.Version = provider.NewVersion(2, 51)
-	st.applyIsolationRows(c.now, []provider.StoreRow{row})
-	require.Empty(t, st.isolationChange(c.now, true).Put)
+	st.applyQuarantineRows(c.now, []provider.StoreRow{row})
+	require.Empty(t, st.quarantineChange(c.now, true).Put)
 	lost.Version = provider.NewVersion(2, 52)
-	st.applyIsolationRows(c.now, []provider.StoreRow{lost})
-	require.Nil(t, g.refuseIsolated(&call{fingerprint: poison}), "its row was deleted")
+	st.applyQuarantineRows(c.now, []provider.StoreRow{lost})
+	require.Nil(t, g.refuseQuarantined(&call{fingerprint: poison}), "its row was deleted")
 }
 
 // An entry that reads the agreed counts of usage again and again, and never reports them,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,18 +40,18 @@
 // Gateway is one entry process. New creates it; Run serves until its context is
 // canceled.
 type Gateway struct {
-	cfg               Config
-	boot              uint64
-	startedAt         time.Time
-	state             *state
-	pool              *pooler.Pool
-	gossip            *gossiper.Gossiper[peerMessage]
-	metrics           *measurer.Metrics
-	entryFollower     *follower.Follower
-	configFollower    *follower.Follower
-	upstreamFollower  *follower.Follower
-	isolationFollower *follower.Follower
-	leader            *leader
+	cfg                Config
+	boot               uint64
+	startedAt          time.Time
+	state              *state
+	pool               *pooler.Pool
+	gossip             *gossiper.Gossiper[peerMessage]
+	metrics            *measurer.Metrics
+	entryFollower      *follower.Follower
+	configFollower     *follower.Follower
+	upstreamFollower   *follower.Follower
+	quarantineFollower *follower.Follower
+	leader             *leader
 
 	openRequests atomic.Int64
 	stopping     atomic.Bool
@@ -82,7 +82,7 @@
 	g.entryFollower = g.newFollower(follower.Config{
 		Table: cfg.Tables.Entries, GracePeriod: memberRowGrace, PollTimeout: memberPollInterval, PollInterval: memberPollInterval, PeersSendUpdates: g.slowMemberPolls, SlowPollInterval: slowMemberPollInterval, Apply: g.applyMemberRows,
 	})
-	g.isolationFollower = g.newFollower(follower.Config{Table: cfg.Tables.Isolations, PollTimeout: isolationPollTimeout, Apply: g.state.applyIsolationRows})
+	g.quarantineFollower = g.newFollower(follower.Config{Table: cfg.Tables.Quarantine, PollTimeout: quarantinePollTimeout, Apply: g.state.applyQuarantineRows})
 	g.leader = newLeader(g)
 	gossip, err := gossiper.Listen(gossiper.Config[peerMessage]{
 		Address: cfg.PeerListen, Interval: gossipInterval, Compose: g.roundMessages, Handle: g.receive, Now: cfg.Now, Log: cfg.Log,
@@ -153,8 +153,8 @@
 // addTasks adds the background tasks to group.
 func (g *Gateway) addTasks(group *run.Group) {
 	for _, task := range []func(context.Context) error{
-		g.configFollower.Run, g.upstreamFollower.Run, g.entryFollower.Run, g.isolationFollower.Run, g.gossip.Run,
-		g.maintainMemberRow, g.maintainIsolations, g.leader.run, g.sweep,
+		g.configFollower.Run, g.upstreamFollower.Run, g.entryFollower.Run, g.quarantineFollower.Run, g.gossip.Run,
+		g.maintainMemberRow, g.maintainQuarantine, g.leader.run, g.sweep,
 	} {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error {
@@ -195,11 +195,11 @@
 	return engine
 }
 
-// tablesRead reports whether the tables of entries and of isolated requests were read.
+// tablesRead reports whether the tables of entries and of quarantined requests were read.
 func (g *Gateway) tablesRead(now time.Time) bool {
 	_, entriesRead := g.entryFollower.Age(now)
-	_, isolationsRead := g.isolationFollower.Age(now)
-	return entriesRead && isolationsRead
+	_, quarantineRead := g.quarantineFollower.Age(now)
+	return entriesRead && quarantineRead
 }
 
 func (g *Gateway) metricsHandler() http.Handler {
@@ -215,7 +215,7 @@
 	now := g.cfg.Now()
 	g.metrics.Gauge("requests_open", g.openRequests.Load())
 	g.metrics.Gauge("store_era", int64(g.cfg.Store.Era()))
-	for name, f := range map[string]*follower.Follower{"config": g.configFollower, "upstreams": g.upstreamFollower, "entries": g.entryFollower, "isolations": g.isolationFollower} {
+	for name, f := range map[string]*follower.Follower{"config": g.configFollower, "upstreams": g.upstreamFollower, "entries": g.entryFollower, "quarantine": g.quarantineFollower} {
 		if age, known := f.Age(now); known {
 			g.metrics.Gauge("store_age_ms_"+name, age.Milliseconds())
 		}
@@ -228,5 +228,5 @@
 	defer st.mu.Unlock()
 	g.metrics.Gauge("entries", int64(st.memberCount()))
 	g.metrics.Gauge("upstreams", int64(len(st.upstreams)))
-	g.metrics.Gauge("isolations", int64(len(st.isolation.rows)))
+	g.metrics.Gauge("quarantine", int64(len(st.quarantine.rows)))
 }
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -248,7 +248,7 @@
 	if latency > 0 && !isNew {
 		threshold.Observe(latency)
 	}
-	if !moving || m.state != mover.Moving || c.suspect {
+	if !moving || m.state != mover.Moving || c.isSuspect {
 		return
 	}
 	version := versionCurrent
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/quarantine.go
@@ -13,51 +13,51 @@
 )
 
 const (
-	// isolationLifetime is how long a request that crashes upstreams is refused.
-	isolationLifetime = time.Hour
-	// isolationRetrySpread is the mean time after the end of an isolation at which the
+	// quarantineLifetime is how long a request that crashes upstreams is refused.
+	quarantineLifetime = time.Hour
+	// quarantineRetrySpread is the mean time after the end of a quarantine at which the
 	// refused callers are asked to retry.
-	isolationRetrySpread = 10 * time.Second
-	// isolationInterval is the time between two checks for requests to isolate. Crash
+	quarantineRetrySpread = 10 * time.Second
+	// quarantineInterval is the time between two checks for requests to quarantine. Crash
 	// records of other entries arrive within one.
-	isolationInterval = time.Second
-	// isolatedMessage tells callers why a request is refused.
-	isolatedMessage = "a request with this content crashes the upstreams that run it"
+	quarantineInterval = time.Second
+	// quarantineMessage tells callers why a request is refused.
+	quarantineMessage = "a request with this content crashes the upstreams that run it"
 	// maxReadyDelay is how long an entry that could serve waits for the table of
-	// isolated requests before it is ready.
+	// quarantined requests before it is ready.
 	maxReadyDelay = 2 * time.Second
 )
 
-// isolation is what the entry knows of requests that crash upstreams.
-type isolation struct {
+// quarantine is what the entry knows of requests that crash upstreams.
+type quarantine struct {
 	isolator isolator.Isolator
 	// queue holds the crash records to send to other entries.
 	queue []queuedRecord
-	// suspects are the suspect requests in flight, by upstream ID.
-	suspects map[string]map[isolator.Fingerprint]int
+	// suspectRequests are the suspect requests in flight, by upstream ID.
+	suspectRequests map[string]map[isolator.Fingerprint]int
 	// observed are the requests of which this entry recorded a crash or a completion
 	// itself.
 	observed map[isolator.Fingerprint]bool
-	// rows are the isolations in the store.
-	rows map[isolator.Fingerprint]isolationRow
-	// lost are the isolations that the store lacks since it returned from an older copy.
-	lost map[isolator.Fingerprint]isolationRow
+	// rows are the rows of the store's table.
+	rows map[isolator.Fingerprint]quarantineRow
+	// lost are the rows that the store lacks since it returned from an older copy.
+	lost map[isolator.Fingerprint]quarantineRow
 	// confirmed are the requests that the previous check found confirmed.
 	confirmed map[isolator.Fingerprint]bool
 	// lastRoundAt and backlogUntil detect that the process did not run.
 	lastRoundAt, backlogUntil time.Time
 }
 
-func newIsolation() isolation {
-	return isolation{
-		suspects: map[string]map[isolator.Fingerprint]int{}, observed: map[isolator.Fingerprint]bool{},
-		rows: map[isolator.Fingerprint]isolationRow{}, lost: map[isolator.Fingerprint]isolationRow{}, confirmed: map[isolator.Fingerprint]bool{},
+func newQuarantine() quarantine {
+	return quarantine{
+		suspectRequests: map[string]map[isolator.Fingerprint]int{}, observed: map[isolator.Fingerprint]bool{},
+		rows: map[isolator.Fingerprint]quarantineRow{}, lost: map[isolator.Fingerprint]quarantineRow{}, confirmed: map[isolator.Fingerprint]bool{},
 	}
 }
 
 // crashStatus returns the status of a request. The lock must be held.
 func (st *state) crashStatus(now time.Time, f isolator.Fingerprint) isolator.Status {
-	return st.isolation.isolator.Status(now, f)
+	return st.quarantine.isolator.Status(now, f)
 }
 
 // isSuspect reports whether a request was in flight at crashes and is not confirmed. The
@@ -67,9 +67,9 @@
 	return status == isolator.Suspect || status == isolator.Pending
 }
 
-// refuseIsolated returns a refusal if the request crashes the upstreams that run it,
+// refuseQuarantined returns a refusal if the request crashes the upstreams that run it,
 // and nil otherwise.
-func (g *Gateway) refuseIsolated(c *call) *judge.Refusal {
+func (g *Gateway) refuseQuarantined(c *call) *judge.Refusal {
 	now := g.cfg.Now()
 	st := g.state
 	st.mu.Lock()
@@ -77,20 +77,20 @@
 		st.mu.Unlock()
 		return nil
 	}
-	evidence := st.isolation.isolator.Evidence(now, c.fingerprint)
-	row, listed := st.isolation.rows[c.fingerprint]
+	evidence := st.quarantine.isolator.Evidence(now, c.fingerprint)
+	row, listed := st.quarantine.rows[c.fingerprint]
 	st.mu.Unlock()
-	g.metrics.Count("requests_isolated")
-	withEvidence(g.cfg.Log.Info().Str("event", "request_isolated"), c.fingerprint, evidence).Str("request_id", c.request.ID).
+	g.metrics.Count("requests_quarantined")
+	withEvidence(g.cfg.Log.Info().Str("event", "request_quarantined"), c.fingerprint, evidence).Str("request_id", c.request.ID).
 		Bool("listed", listed).Str("listed_by", row.Entry).Int("runs", c.runs).Send()
 	if c.runs > 0 {
-		return judge.Refuse(judge.CodeCrashesUpstreams, judge.MayHaveRun, isolatedMessage)
+		return judge.Refuse(judge.CodeCrashesUpstreams, judge.MayHaveRun, quarantineMessage)
 	}
-	wait := isolationLifetime
+	wait := quarantineLifetime
 	if listed {
-		wait = max(isolationInterval, row.expires.Sub(now))
+		wait = max(quarantineInterval, row.expires.Sub(now))
 	}
-	refusal := judge.Refuse(judge.CodeCrashesUpstreams, judge.NotRun, isolatedMessage).WithRetryAfter(wait + st.jitter(isolationRetrySpread))
+	refusal := judge.Refuse(judge.CodeCrashesUpstreams, judge.NotRun, quarantineMessage).WithRetryAfter(wait + st.jitter(quarantineRetrySpread))
 	refusal.Status = http.StatusServiceUnavailable
 	return refusal
 }
@@ -104,24 +104,24 @@
 // recordCrash records the crash of an upstream during attempts of this entry, and how it
 // was found. The lock must be held.
 func (st *state) recordCrash(now time.Time, id, found string, attempts []isolator.Attempt) {
-	added := st.isolation.isolator.RecordCrash(now, id, attempts)
+	added := st.quarantine.isolator.RecordCrash(now, id, attempts)
 	for _, record := range added {
-		st.isolation.observed[record.Fingerprint] = true
+		st.quarantine.observed[record.Fingerprint] = true
 	}
 	st.queueRecords(now, added)
 	if len(added) > 0 {
 		st.log.Info().Str("event", "upstream_crashed").Str("upstream", id).Str("found", found).Int("attempts", len(attempts)).
-			Str("fingerprint", added[0].Fingerprint.String()).Int("crashes", st.isolation.isolator.Crashes(now, added[0].Fingerprint)).Send()
+			Str("fingerprint", added[0].Fingerprint.String()).Int("crashes", st.quarantine.isolator.Crashes(now, added[0].Fingerprint)).Send()
 	}
 }
 
 // recordCompletion records that an upstream has run the call to its end, which shows
 // that its request does not crash upstreams. The lock must be held.
 func (st *state) recordCompletion(now time.Time, f isolator.Fingerprint) {
-	evidence := st.isolation.isolator.Evidence(now, f)
-	if record, cleared := st.isolation.isolator.RecordCompletion(now, f); cleared {
+	evidence := st.quarantine.isolator.Evidence(now, f)
+	if record, cleared := st.quarantine.isolator.RecordCompletion(now, f); cleared {
 		withEvidence(st.log.Info().Str("event", "request_cleared"), f, evidence).Send()
-		st.isolation.observed[f] = true
+		st.quarantine.observed[f] = true
 		st.queueRecords(now, []isolator.CrashRecord{record})
 	}
 }
@@ -130,7 +130,7 @@
 // returns false if the request is no suspect or there is no such upstream. The lock
 // must be held.
 func (st *state) pickForSuspect(now time.Time, c *call, query router.Request) (router.Upstream, bool) {
-	ids := st.suspectUpstreams(now, c.fingerprint)
+	ids := st.upstreamsOfSuspects(now, c.fingerprint)
 	if len(ids) == 0 {
 		return router.Upstream{}, false
 	}
@@ -140,14 +140,14 @@
 	return picked, ok && st.router.IsAvailable(now, picked.ID)
 }
 
-// suspectUpstreams returns the upstreams on which other suspects of this entry run, if
+// upstreamsOfSuspects returns the upstreams on which other suspects of this entry run, if
 // the request is a suspect. The lock must be held.
-func (st *state) suspectUpstreams(now time.Time, f isolator.Fingerprint) []string {
-	if len(st.isolation.suspects) == 0 || !st.isSuspect(now, f) {
+func (st *state) upstreamsOfSuspects(now time.Time, f isolator.Fingerprint) []string {
+	if len(st.quarantine.suspectRequests) == 0 || !st.isSuspect(now, f) {
 		return nil
 	}
 	var ids []string
-	for id, suspects := range st.isolation.suspects {
+	for id, suspects := range st.quarantine.suspectRequests {
 		if _, own := suspects[f]; !own || len(suspects) > 1 {
 			ids = append(ids, id)
 		}
@@ -161,21 +161,21 @@
 	if !st.isSuspect(now, c.fingerprint) {
 		return false
 	}
-	suspects, ok := st.isolation.suspects[c.upstream.ID]
+	suspects, ok := st.quarantine.suspectRequests[c.upstream.ID]
 	if !ok {
 		suspects = map[isolator.Fingerprint]int{}
-		st.isolation.suspects[c.upstream.ID] = suspects
+		st.quarantine.suspectRequests[c.upstream.ID] = suspects
 	}
 	suspects[c.fingerprint]++
 	return true
 }
 
 func (st *state) endSuspect(c *call) {
-	suspects := st.isolation.suspects[c.upstream.ID]
+	suspects := st.quarantine.suspectRequests[c.upstream.ID]
 	if suspects[c.fingerprint]--; suspects[c.fingerprint] <= 0 {
 		delete(suspects, c.fingerprint)
 	}
 	if len(suspects) == 0 {
-		delete(st.isolation.suspects, c.upstream.ID)
+		delete(st.quarantine.suspectRequests, c.upstream.ID)
 	}
 }
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -23,7 +23,7 @@
 func crashOf(g *Gateway, now time.Time, upstream string, fingerprints ...isolator.Fingerprint) {
 	var attempts []isolator.Attempt
 	for _, f := range fingerprints {
-		attempts = append(attempts, isolator.Attempt{Fingerprint: f, Start: now.Add(-50 * time.Millisecond), End: now, Choices: 18})
+		attempts = append(attempts, isolator.Attempt{Fingerprint: f, Start: now.Add(-50 * time.Millisecond), End: now, DeploymentSize: 18})
 	}
 	g.state.recordCrash(now, upstream, foundRefused, attempts)
 }
@@ -65,7 +65,7 @@
 		c.round()
 		for i, g := range c.entries {
 			if i != 80 && !g.state.plan.IsRelay {
-				require.Empty(t, g.state.isolation.queue, "entry %d", i)
+				require.Empty(t, g.state.quarantine.queue, "entry %d", i)
 			}
 		}
 	}
@@ -85,7 +85,7 @@
 		}
 		crashOf(g, c.now, fmt.Sprint("u", u), fingerprints...)
 	}
-	require.LessOrEqual(t, len(g.state.isolation.queue), maxQueuedRecords)
+	require.LessOrEqual(t, len(g.state.quarantine.queue), maxQueuedRecords)
 	for crash := range 2 {
 		c.advance(time.Second)
 		crashOf(g, c.now, fmt.Sprint("p", crash), poison)
@@ -105,7 +105,7 @@
 	g.roundMessages(c.now)
 	deliver := func(upstream string) {
 		g.receive(c.now, netip.AddrPort{}, peerMessage{ID: "b1", Boot: 1, Group: "b1", Address: "127.0.0.1:1", Domain: "b", CrashRecords: []isolator.CrashRecord{
-			{Fingerprint: poison, Upstream: upstream, RanMS: 10, Choices: 18},
+			{Fingerprint: poison, Upstream: upstream, RanMS: 10, DeploymentSize: 18},
 		}})
 	}
 	c.advance(5 * time.Second)
@@ -205,7 +205,7 @@
 	for _, c := range calls {
 		g.endAttempt(c)
 	}
-	require.Empty(t, g.state.isolation.suspects)
+	require.Empty(t, g.state.quarantine.suspectRequests)
 }
 
 // Many attempts on an upstream broke off for other reasons. Those of the last moments
@@ -272,7 +272,7 @@
 	u := Upstream{Upstream: router.Upstream{ID: "n0", Deployment: "model", Version: moveToV2.To}}
 	for suspect, want := range map[bool]int{true: 0, false: 2} {
 		clear(st.ownOutcomes)
-		c := &call{deployment: "model", suspect: suspect, attemptAt: clock.now}
+		c := &call{deployment: "model", isSuspect: suspect, attemptAt: clock.now}
 		c.route.Name = "chat"
 		g.recordFailure(t.Context(), c, u, &failure{verdict: judge.MayHaveRun})
 		require.Len(t, st.ownOutcomes, want, "suspect: %v", suspect)
@@ -280,78 +280,78 @@
 }
 
 // A confirmed request is refused at once with a promise that it has not run, unless
-// this call has run already. A completion ends the isolation.
+// this call has run already. A completion ends the quarantine.
 func TestConfirmedRequestsAreRefused(t *testing.T) {
 	g, clock := newGateway(t, nil)
 	c := &call{fingerprint: poison}
 	for crash := range 4 {
-		require.Nil(t, g.refuseIsolated(c), "after %d crashes", crash)
+		require.Nil(t, g.refuseQuarantined(c), "after %d crashes", crash)
 		crashOf(g, clock.now, fmt.Sprint("u", crash), poison)
 		clock.advance(time.Second)
 	}
-	refusal := g.refuseIsolated(c)
+	refusal := g.refuseQuarantined(c)
 	require.Equal(t, http.StatusServiceUnavailable, refusal.Status)
 	require.Equal(t, judge.NotRun, refusal.Verdict)
-	require.GreaterOrEqual(t, refusal.RetryAfterMS, isolationLifetime.Milliseconds())
+	require.GreaterOrEqual(t, refusal.RetryAfterMS, quarantineLifetime.Milliseconds())
 	c.runs = 1
-	refusal = g.refuseIsolated(c)
+	refusal = g.refuseQuarantined(c)
 	require.False(t, promisesNotRun(refusal.Status))
 	require.Equal(t, judge.MayHaveRun, refusal.Verdict)
 	g.state.recordCompletion(clock.now, poison)
-	require.Nil(t, g.refuseIsolated(c))
+	require.Nil(t, g.refuseQuarantined(c))
 }
 
-// An isolation is written by the entries that observed a crash and by the leader, once
+// A quarantine is written by the entries that observed a crash and by the leader, once
 // records of other entries have had time to arrive, and deleted when it has expired or
 // the request has completed.
-func TestIsolationsAreStored(t *testing.T) {
+func TestQuarantineIsStored(t *testing.T) {
 	observer, clock := newGateway(t, nil)
 	other, _ := newGateway(t, nil)
 	now := clock.now
 	for crash := range 4 {
 		now = now.Add(time.Second)
 		crashOf(observer, now, fmt.Sprint("u", crash), poison)
-		other.state.mergeRecords(now, observer.state.isolation.isolator.Records(now, poison))
+		other.state.mergeRecords(now, observer.state.quarantine.isolator.Records(now, poison))
 	}
-	require.Empty(t, observer.state.isolationChange(now, false).Put, "at the first check")
-	require.Empty(t, other.state.isolationChange(now, true).Put)
+	require.Empty(t, observer.state.quarantineChange(now, false).Put, "at the first check")
+	require.Empty(t, other.state.quarantineChange(now, true).Put)
 	now = now.Add(time.Second)
-	require.Empty(t, other.state.isolationChange(now, false).Put, "it observed no crash")
-	require.Len(t, other.state.isolationChange(now, true).Put, 1)
-	change := observer.state.isolationChange(now, false)
+	require.Empty(t, other.state.quarantineChange(now, false).Put, "it observed no crash")
+	require.Len(t, other.state.quarantineChange(now, true).Put, 1)
+	change := observer.state.quarantineChange(now, false)
 	require.Len(t, change.Put, 1)
 	require.Zero(t, change.Expect[0].Version, "only the first writer's row is kept")
 	row := change.Put[0]
 	row.Version = 9
-	var value isolationRow
+	var value quarantineRow
 	require.NoError(t, json.Unmarshal(row.Value, &value))
-	require.Equal(t, isolationRow{IsolatedMS: now.UnixMilli(), Crashes: 4, Entry: "e1"}, value)
+	require.Equal(t, quarantineRow{SinceMS: now.UnixMilli(), Crashes: 4, Entry: "e1"}, value)
 
 	restarted, _ := newGateway(t, nil)
 	for _, g := range []*Gateway{observer, restarted} {
-		g.state.applyIsolationRows(now, []provider.StoreRow{row, {Key: "no fingerprint", Value: row.Value}, {Key: "1", Value: []byte("no row")}})
+		g.state.applyQuarantineRows(now, []provider.StoreRow{row, {Key: "no fingerprint", Value: row.Value}, {Key: "1", Value: []byte("no row")}})
 		require.Equal(t, isolator.Confirmed, g.state.crashStatus(now, poison))
-		change := g.state.isolationChange(now, true)
+		change := g.state.quarantineChange(now, true)
 		require.Empty(t, change.Put)
 		require.Empty(t, change.Delete)
 	}
-	expired := now.Add(isolationLifetime)
+	expired := now.Add(quarantineLifetime)
 	require.Equal(t, isolator.Clear, restarted.state.crashStatus(expired, poison))
-	require.Empty(t, restarted.state.isolationChange(expired, false).Delete)
-	change = restarted.state.isolationChange(expired, true)
+	require.Empty(t, restarted.state.quarantineChange(expired, false).Delete)
+	change = restarted.state.quarantineChange(expired, true)
 	require.Len(t, change.Delete, 1)
 	require.Equal(t, provider.Version(9), change.Expect[0].Version)
 	observer.state.recordCompletion(now.Add(time.Second), poison)
-	require.Len(t, observer.state.isolationChange(now.Add(time.Second), false).Delete, 1, "it completed")
+	require.Len(t, observer.state.quarantineChange(now.Add(time.Second), false).Delete, 1, "it completed")
 	for _, g := range []*Gateway{restarted, other} {
-		g.state.applyIsolationRows(now, []provider.StoreRow{row})
-		g.state.applyIsolationRows(now, []provider.StoreRow{{Key: row.Key, Version: 10, Deleted: true}})
+		g.state.applyQuarantineRows(now, []provider.StoreRow{row})
+		g.state.applyQuarantineRows(now, []provider.StoreRow{{Key: row.Key, Version: 10, Deleted: true}})
 		require.Equal(t, isolator.Clear, g.state.crashStatus(now, poison))
 	}
 }
 
 // A day of crashes must not grow the entry's memory or the store's table.
-func TestIsolationStateIsBounded(t *testing.T) {
+func TestQuarantineIsBounded(t *testing.T) {
 	g, clock := newGateway(t, nil)
 	st := g.state
 	now := clock.now
@@ -363,23 +363,23 @@
 		now = now.Add(time.Second)
 		crashOf(g, now, fmt.Sprint("u", u), fingerprints...)
 	}
-	st.isolationChange(now, false)
-	require.LessOrEqual(t, len(st.isolation.observed), 4096)
+	st.quarantineChange(now, false)
+	require.LessOrEqual(t, len(st.quarantine.observed), 4096)
 	var rows []provider.StoreRow
-	for f := range isolator.Fingerprint(maxIsolationRows + 2*maxIsolations) {
+	for f := range isolator.Fingerprint(maxQuarantineRows + 2*maxQuarantineChanges) {
 		at := now.Add(time.Duration(f) * time.Millisecond).UnixMilli()
-		rows = append(rows, provider.StoreRow{Key: (1<<40 + f).String(), Value: fmt.Appendf(nil, `{"isolated_ms":%d}`, at), Version: provider.Version(1 + f)})
+		rows = append(rows, provider.StoreRow{Key: (1<<40 + f).String(), Value: fmt.Appendf(nil, `{"since_ms":%d}`, at), Version: provider.Version(1 + f)})
 	}
-	st.applyIsolationRows(now.Add(time.Second), rows)
-	change := st.isolationChange(now.Add(2*time.Second), true)
-	require.Len(t, change.Delete, maxIsolations)
+	st.applyQuarantineRows(now.Add(time.Second), rows)
+	change := st.quarantineChange(now.Add(2*time.Second), true)
+	require.Len(t, change.Delete, maxQuarantineChanges)
 	require.Equal(t, (isolator.Fingerprint(1) << 40).String(), change.Delete[0].Key, "the oldest first")
-	require.Empty(t, st.isolationChange(now.Add(2*time.Second), false).Delete, "the leader does it")
+	require.Empty(t, st.quarantineChange(now.Add(2*time.Second), false).Delete, "the leader does it")
 }
 
-// A request completes at an entry that saw none of its crashes. Its isolation stayed in
+// A request completes at an entry that saw none of its crashes. Its quarantine stayed in
 // the store, and entries that missed the message about it went on refusing the request.
-func TestCompletionEndsTheIsolationEverywhere(t *testing.T) {
+func TestCompletionEndsTheQuarantineEverywhere(t *testing.T) {
 	g, clock := newGateway(t, nil)
 	other, _ := newGateway(t, nil)
 	now := clock.now
@@ -387,20 +387,20 @@
 		now = now.Add(time.Second)
 		crashOf(other, now, fmt.Sprint("u", crash), poison)
 	}
-	row := provider.StoreRow{Key: poison.String(), Value: fmt.Appendf(nil, `{"isolated_ms":%d}`, now.UnixMilli()), Version: 5}
+	row := provider.StoreRow{Key: poison.String(), Value: fmt.Appendf(nil, `{"since_ms":%d}`, now.UnixMilli()), Version: 5}
 	for _, g := range []*Gateway{g, other} {
-		g.state.applyIsolationRows(now, []provider.StoreRow{row})
+		g.state.applyQuarantineRows(now, []provider.StoreRow{row})
 	}
 	g.state.recordCompletion(now.Add(time.Second), poison)
-	change := g.state.isolationChange(now.Add(time.Second), false)
+	change := g.state.quarantineChange(now.Add(time.Second), false)
 	require.Len(t, change.Delete, 1)
-	other.state.applyIsolationRows(now.Add(time.Second), []provider.StoreRow{{Key: row.Key, Version: 6, Deleted: true}})
+	other.state.applyQuarantineRows(now.Add(time.Second), []provider.StoreRow{{Key: row.Key, Version: 6, Deleted: true}})
 	require.Equal(t, isolator.Clear, other.state.crashStatus(now.Add(time.Second), poison))
 }
 
-// An entry that restarts reads the isolations before it is ready, but does not wait
+// An entry that restarts reads the quarantine before it is ready, but does not wait
 // long for a table that it can't read.
-func TestReadyAfterIsolationsAreRead(t *testing.T) {
+func TestReadyAfterQuarantineIsRead(t *testing.T) {
 	g, clock := newGateway(t, nil)
 	st := g.state
 	require.False(t, st.ready(clock.now, true), "no list of upstreams")
--- a/internal/gateway/size_test.go
+++ b/internal/gateway/size_test.go
@@ -34,7 +34,7 @@
 	}
 	for i := range maxSentRecords {
 		n.CrashRecords = append(n.CrashRecords, isolator.CrashRecord{
-			Fingerprint: isolator.Fingerprint(i) + 1<<63, Upstream: fmt.Sprintf("i-%010x.mmud2t75", i), AgeMS: 4000, RanMS: 900, Choices: 18,
+			Fingerprint: isolator.Fingerprint(i) + 1<<63, Upstream: fmt.Sprintf("i-%010x.mmud2t75", i), AgeMS: 4000, RanMS: 900, DeploymentSize: 18,
 		})
 	}
 	encoded, err := cbor.Marshal(n)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -84,9 +84,9 @@
 	moves             map[string]*move
 	ownOutcomes       aggregator.Totals
 	latencyThresholds map[string]*mover.LatencyThreshold
-	// crashes and isolation find the requests that crash upstreams.
-	crashes   crashDetector
-	isolation isolation
+	// crashes and quarantine find the requests that crash upstreams.
+	crashes    crashDetector
+	quarantine quarantine
 	// aggregator, received and remoteLoad hold what other entries sent:
 	// counters, the latest message by group, and load in loadUnits by
 	// upstreamKey.
@@ -141,7 +141,7 @@
 		ownOutcomes:        aggregator.Totals{},
 		latencyThresholds:  map[string]*mover.LatencyThreshold{},
 		crashes:            newCrashDetector(),
-		isolation:          newIsolation(),
+		quarantine:         newQuarantine(),
 		connectFailedAt:    map[string]time.Time{},
 		unreachableDomains: map[string]bool{},
 		random:             rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
@@ -283,7 +283,7 @@
 }
 
 // ready reports whether the entry can serve: it has a configuration, has read the
-// list of upstreams and, unless that takes long, the tables of isolated requests and of
+// list of upstreams and, unless that takes long, the tables of quarantined requests and of
 // entries.
 func (st *state) ready(now time.Time, tablesRead bool) bool {
 	st.mu.Lock()
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -146,7 +146,7 @@
 // startRun admits a run, registers it and starts its relay.
 func (s *Server) startRun(ctx context.Context, r *request, caller callerRequest) *judge.Refusal {
 	if s.crashStatus(r.fingerprint) == isolator.Confirmed {
-		s.logIsolated(r.id, r.fingerprint)
+		s.logQuarantined(r.id, r.fingerprint)
 		r.transition("refuse")
 		return judge.Refuse(judge.CodeCrashesUpstreams, judge.NotRun, "this request crashes the upstreams that run it")
 	}
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -44,7 +44,7 @@
 			return
 		}
 		if s.crashStatus(r.fingerprint) == isolator.Confirmed {
-			s.logIsolated(r.id, r.fingerprint)
+			s.logQuarantined(r.id, r.fingerprint)
 			s.refuseRun(ctx, r, judge.Refuse(judge.CodeCrashesUpstreams, judge.MayHaveRun, "this request crashes the upstreams that run it"))
 			return
 		}
@@ -357,13 +357,13 @@
 	}
 }
 
-// logIsolated logs that a request is refused because it crashes upstreams.
-func (s *Server) logIsolated(requestID string, f isolator.Fingerprint) {
+// logQuarantined logs that a request is refused because it crashes upstreams.
+func (s *Server) logQuarantined(requestID string, f isolator.Fingerprint) {
 	now := s.now()
 	s.state.mu.Lock()
 	e := s.state.isolator.Evidence(now, f)
 	s.state.mu.Unlock()
-	s.cfg.Log.Info().Str("event", "request_isolated").Str("request_id", requestID).Str("fingerprint", f.String()).Int("crashes", e.Crashes).
+	s.cfg.Log.Info().Str("event", "request_quarantined").Str("request_id", requestID).Str("fingerprint", f.String()).Int("crashes", e.Crashes).
 		Int("successive", e.Successive).Int("other_crashes", e.OtherCrashes).Float64("coincidence", e.Coincidence).
 		Dur("first_age", e.FirstAge).Dur("newest_age", e.NewestAge).Send()
 }
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -108,7 +108,7 @@
 	if s.crashStatus(call.fingerprint) != isolator.Confirmed {
 		return nil
 	}
-	s.logIsolated(call.requestID, call.fingerprint)
+	s.logQuarantined(call.requestID, call.fingerprint)
 	return judge.Refuse(judge.CodeCrashesUpstreams, verdict, "this request crashes the upstreams that run it")
 }
 
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -216,9 +216,9 @@
 		}
 	}
 	s.state.mu.Lock()
-	choices := s.state.deploymentSize(upstream)
+	size := s.state.deploymentSize(upstream)
 	for i := range inFlight {
-		inFlight[i].Choices = choices
+		inFlight[i].DeploymentSize = size
 	}
 	updated := s.state.isolator.RecordCrash(now, upstream, inFlight)
 	s.state.mu.Unlock()
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -135,7 +135,7 @@
 	u.calls++
 	u.server.state.mu.Lock()
 	defer u.server.state.mu.Unlock()
-	u.server.state.isolator.Isolate(u.server.now(), 7, u.server.now().Add(time.Hour))
+	u.server.state.isolator.Quarantine(u.server.now(), 7, u.server.now().Add(time.Hour))
 	return dispatcher.Response{}, judge.Errorf(judge.MayHaveRun, "EOF")
 }
 
--- a/pkg/isolator/doc.go
+++ b/pkg/isolator/doc.go
@@ -26,6 +26,6 @@
 // order of messages.
 //
 //	var i isolator.Isolator
-//	i.RecordCrash(now, "vm-7", []isolator.Attempt{{Fingerprint: f, Start: start, End: now, Choices: 18}})
+//	i.RecordCrash(now, "vm-7", []isolator.Attempt{{Fingerprint: f, Start: start, End: now, DeploymentSize: 18}})
 //	i.Status(now, f) // isolator.Suspect
 package isolator
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -29,9 +29,12 @@
 	// sameCrashWindow is the time during which later records of an upstream are of
 	// the same crash.
 	sameCrashWindow = 2 * time.Second
+	// completionInterval is the shortest time between two completions of a request that
+	// are told to peers, if the first one cleared it.
+	completionInterval = 2 * time.Second
 	// propagationTime is the time that records of peers may take to arrive.
 	propagationTime = time.Second
-	// recordLifetime is how long a crash record counts, and an isolation lasts.
+	// recordLifetime is how long a crash record counts, and a quarantine lasts.
 	recordLifetime = time.Hour
 	// maxFingerprints bounds the requests with records, maxCrashes the crashes of one
 	// request.
@@ -86,7 +89,7 @@
 func (i *Isolator) RecordCrash(now time.Time, upstream string, inFlight []Attempt) []CrashRecord {
 	var added []CrashRecord
 	for _, a := range inFlight {
-		c := crash{crashName: i.nameCrash(upstream, a.End), start: a.Start, end: a.End, choices: a.Choices}
+		c := crash{crashName: i.nameCrash(upstream, a.End), start: a.Start, end: a.End, deploymentSize: a.DeploymentSize}
 		if i.add(now, a.Fingerprint, c) {
 			added = append(added, c.record(now, a.Fingerprint))
 		}
@@ -148,7 +151,7 @@
 		i.setLastCrash(name.upstream, lastCrash{ordinal: name.ordinal, at: at})
 	}
 	start := at.Add(-time.Duration(max(0, record.RanMS)) * time.Millisecond)
-	return i.add(now, record.Fingerprint, crash{crashName: name, start: start, end: at, choices: record.Choices})
+	return i.add(now, record.Fingerprint, crash{crashName: name, start: start, end: at, deploymentSize: record.DeploymentSize})
 }
 
 // add adds a crash of a request and reports whether it is new.
@@ -183,7 +186,7 @@
 }
 
 // evict removes expired records, then the oldest requests beyond keptShare that are
-// not isolated.
+// not quarantined.
 func (i *Isolator) evict(now time.Time) {
 	maps.DeleteFunc(i.lastCrashes, func(_ string, last lastCrash) bool { return now.Sub(last.at) > recordLifetime })
 	type dated struct {
@@ -193,7 +196,7 @@
 	var kept []dated
 	for f, h := range i.histories {
 		newest := h.newest()
-		if h.isolatedUntil.After(now) {
+		if h.quarantinedUntil.After(now) {
 			newest = now
 		}
 		if now.Sub(newest) > recordLifetime {
@@ -213,7 +216,7 @@
 // the record for peers, and false if the request had no records.
 func (i *Isolator) RecordCompletion(now time.Time, f Fingerprint) (CrashRecord, bool) {
 	h, ok := i.histories[f]
-	if !ok || len(h.crashes) == 0 && !h.isolatedUntil.After(now) {
+	if !ok || len(h.crashes) == 0 && !h.quarantinedUntil.After(now) {
 		return CrashRecord{}, false
 	}
 	return CrashRecord{Fingerprint: f, Completed: true}, i.complete(now, f, now)
@@ -227,33 +230,33 @@
 		h = i.addHistory(now, f)
 	}
 	isCleared := !slices.ContainsFunc(h.crashes, func(c crash) bool { return !c.end.After(at) })
-	isReleased := !h.isolatedUntil.After(now) || at.Before(h.isolatedAt)
-	if isCleared && isReleased && at.Sub(h.completedAt) < sameCrashWindow {
+	isReleased := !h.quarantinedUntil.After(now) || at.Before(h.quarantinedAt)
+	if isCleared && isReleased && at.Sub(h.completedAt) < completionInterval {
 		return false
 	}
 	if at.After(h.completedAt) {
 		h.completedAt = at
 	}
 	if !isReleased {
-		h.isolatedUntil = time.Time{}
+		h.quarantinedUntil = time.Time{}
 	}
 	h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return !c.end.After(at) })
 	i.revision++
 	return true
 }
 
-// Isolate confirms a request that another process has confirmed, until the given
+// Quarantine confirms a request that another process has confirmed, until the given
 // time.
-func (i *Isolator) Isolate(now time.Time, f Fingerprint, until time.Time) {
+func (i *Isolator) Quarantine(now time.Time, f Fingerprint, until time.Time) {
 	h, ok := i.histories[f]
 	if !ok {
 		h = i.addHistory(now, f)
 	}
-	h.isolatedAt, h.isolatedUntil = now, until
+	h.quarantinedAt, h.quarantinedUntil = now, until
 	i.revision++
 }
 
-// Release drops the records and the isolation of a request, as a completion does.
+// Release drops the records and the quarantine of a request, as a completion does.
 func (i *Isolator) Release(now time.Time, f Fingerprint) {
 	if _, ok := i.histories[f]; ok {
 		i.complete(now, f, now)
@@ -266,7 +269,7 @@
 	if !ok {
 		return Clear
 	}
-	if h.isolatedUntil.After(now) {
+	if h.quarantinedUntil.After(now) {
 		return Confirmed
 	}
 	h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return now.Sub(c.end) > recordLifetime })
@@ -317,7 +320,7 @@
 	Coincidence float64
 	// FirstAge and NewestAge are the times since the first and the newest crash.
 	FirstAge, NewestAge time.Duration
-	// ListedAge is the time since Isolate was called, zero if it was not.
+	// ListedAge is the time since Quarantine was called, zero if it was not.
 	ListedAge time.Duration
 }
 
@@ -328,8 +331,8 @@
 		return Evidence{}
 	}
 	e := Evidence{Crashes: len(h.crashes)}
-	if h.isolatedUntil.After(now) {
-		e.ListedAge = now.Sub(h.isolatedAt)
+	if h.quarantinedUntil.After(now) {
+		e.ListedAge = now.Sub(h.quarantinedAt)
 	}
 	if len(h.crashes) > 0 {
 		i.evaluate(now, f, h)
@@ -367,17 +370,17 @@
 	probability = 1.0
 	for _, c := range chain[1:] {
 		exposure := max(minExposure, c.end.Sub(c.start)).Seconds()
-		probability *= 1 - math.Exp(-rate/float64(max(1, c.choices))*exposure)
+		probability *= 1 - math.Exp(-rate/float64(max(1, c.deploymentSize))*exposure)
 	}
 	return others, probability
 }
 
-// unexplainedCrashes returns the times of all crashes, without those that isolated
+// unexplainedCrashes returns the times of all crashes, without those that quarantined
 // requests explain.
 func (i *Isolator) unexplainedCrashes(now time.Time) map[crashName]time.Time {
 	unexplained := maps.Clone(i.crashes)
 	for _, h := range i.histories {
-		if !h.isolatedUntil.After(now) {
+		if !h.quarantinedUntil.After(now) {
 			continue
 		}
 		for _, c := range h.crashes {
@@ -465,11 +468,11 @@
 func (i *Isolator) Crashes(now time.Time, f Fingerprint) int { return len(i.crashNames(now, f)) }
 
 // Confirmed returns the requests whose crashes confirm them at now and which are not
-// isolated yet.
+// quarantined yet.
 func (i *Isolator) Confirmed(now time.Time) []Fingerprint {
 	var confirmed []Fingerprint
 	for f, h := range i.histories {
-		if len(h.crashes) >= minCrashes && !h.isolatedUntil.After(now) && i.evaluate(now, f, h) == Confirmed {
+		if len(h.crashes) >= minCrashes && !h.quarantinedUntil.After(now) && i.evaluate(now, f, h) == Confirmed {
 			confirmed = append(confirmed, f)
 		}
 	}
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -28,7 +28,7 @@
 func attempts(end time.Time, fingerprints ...isolator.Fingerprint) []isolator.Attempt {
 	var all []isolator.Attempt
 	for _, f := range fingerprints {
-		all = append(all, isolator.Attempt{Fingerprint: f, Start: end.Add(-ran), End: end, Choices: upstreams})
+		all = append(all, isolator.Attempt{Fingerprint: f, Start: end.Add(-ran), End: end, DeploymentSize: upstreams})
 	}
 	return all
 }
@@ -78,7 +78,7 @@
 		now = now.Add(2 * time.Second)
 		i.RecordCrash(now, fmt.Sprint("u", crash), attempts(now, neighbour))
 		require.NotEqual(t, isolator.Confirmed, i.Status(now, neighbour), "after %d crashes", crash+1)
-		i.Merge(now.Add(300*time.Millisecond), isolator.CrashRecord{Fingerprint: poison, Upstream: fmt.Sprint("u", crash), AgeMS: 300, RanMS: 50, Choices: upstreams})
+		i.Merge(now.Add(300*time.Millisecond), isolator.CrashRecord{Fingerprint: poison, Upstream: fmt.Sprint("u", crash), AgeMS: 300, RanMS: 50, DeploymentSize: upstreams})
 	}
 	now = now.Add(2 * time.Second)
 	require.NotEqual(t, isolator.Confirmed, i.Status(now, neighbour))
@@ -120,14 +120,14 @@
 // upstreams crash within a moment, and copies of a popular request run on all of them.
 func TestCrashOfManyUpstreamsConfirmsNobody(t *testing.T) {
 	const popular = isolator.Fingerprint(2)
-	for _, choices := range []int{upstreams, 100 * upstreams} {
+	for _, size := range []int{upstreams, 100 * upstreams} {
 		var i isolator.Isolator
 		now := start
 		for u := range upstreams {
 			now = now.Add(2 * time.Millisecond)
 			inFlight := attempts(now, popular, isolator.Fingerprint(100+u))
 			for n := range inFlight {
-				inFlight[n].Choices = choices
+				inFlight[n].DeploymentSize = size
 			}
 			i.RecordCrash(now, fmt.Sprint("u", u), inFlight)
 		}
@@ -167,7 +167,7 @@
 			var inFlight []isolator.Attempt
 			for _, f := range slices.Sorted(maps.Keys(runs)) {
 				if runs[f].upstream == crashed {
-					inFlight = append(inFlight, isolator.Attempt{Fingerprint: f, Start: runs[f].began, End: now, Choices: upstreams})
+					inFlight = append(inFlight, isolator.Attempt{Fingerprint: f, Start: runs[f].began, End: now, DeploymentSize: upstreams})
 					begin(f, now)
 				}
 			}
@@ -202,12 +202,12 @@
 		var i isolator.Isolator
 		now := start
 		for crash := range 4 {
-			attempt := isolator.Attempt{Fingerprint: poison, Start: now, End: now.Add(ran), Choices: 6}
+			attempt := isolator.Attempt{Fingerprint: poison, Start: now, End: now.Add(ran), DeploymentSize: 6}
 			now = attempt.End
 			i.RecordCrash(now, fmt.Sprint("u", crash), []isolator.Attempt{attempt})
 		}
 		require.Equal(t, isolator.Confirmed, i.Status(now, poison), "after attempts of %v", ran)
-		i.RecordCrash(now, "u9", []isolator.Attempt{{Fingerprint: 2, Start: now.Add(-time.Second), End: now, Choices: 6}})
+		i.RecordCrash(now, "u9", []isolator.Attempt{{Fingerprint: 2, Start: now.Add(-time.Second), End: now, DeploymentSize: 6}})
 		if ran > time.Second {
 			require.Equal(t, isolator.Suspect, i.Status(now, poison), "another upstream crashed")
 		}
@@ -236,7 +236,7 @@
 	now := start
 	for range 4 {
 		inFlight := attempts(now, poison)
-		inFlight[0].Choices = 2
+		inFlight[0].DeploymentSize = 2
 		for _, record := range i.RecordCrash(now, "u0", inFlight) {
 			require.True(t, peer.Merge(now, record))
 		}
@@ -254,7 +254,7 @@
 	for u := range 5 {
 		for f := isolator.Fingerprint(1); f < 6; f++ {
 			if int(f) > u {
-				all = append(all, isolator.CrashRecord{Fingerprint: f, Upstream: fmt.Sprint(u), AgeMS: int64(10_000 - 1000*u), RanMS: 50, Choices: upstreams})
+				all = append(all, isolator.CrashRecord{Fingerprint: f, Upstream: fmt.Sprint(u), AgeMS: int64(10_000 - 1000*u), RanMS: 50, DeploymentSize: upstreams})
 			}
 		}
 	}
@@ -298,22 +298,22 @@
 	require.Equal(t, isolator.Clear, i.Status(start.Add(2*time.Hour), poison), "crash records expire after an hour")
 }
 
-// An isolation that another process has set holds until its end, a completion or
+// A quarantine that another process has set holds until its end, a completion or
 // its release.
-func TestIsolate(t *testing.T) {
+func TestQuarantine(t *testing.T) {
 	var i isolator.Isolator
 	until := start.Add(time.Minute)
-	i.Isolate(start, poison, until)
+	i.Quarantine(start, poison, until)
 	require.Equal(t, isolator.Confirmed, i.Status(start, poison))
 	require.Empty(t, i.Confirmed(start))
 	require.Equal(t, isolator.Clear, i.Status(until, poison))
 	require.False(t, i.Merge(start, isolator.CrashRecord{Fingerprint: poison}), "an invalid record")
 	i.Merge(start, isolator.CrashRecord{Fingerprint: poison, Completed: true, AgeMS: 1000})
-	require.Equal(t, isolator.Confirmed, i.Status(start, poison), "it completed before the isolation")
+	require.Equal(t, isolator.Confirmed, i.Status(start, poison), "it completed before the quarantine")
 	_, cleared := i.RecordCompletion(start.Add(time.Second), poison)
 	require.True(t, cleared)
 	require.Equal(t, isolator.Clear, i.Status(start.Add(time.Second), poison))
-	i.Isolate(start, poison, until)
+	i.Quarantine(start, poison, until)
 	i.Release(start, poison)
 	require.Equal(t, isolator.Clear, i.Status(start, poison))
 }
@@ -332,24 +332,24 @@
 		i.RecordCompletion(now, f)
 	}
 	records := i.NewestRecords(now, 64)
-	require.Contains(t, records, isolator.CrashRecord{Fingerprint: poison, Upstream: "u1", AgeMS: 3000, RanMS: ran.Milliseconds(), Choices: upstreams})
+	require.Contains(t, records, isolator.CrashRecord{Fingerprint: poison, Upstream: "u1", AgeMS: 3000, RanMS: ran.Milliseconds(), DeploymentSize: upstreams})
 	require.Len(t, records, 1+64/4, "completions take a quarter")
 }
 
 // A full isolator must evict many fingerprints at once, or it would evict for each
-// new one. An isolated request stays.
+// new one. A quarantined request stays.
 func TestEvictionIsRare(t *testing.T) {
 	var i isolator.Isolator
 	at := func(f isolator.Fingerprint) time.Time { return start.Add(time.Duration(f) * time.Millisecond) }
-	const isolated = isolator.Fingerprint(1 << 20)
-	i.Isolate(start, isolated, start.Add(time.Hour))
+	const quarantined = isolator.Fingerprint(1 << 20)
+	i.Quarantine(start, quarantined, start.Add(time.Hour))
 	for f := range isolator.Fingerprint(4096) {
 		i.Merge(at(f), isolator.CrashRecord{Fingerprint: f, Upstream: "u"})
 	}
 	require.Len(t, i.NewestRecords(at(5000), 9999), 3072)
 	require.Equal(t, isolator.Clear, i.Status(at(5000), 1023))
 	require.Equal(t, isolator.Suspect, i.Status(at(5000), 1024))
-	require.Equal(t, isolator.Confirmed, i.Status(at(5000), isolated))
+	require.Equal(t, isolator.Confirmed, i.Status(at(5000), quarantined))
 }
 
 func TestStateIsBounded(t *testing.T) {
--- a/pkg/isolator/record.go
+++ b/pkg/isolator/record.go
@@ -36,8 +36,8 @@
 	Start       time.Time
 	// End is when the attempt broke off.
 	End time.Time
-	// Choices is the number of upstreams from which the upstream was chosen.
-	Choices int
+	// DeploymentSize is the number of upstreams from which the upstream was chosen.
+	DeploymentSize int
 }
 
 // CrashRecord says that a request was in flight on an upstream that crashed or, if
@@ -50,10 +50,10 @@
 	Ordinal int `cbor:"3,keyasint,omitempty"`
 	// AgeMS is the time since the crash or the completion, RanMS the duration of the
 	// attempt that crashed, in milliseconds.
-	AgeMS     int64 `cbor:"4,keyasint,omitempty"`
-	RanMS     int64 `cbor:"5,keyasint,omitempty"`
-	Completed bool  `cbor:"6,keyasint,omitempty"`
-	Choices   int   `cbor:"7,keyasint,omitempty"`
+	AgeMS          int64 `cbor:"4,keyasint,omitempty"`
+	RanMS          int64 `cbor:"5,keyasint,omitempty"`
+	Completed      bool  `cbor:"6,keyasint,omitempty"`
+	DeploymentSize int   `cbor:"7,keyasint,omitempty"`
 }
 
 func (r CrashRecord) valid() bool { return r.Completed || r.Upstream != "" }
@@ -61,8 +61,8 @@
 // crash is a crash of an upstream during an attempt of a request.
 type crash struct {
 	crashName
-	start, end time.Time
-	choices    int
+	start, end     time.Time
+	deploymentSize int
 }
 
 // crashName identifies a crash at all entries.
@@ -74,7 +74,7 @@
 func (c crash) record(now time.Time, f Fingerprint) CrashRecord {
 	return CrashRecord{
 		Fingerprint: f, Upstream: c.upstream, Ordinal: c.ordinal,
-		AgeMS: now.Sub(c.end).Milliseconds(), RanMS: c.end.Sub(c.start).Milliseconds(), Choices: c.choices,
+		AgeMS: now.Sub(c.end).Milliseconds(), RanMS: c.end.Sub(c.start).Milliseconds(), DeploymentSize: c.deploymentSize,
 	}
 }
 
@@ -83,9 +83,9 @@
 	// crashes are ordered by their ends, at most maxCrashes.
 	crashes     []crash
 	completedAt time.Time
-	// isolatedAt and isolatedUntil are the beginning and the end of an isolation set
-	// by Isolate.
-	isolatedAt, isolatedUntil time.Time
+	// quarantinedAt and quarantinedUntil are the beginning and the end of a quarantine set
+	// by Quarantine.
+	quarantinedAt, quarantinedUntil time.Time
 	// status is the result of the last evaluation, which was made at evaluatedAt with
 	// the records of that revision. successive, otherCrashes and coincidence are those
 	// of Evidence.
