--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -123,7 +123,7 @@
 		st.recordCrash(now, u.ID, foundRemoved, []isolator.Attempt{attempt.Attempt})
 		return nil
 	case !listed || st.router.IsLeaving(u.ID):
-		// Its end was announced.
+		// Its end was announced, or it was removed too long ago to tell.
 		return nil
 	}
 	if st.crashes.add(u.ID, attempt) {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -245,7 +245,7 @@
 }
 
 // Attempts that broke off in a crash counted as failures of the upstream one by one, so
-// that its process got no requests for up to 30 s.
+// that it got no requests long after it had started again.
 func TestACrashIsOneFailure(t *testing.T) {
 	g, clock := newGateway(t, nil)
 	st := g.state
@@ -350,7 +350,8 @@
 	}
 }
 
-// A day of crashes must not grow the entry's memory or the store's table.
+// The requests whose crashes an entry observed, and the rows of the table, were not
+// bounded.
 func TestQuarantineIsBounded(t *testing.T) {
 	g, clock := newGateway(t, nil)
 	st := g.state
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -17,7 +17,8 @@
 	maxQuarantineChanges = 50
 	// maxQuarantineRows bounds the table of quarantined requests.
 	maxQuarantineRows = 1024
-	// quarantinePollTimeout limits one long poll of the table of quarantined requests.
+	// quarantinePollTimeout limits one long poll of the table of quarantined requests,
+	// of which entries also learn by messages.
 	quarantinePollTimeout = 25 * time.Second
 )
 
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -140,7 +140,7 @@
 }
 
 // Runs that broke off in a crash counted as failures of the upstream one by one, so that
-// it got no requests for up to 30 s.
+// it got no requests long after it had started again.
 func TestACrashIsOneFailure(t *testing.T) {
 	s := testServer(t, "e1", nil, &crashingUpstream{})
 	for id := range 32 {
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -67,9 +67,8 @@
 	})
 }
 
-// A neighbour of the poison request was in flight at all its crashes, and the records of
-// the poison request are still on their way from another entry. The neighbour at this entry was
-// confirmed until the record arrived.
+// A neighbour of the poison request was in flight at all its crashes. It was confirmed
+// until the records of the poison request arrived from another entry.
 func TestRecordsOfPeersMayBeOnTheirWay(t *testing.T) {
 	const neighbour = isolator.Fingerprint(2)
 	var i isolator.Isolator
@@ -116,8 +115,8 @@
 	}
 }
 
-// Power was lost in several failure domains at once, of a few upstreams and of many:
-// upstreams crash within a moment, and copies of a popular request run on all of them.
+// Upstreams, few or many, crash within a moment, and copies of a popular request run on
+// all of them. It was confirmed, as it was in flight at each crash.
 func TestCrashOfManyUpstreamsConfirmsNobody(t *testing.T) {
 	const popular = isolator.Fingerprint(2)
 	for _, size := range []int{upstreams, 100 * upstreams} {
