--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -50,6 +50,10 @@
 	era       uint64
 	eraKnown  bool
 	eraSeenAt time.Time
+	// wasLeader reports whether the entry was the leader when observeTerm was last called.
+	// termEndedAt is when its last term had ended, zero if it had none.
+	wasLeader   bool
+	termEndedAt time.Time
 	// roundMu is held in round and in release, which a stopping process calls
 	// concurrently.
 	roundMu sync.Mutex
@@ -106,6 +110,7 @@
 	if l.eraKnown {
 		l.observeEra(l.g.cfg.Now(), l.g.cfg.Store.Era())
 	}
+	l.observeTerm(l.g.cfg.Now())
 	l.acquireOrRenew(ctx)
 	l.fleet.measureAll()
 	l.moves.readOldMoves(ctx)
@@ -118,6 +123,18 @@
 	l.fleet.reconcile(ctx)
 }
 
+// observeTerm logs the end of a term in which the lease was not renewed in time.
+func (l *leader) observeTerm(now time.Time) {
+	l.g.state.mu.Lock()
+	holds, holder, fence := l.lease.Holds(now), l.lease.Holder(), l.lease.Fence()
+	l.g.state.mu.Unlock()
+	if l.wasLeader && !holds {
+		l.termEndedAt = now
+		l.g.cfg.Log.Warn().Str("event", "duty_lost").Str("holder", holder).Uint64("fence", fence).Send()
+	}
+	l.wasLeader = holds
+}
+
 // observeEra resets what is based on rows of an earlier era of the store.
 func (l *leader) observeEra(now time.Time, era uint64) {
 	if !l.eraKnown {
@@ -171,7 +188,7 @@
 		lease, ok = l.lease.ProposeTakeOver(), true
 	}
 	ok = ok && (version != 0 || eraSettled)
-	wasLeader := l.lease.Holds(sentAt)
+	wasLeader, status := l.lease.Holds(sentAt), l.lease.Status(sentAt)
 	g.state.mu.Unlock()
 	if !ok {
 		return
@@ -188,10 +205,22 @@
 	l.lease.RecordWrite(sentAt, uint64(result.Version), lease)
 	g.state.mu.Unlock()
 	if !wasLeader {
-		g.cfg.Log.Info().Str("event", "duty_taken").Uint64("fence", lease.Fence).Uint64("row_version", result.Version.Number()).Send()
+		line := g.cfg.Log.Info().Str("event", "duty_taken").Uint64("fence", lease.Fence).Uint64("row_version", result.Version.Number()).
+			Str("reason", string(status.Vacancy)).Str("previous", status.Holder).Dur("row_age", status.Age).Dur("uptime", sentAt.Sub(g.startedAt))
+		if !l.termEndedAt.IsZero() {
+			line.Dur("own_term_ended", sentAt.Sub(l.termEndedAt))
+		}
+		line.Send()
 	}
 }
 
+// leaseLeft returns the time that is left of the entry's term.
+func (l *leader) leaseLeft(now time.Time) time.Duration {
+	l.g.state.mu.Lock()
+	defer l.g.state.mu.Unlock()
+	return l.lease.Left(now)
+}
+
 // writeLease writes the lease's row if the row still has the given version.
 func (l *leader) writeLease(ctx context.Context, lease leaser.Lease, version provider.Version) (provider.CommitResult, error) {
 	lease.Nonce = processName(l.g.cfg.ID, uint64(l.g.cfg.Now().UnixNano()))
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -11,6 +11,29 @@
 	Nonce string `json:"nonce"`
 }
 
+// Vacancy is the reason why a lease may be taken over.
+type Vacancy string
+
+const (
+	// NotVacant is the vacancy of a lease that is held.
+	NotVacant Vacancy = ""
+	// Unused is the vacancy of a lease that has no row.
+	Unused Vacancy = "unused"
+	// Released is the vacancy of a lease that its holder has released.
+	Released Vacancy = "released"
+	// Expired is the vacancy of a lease whose row was unchanged for a lifetime.
+	Expired Vacancy = "expired"
+)
+
+// Status is what a node knows of a lease.
+type Status struct {
+	// Holder is the holder in the row, empty if there is none.
+	Holder  string
+	Vacancy Vacancy
+	// Age is the time since the row was first observed.
+	Age time.Duration
+}
+
 // Config configures a Leaser.
 type Config struct {
 	Holder string
@@ -72,6 +95,29 @@
 // IsReleased reports whether the last holder has released the lease.
 func (l *Leaser) IsReleased() bool { return l.observed && l.version != 0 && l.lease.Holder == "" }
 
+// Status returns what this node knows of the lease at now.
+func (l *Leaser) Status(now time.Time) Status {
+	status := Status{Holder: l.lease.Holder, Age: now.Sub(l.observedAt)}
+	switch {
+	case !l.observed || l.Holds(now):
+	case l.version == 0:
+		status.Vacancy = Unused
+	case l.lease.Holder == "":
+		status.Vacancy = Released
+	case status.Age >= l.cfg.Lifetime:
+		status.Vacancy = Expired
+	}
+	return status
+}
+
+// Left returns the time until this node stops acting, 0 if it does not hold the lease.
+func (l *Leaser) Left(now time.Time) time.Duration {
+	if !l.Holds(now) {
+		return 0
+	}
+	return l.heldUntil.Sub(now)
+}
+
 // ProposeTakeOver returns the row that takes over a released lease. The caller
 // must make sure that this node has not held the lease within the last Lifetime,
 // and sets Nonce.
