internal/gateway: failing tests of leaders that act in turn

A leader is cut off from the store and goes on to the end of its lease; its successor takes the lease over, is stopped and releases it; the first one takes it at once.

--- /dev/null
+++ b/internal/gateway/leader_test.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenahitch/galenahitch/internal/provider"
+)
+
+// turnCloud fails if the leaders' calls arrive in the order A, B, A within the gap, in
+// addition to what strictCloud checks.
+type turnCloud struct {
+	strictCloud
+	now  func() time.Time
+	gap  time.Duration
+	last map[string]time.Time
+	turn string
+}
+
+func newTurnCloud(t require.TestingT, now func() time.Time, gap time.Duration) *turnCloud {
+	return &turnCloud{strictCloud: strictCloud{t: t, holders: map[uint64]string{}, usage: map[int64]string{}}, now: now, gap: gap, last: map[string]time.Time{}}
+}
+
+func (c *turnCloud) checkTurn(holder string) {
+	at := c.now()
+	if last, known := c.last[holder]; known && c.turn != holder {
+		require.Greater(c.t, at.Sub(last), c.gap, "%s acted, then %s, then %s again", holder, c.turn, holder)
+	}
+	c.turn, c.last[holder] = holder, at
+}
+
+func (c *turnCloud) Report(ctx context.Context, u Usage) error {
+	c.checkTurn(u.Holder)
+	return c.strictCloud.Report(ctx, u)
+}
+
+func (c *turnCloud) Order(ctx context.Context, o FleetOrder) error {
+	c.checkTurn(o.Holder)
+	return c.strictCloud.Order(ctx, o)
+}
+
+// leaderModel is a number of entries, without messages between them, that compete for
+// the lease of a store.
+type leaderModel struct {
+	t       *testing.T
+	store   *eraStore
+	cloud   Cloud
+	clock   *clock
+	clients []*eraClient
+	entries []*Gateway
+}
+
+func newLeaderModel(t *testing.T, clock *clock, cloud Cloud, entries int) *leaderModel {
+	m := &leaderModel{
+		t: t, store: &eraStore{rows: map[string]provider.StoreRow{}}, cloud: cloud, clock: clock,
+		clients: make([]*eraClient, entries), entries: make([]*Gateway, entries),
+	}
+	for i := range entries {
+		m.start(i)
+	}
+	return m
+}
+
+// start starts a new process of an entry.
+func (m *leaderModel) start(i int) {
+	g, _ := newGateway(m.t, m.cloud)
+	m.clients[i] = &eraClient{store: m.store}
+	g.cfg.ID = fmt.Sprint("e", i)
+	g.cfg.Store, g.cfg.Now, g.startedAt, g.boot = m.clients[i], m.clock.read, m.clock.now, uint64(m.clock.now.UnixMilli())
+	g.cfg.Tables.Leases = "leases"
+	g.state.cfg = g.cfg
+	g.state.startedAt = m.clock.now
+	g.leader = newLeader(g)
+	m.entries[i] = g
+}
+
+// round runs one round of an entry, in which requests have started. The leader sends an
+// order in each round.
+func (m *leaderModel) round(i int) {
+	l := m.entries[i].leader
+	m.entries[i].state.accountant.CountStart(m.clock.now, "luna")
+	l.round(context.Background())
+	if holder, fence, ok := l.fencingToken(); ok {
+		require.NoError(m.t, m.cloud.Order(context.Background(), FleetOrder{Holder: holder, Fence: fence}))
+	}
+}
+
+// target returns the leader if i is not the number of an entry and there is a leader.
+func (m *leaderModel) target(i int) int {
+	if i < len(m.entries) {
+		return i
+	}
+	for j, g := range m.entries {
+		if g.leader.holdsLease() {
+			return j
+		}
+	}
+	return i % len(m.entries)
+}
+
+func (m *leaderModel) leaders() int {
+	leaders := 0
+	for _, g := range m.entries {
+		if g.leader.holdsLease() {
+			leaders++
+		}
+	}
+	return leaders
+}
+
+// A leader that was cut off from the store, and had called the cloud until its lease
+// ended, took the lease that its successor released at once: calls of A, B and A arrived
+// within the gap.
+func TestReleasedLeaseIsLeftToOthersByItsLastLeader(t *testing.T) {
+	clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+	m := newLeaderModel(t, clock, newTurnCloud(t, clock.read, 3*time.Second), 2)
+	run := func(d time.Duration) {
+		for end := clock.now.Add(d); clock.now.Before(end); clock.advance(250 * time.Millisecond) {
+			m.round(0)
+			m.round(1)
+		}
+	}
+	run(time.Second)
+	require.True(t, m.entries[0].leader.holdsLease())
+	m.clients[0].unreachable = true
+	for !m.entries[1].leader.holdsLease() {
+		run(250 * time.Millisecond)
+	}
+	m.clients[0].unreachable = false
+	m.entries[1].leader.release(context.Background())
+	m.start(1)
+	run(10 * time.Second)
+	require.Equal(t, 1, m.leaders())
+}
+
+// In any history of cuts, releases, restarts and lost answers, leaders do not act in the
+// order A, B, A within the gap, fences rise, and there is a leader in the end.
+func TestLeadersDoNotActInTurn(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+		m := newLeaderModel(t, clock, newTurnCloud(rt, clock.read, 3*time.Second), 3)
+		for range rapid.IntRange(10, 80).Draw(rt, "steps") {
+			i := m.target(rapid.IntRange(0, 2*len(m.entries)).Draw(rt, "entry"))
+			switch rapid.IntRange(0, 9).Draw(rt, "action") {
+			case 0:
+				m.clients[i].losesAnswer = true
+			case 1, 2:
+				m.clients[i].unreachable = true
+			case 3:
+				for _, c := range m.clients {
+					c.unreachable = false
+				}
+			case 4:
+				m.entries[i].leader.release(context.Background())
+				m.start(i)
+			case 5:
+				m.start(i)
+			}
+			for range rapid.IntRange(0, 4).Draw(rt, "rounds") {
+				for i := range m.entries {
+					m.round(i)
+					clock.advance(time.Duration(rapid.IntRange(0, 300).Draw(rt, "ms")) * time.Millisecond)
+				}
+			}
+		}
+		for _, c := range m.clients {
+			c.unreachable = false
+		}
+		for range 40 {
+			for i := range m.entries {
+				m.round(i)
+			}
+			clock.advance(500 * time.Millisecond)
+		}
+		require.Equal(rt, 1, m.leaders(), "leaders after the faults")
+	})
+}
