pkg/leaser: a node leaves a released lease to others for a lifetime after its own term

Cause: whether a released lease may be taken was left to the caller, which looked at the age of its process instead of the end of its own last term. Class: a limit on how soon something may be done again, counted from the wrong event. Now the leaser knows when this node, or an earlier process on its VM, stopped acting, and proposes a take-over of a released lease only a lifetime later. ProposeTakeOver and IsReleased are gone; their test asks the same of ProposeWrite, and its node has waited a lifetime now. The model of the leaser also draws releases and restarts and checks the order of holders.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -87,6 +87,6 @@
 
 // makeLeader makes the gateway the leader for the rest of the test.
 func makeLeader(g *Gateway, now time.Time) {
-	g.leader.lease = leaser.New(leaser.Config{Holder: g.cfg.ID, Lifetime: 24 * time.Hour})
+	g.leader.lease = leaser.New(leaser.Config{Holder: g.cfg.ID, Lifetime: 24 * time.Hour}, now)
 	g.leader.lease.RecordWrite(now, 1, leaser.Lease{Holder: g.cfg.ID, Fence: 1})
 }
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -62,7 +62,7 @@
 func newLeader(g *Gateway) *leader {
 	l := &leader{g: g}
 	lifetime := g.cfg.MinLeaderGap + leaseHeadroom
-	l.lease = leaser.New(leaser.Config{Holder: processName(g.cfg.ID, g.boot), Lifetime: lifetime, Margin: leaseMargin})
+	l.lease = leaser.New(leaser.Config{Holder: processName(g.cfg.ID, g.boot), Lifetime: lifetime, Margin: leaseMargin}, g.startedAt)
 	l.usage = newUsageReporter(g, l)
 	l.fleet = newFleetManager(g, l)
 	l.moves = &moveManager{g: g, rowVersions: map[string]provider.Version{}}
@@ -184,11 +184,8 @@
 	// After the store has returned from an older copy, the row may be missing, or show a
 	// release, although another entry has acquired the lease since.
 	eraSettled := sentAt.Sub(l.eraSeenAt) >= g.cfg.MinLeaderGap
-	if l.lease.IsReleased() && sentAt.Sub(g.startedAt) >= g.cfg.MinLeaderGap && eraSettled {
-		lease, ok = l.lease.ProposeTakeOver(), true
-	}
-	ok = ok && (version != 0 || eraSettled)
 	wasLeader, status := l.lease.Holds(sentAt), l.lease.Status(sentAt)
+	ok = ok && (eraSettled || wasLeader || status.Vacancy == leaser.Expired)
 	g.state.mu.Unlock()
 	if !ok {
 		return
@@ -271,8 +268,7 @@
 }
 
 // release releases the lease when the process stops, so that another entry may take
-// it over at once. This process does not acquire it again, and an entry that has
-// just started does not take over a released lease within MinLeaderGap.
+// it over at once. This process does not acquire it again.
 func (l *leader) release(ctx context.Context) {
 	l.roundMu.Lock()
 	defer l.roundMu.Unlock()
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -44,7 +44,7 @@
 func newLeader(cfg Config, name string) *leader {
 	return &leader{name: name, leaser: leaser.New(leaser.Config{
 		Holder: cfg.Self.ID, Lifetime: cfg.LeaseLifetime, Margin: cfg.LeaseLifetime / leaseMarginDivisor,
-	})}
+	}, cfg.Now())}
 }
 
 // runAsLeader returns a task that contends for a lease and calls work in each
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -51,11 +51,14 @@
 	observedAt time.Time
 	observed   bool
 	heldUntil  time.Time
+	// actedUntil is when this node, or an earlier process on its VM, stopped acting.
+	actedUntil time.Time
 	minFence   uint64
 }
 
-// New returns a Leaser that does not hold the lease.
-func New(cfg Config) *Leaser { return &Leaser{cfg: cfg} }
+// New returns a Leaser that does not hold the lease. StartedAt is the time at which the
+// process started: an earlier one on the same VM may have acted until then.
+func New(cfg Config, startedAt time.Time) *Leaser { return &Leaser{cfg: cfg, actedUntil: startedAt} }
 
 // Observe records the row read at now. Version 0 means that there is no row.
 func (l *Leaser) Observe(now time.Time, version uint64, lease Lease) {
@@ -66,6 +69,9 @@
 		// Another node has it, or the row is one of an earlier term of this node: the
 		// table has returned from an older copy.
 		l.heldUntil = time.Time{}
+		if now.Before(l.actedUntil) {
+			l.actedUntil = now
+		}
 	}
 	l.observed = true
 	l.version = version
@@ -74,8 +80,9 @@
 }
 
 // ProposeWrite returns the row that this node should try to write now, if any: a
-// renewal of its own lease or a take-over of an expired one. The caller sets
-// Nonce.
+// renewal of its own lease or a take-over of a vacant one. A node that has acted within
+// the last Lifetime leaves a released lease to others: their calls may lie between its
+// own. The caller sets Nonce.
 func (l *Leaser) ProposeWrite(now time.Time) (Lease, bool) {
 	if !l.observed {
 		return Lease{}, false
@@ -86,15 +93,17 @@
 		}
 		return Lease{Holder: l.cfg.Holder, Fence: l.lease.Fence}, true
 	}
-	if l.version != 0 && now.Sub(l.observedAt) < l.cfg.Lifetime {
+	switch l.Status(now).Vacancy {
+	case NotVacant:
 		return Lease{}, false
+	case Released:
+		if now.Sub(l.actedUntil) < l.cfg.Lifetime {
+			return Lease{}, false
+		}
 	}
-	return l.ProposeTakeOver(), true
+	return Lease{Holder: l.cfg.Holder, Fence: max(l.lease.Fence+1, l.minFence)}, true
 }
 
-// IsReleased reports whether the last holder has released the lease.
-func (l *Leaser) IsReleased() bool { return l.observed && l.version != 0 && l.lease.Holder == "" }
-
 // Status returns what this node knows of the lease at now.
 func (l *Leaser) Status(now time.Time) Status {
 	status := Status{Holder: l.lease.Holder, Age: now.Sub(l.observedAt)}
@@ -118,13 +127,6 @@
 	return l.heldUntil.Sub(now)
 }
 
-// ProposeTakeOver returns the row that takes over a released lease. The caller
-// must make sure that this node has not held the lease within the last Lifetime,
-// and sets Nonce.
-func (l *Leaser) ProposeTakeOver() Lease {
-	return Lease{Holder: l.cfg.Holder, Fence: max(l.lease.Fence+1, l.minFence)}
-}
-
 // SetMinFence sets the lowest fence of the next take-over. It is needed if the table
 // may return from an older copy, whose fence is too low.
 func (l *Leaser) SetMinFence(fence uint64) { l.minFence = fence }
@@ -136,6 +138,7 @@
 	l.lease = lease
 	l.observedAt = sentAt
 	l.heldUntil = sentAt.Add(l.cfg.Lifetime - l.cfg.Margin)
+	l.actedUntil = l.heldUntil
 }
 
 // Holds reports whether this node holds the lease at now.
--- a/pkg/leaser/leaser_test.go
+++ b/pkg/leaser/leaser_test.go
@@ -25,27 +25,50 @@
 	sentAt time.Time
 }
 
-// At most one node holds the lease at any time, and the fencing token rises with
-// each change of holder, while nodes with different clocks read, write, pause and
-// lose responses in any order.
+const (
+	modelLifetime = 3 * time.Second
+	modelMargin   = time.Second
+)
+
+// turns checks that no two nodes act in turn within a lifetime.
+type turns struct {
+	t    *rapid.T
+	last map[string]time.Time
+	turn string
+}
+
+func (o *turns) act(now time.Time, name string) {
+	if last, known := o.last[name]; known && o.turn != name {
+		require.GreaterOrEqual(o.t, now.Sub(last), modelLifetime, "%s acted, then %s, then %s again", name, o.turn, name)
+	}
+	o.turn, o.last[name] = name, now
+}
+
+// At most one node holds the lease at any time, the fencing token rises with each
+// change of holder, and no two nodes act in turn within a lifetime, while nodes with
+// different clocks read, write, release, restart, pause and lose responses in any order.
 func TestOneHolderAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var row leaser.Lease
 		var version uint64
 		now := time.UnixMilli(1_700_000_000_000)
 		nodes := make([]*node, 3)
-		for i := range nodes {
+		start := func(i int) {
 			name := string(rune('a' + i))
-			nodes[i] = &node{
-				l:      leaser.New(leaser.Config{Holder: name, Lifetime: 3 * time.Second, Margin: time.Second}),
-				offset: time.Duration(rapid.IntRange(-3600, 3600).Draw(t, "offset")) * time.Second,
-			}
+			offset := time.Duration(rapid.IntRange(-3600, 3600).Draw(t, "offset")) * time.Second
+			cfg := leaser.Config{Holder: name, Lifetime: modelLifetime, Margin: modelMargin}
+			nodes[i] = &node{l: leaser.New(cfg, now.Add(offset)), offset: offset}
 		}
+		for i := range nodes {
+			start(i)
+		}
+		order := &turns{t: t, last: map[string]time.Time{}}
 		for range 300 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
-			n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			i := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
+			n := nodes[i]
 			clock := now.Add(n.offset)
-			switch rapid.IntRange(0, 5).Draw(t, "act") {
+			switch rapid.IntRange(0, 7).Draw(t, "act") {
 			case 0:
 				n.paused = !n.paused
 			case 1, 2:
@@ -66,7 +89,7 @@
 					break
 				}
 				require.GreaterOrEqual(t, w.lease.Fence, row.Fence)
-				if w.lease.Holder != row.Holder {
+				if w.lease.Holder != row.Holder && w.lease.Holder != "" {
 					require.Greater(t, w.lease.Fence, row.Fence)
 				}
 				version++
@@ -74,11 +97,20 @@
 				if rapid.Bool().Draw(t, "answered") && !n.paused {
 					n.l.RecordWrite(w.sentAt, version, w.lease)
 				}
+			case 6:
+				if n.l.Holds(clock) && n.l.Version() == version {
+					version++
+					row = leaser.Lease{Fence: n.l.Fence()}
+					start(i)
+				}
+			case 7:
+				start(i)
 			}
 			holders := 0
 			for _, other := range nodes {
 				if other.l.Holds(now.Add(other.offset)) {
 					holders++
+					order.act(now, other.l.Holder())
 				}
 			}
 			require.LessOrEqual(t, holders, 1)
@@ -87,28 +119,51 @@
 }
 
 // A released lease can be taken over before it has expired, with a higher fencing
-// token. A lease that is held is not released.
+// token, by a node that has not acted for a lifetime. A lease that is held is not
+// released.
 func TestTakeOverOfAReleasedLease(t *testing.T) {
 	now := time.UnixMilli(1_700_000_000_000)
-	l := leaser.New(leaser.Config{Holder: "b", Lifetime: 4 * time.Second, Margin: time.Second})
-	require.False(t, l.IsReleased())
+	l := leaser.New(leaser.Config{Holder: "b", Lifetime: 4 * time.Second, Margin: time.Second}, now.Add(-4*time.Second))
+	require.Equal(t, leaser.NotVacant, l.Status(now).Vacancy)
 	l.Observe(now, 7, leaser.Lease{Holder: "a", Fence: 3})
-	require.False(t, l.IsReleased())
-	l.Observe(now, 8, leaser.Lease{Fence: 3})
-	require.True(t, l.IsReleased())
+	require.Equal(t, leaser.NotVacant, l.Status(now).Vacancy)
 	_, proposed := l.ProposeWrite(now)
 	require.False(t, proposed)
-	require.Equal(t, leaser.Lease{Holder: "b", Fence: 4}, l.ProposeTakeOver())
-	l.RecordWrite(now, 9, l.ProposeTakeOver())
+	l.Observe(now, 8, leaser.Lease{Fence: 3})
+	require.Equal(t, leaser.Released, l.Status(now).Vacancy)
+	lease, proposed := l.ProposeWrite(now)
+	require.True(t, proposed)
+	require.Equal(t, leaser.Lease{Holder: "b", Fence: 4}, lease)
+	l.RecordWrite(now, 9, lease)
 	require.True(t, l.Holds(now))
-	require.False(t, l.IsReleased())
+	require.Equal(t, leaser.NotVacant, l.Status(now).Vacancy)
+}
+
+// A node took over a released lease although it, or the process before it on the same
+// VM, had acted a moment before: calls of two holders alternated.
+func TestReleasedLeaseAfterAnOwnTerm(t *testing.T) {
+	const lifetime = 4 * time.Second
+	now := time.UnixMilli(1_700_000_000_000)
+	l := leaser.New(leaser.Config{Holder: "a", Lifetime: lifetime, Margin: time.Second}, now)
+	proposedAt := func(at time.Time) bool {
+		_, proposed := l.ProposeWrite(at)
+		return proposed
+	}
+	l.Observe(now, 8, leaser.Lease{Fence: 3})
+	require.False(t, proposedAt(now.Add(lifetime-1)), "an earlier process may have acted")
+	now = now.Add(lifetime)
+	require.True(t, proposedAt(now))
+	l.RecordWrite(now, 9, leaser.Lease{Holder: "a", Fence: 4})
+	l.Observe(now.Add(time.Second), 11, leaser.Lease{Fence: 5})
+	require.False(t, proposedAt(now.Add(lifetime+time.Second-1)), "it acted until it saw the row")
+	require.True(t, proposedAt(now.Add(lifetime+time.Second)))
 }
 
 // The table returned from a copy in which this node had the lease in an earlier term.
 // It went on acting with the fence of that term.
 func TestEarlierTermEndsTheLease(t *testing.T) {
 	now := time.UnixMilli(1_700_000_000_000)
-	l := leaser.New(leaser.Config{Holder: "a", Lifetime: 4 * time.Second, Margin: time.Second})
+	l := leaser.New(leaser.Config{Holder: "a", Lifetime: 4 * time.Second, Margin: time.Second}, now)
 	l.Observe(now, 10, leaser.Lease{Holder: "b", Fence: 4})
 	l.RecordWrite(now, 11, leaser.Lease{Holder: "a", Fence: 5})
 	require.True(t, l.Holds(now))
