internal/gateway: the lease is observed when its read ends

Two leaders at the same time: with a read of 1.4 s, in which the holder renews its lease, the row counted as unchanged from before the read, so it was taken over up to 1.4 s too early (TestLeaseIsObservedWhenItsReadEnds failed: 2 leaders). A store call may last 1.5 s, the margin of the lease is 1 s. An observation now has the time of the answer, as in internal/server.

--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -46,6 +46,8 @@
 	seen        uint64
 	unreachable bool
 	losesAnswer bool
+	// beforeRead, if set, is called while a read is on its way to the store.
+	beforeRead func()
 }
 
 func (c *eraClient) Era() uint64 { return c.seen }
@@ -59,6 +61,9 @@
 	if c.unreachable {
 		return provider.Page{}, errNoStore
 	}
+	if c.beforeRead != nil {
+		c.beforeRead()
+	}
 	c.seen = c.store.era
 	page := provider.Page{Version: provider.NewVersion(c.seen, c.store.number)}
 	for _, r := range c.store.rows {
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -233,12 +233,13 @@
 // readLease reads the lease's row and the agreed counts of usage in its table.
 func (l *leader) readLease(ctx context.Context) error {
 	g := l.g
-	sentAt := g.cfg.Now()
 	page, err := g.cfg.Store.Read(ctx, g.cfg.Tables.Leases)
 	if err != nil {
 		return err
 	}
-	l.observeEra(g.cfg.Now(), page.Version.Era())
+	// The holder may have renewed the lease at any time before the answer.
+	readAt := g.cfg.Now()
+	l.observeEra(readAt, page.Version.Era())
 	var lease leaser.Lease
 	version := uint64(0)
 	for _, row := range page.Rows {
@@ -256,7 +257,7 @@
 	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	l.lease.Observe(sentAt, version, lease)
+	l.lease.Observe(readAt, version, lease)
 	if l.era > 0 {
 		// A take-over replaces a row of this version. In the order of eras and numbers
 		// no two replace the same one, and a later one replaces a newer one.
--- a/internal/gateway/leader_test.go
+++ b/internal/gateway/leader_test.go
@@ -138,6 +138,28 @@
 	require.Equal(t, 1, m.leaders())
 }
 
+// A read of the lease took 1.4 s, in which the leader renewed it. The row was dated by the
+// start of the read, so that the lease was taken over while its holder still acted.
+func TestLeaseIsObservedWhenItsReadEnds(t *testing.T) {
+	clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+	m := newLeaderModel(t, clock, newTurnCloud(t, clock.read, 3*time.Second), 2)
+	m.round(0)
+	require.True(t, m.entries[0].leader.holdsLease())
+	m.clients[1].beforeRead = func() {
+		clock.advance(1400 * time.Millisecond)
+		m.round(0)
+	}
+	m.round(1)
+	m.clients[1].beforeRead = nil
+	m.clients[0].unreachable = true
+	for !m.entries[1].leader.holdsLease() {
+		m.round(0)
+		m.round(1)
+		require.LessOrEqual(t, m.leaders(), 1)
+		clock.advance(50 * time.Millisecond)
+	}
+}
+
 // In any history of cuts, releases, restarts and lost answers, leaders do not act in the
 // order A, B, A within the gap, fences rise, and there is a leader in the end.
 func TestLeadersDoNotActInTurn(t *testing.T) {
