--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -27,7 +27,7 @@
 	for name, total := range st.ownOutcomes {
 		message.Totals[name] = total
 	}
-	if g.isLeader(now) {
+	if g.isLeader() {
 		message.Leader = g.cfg.ID
 	}
 	if g.cfg.UsageWindow > 0 && (len(st.plan.Members) == 0 || message.Stopping || st.rounds%usageMessageRounds == 0) {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -232,4 +232,7 @@
 
 	Log zerolog.Logger
 	Now func() time.Time
+	// LeaseNow is a steady clock that goes on while the machine is suspended, as that of
+	// timekeeper. Nil means Now.
+	LeaseNow func() time.Time
 }
--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -46,6 +46,9 @@
 	seen        uint64
 	unreachable bool
 	losesAnswer bool
+	// If delays is set, the store does the next commit when doDelayed is called.
+	delays  bool
+	delayed []provider.Commit
 	// beforeRead, if set, is called while a read is on its way to the store.
 	beforeRead func()
 }
@@ -82,6 +85,11 @@
 	if c.unreachable {
 		return provider.CommitResult{}, errNoStore
 	}
+	if c.delays {
+		c.delays = false
+		c.delayed = append(c.delayed, change)
+		return provider.CommitResult{}, errNoStore
+	}
 	for _, e := range change.Expect {
 		if e.Version != 0 && e.Version.Era() != c.seen {
 			return provider.CommitResult{}, provider.Refused.New("earlier era")
@@ -114,6 +122,20 @@
 	return provider.CommitResult{Applied: true, Version: provider.NewVersion(c.store.era, c.store.number)}, nil
 }
 
+// doDelayed does the commits that were delayed, if their conditions still hold, and
+// returns how many took effect.
+func (c *eraClient) doDelayed() int {
+	delayed, applied := c.delayed, 0
+	c.delayed = nil
+	for _, change := range delayed {
+		late := eraClient{store: c.store, seen: c.seen}
+		if result, err := late.Commit(context.Background(), change); err == nil && result.Applied {
+			applied++
+		}
+	}
+	return applied
+}
+
 // strictCloud fails if a fence falls or has two holders, or if two reports of a window
 // differ.
 type strictCloud struct {
@@ -162,7 +184,7 @@
 			g, _ := newGateway(t, cloud)
 			clients[i] = &eraClient{store: store}
 			g.cfg.ID = fmt.Sprint("e", i)
-			g.cfg.Store, g.cfg.Now, g.startedAt, g.boot = clients[i], shared.read, shared.now, uint64(shared.now.UnixMilli())
+			g.cfg.Store, g.cfg.Now, g.cfg.LeaseNow, g.startedAt, g.boot = clients[i], shared.read, shared.read, shared.now, uint64(shared.now.UnixMilli())
 			g.cfg.Tables.Leases = "leases"
 			g.state.cfg = g.cfg
 			g.state.startedAt = shared.now
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -321,21 +321,16 @@
 
 // order sends one order. It returns false if the cloud refused it.
 func (f *fleetManager) order(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, c vmClass, vms, ready int) bool {
-	holder, fence, isLeader := f.leader.fencingToken()
-	if !isLeader {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, cloudCallTimeout)
-	defer cancel()
 	sentAt := f.g.cfg.Now()
-	left := f.leader.leaseLeft(sentAt)
-	err := f.g.cfg.Cloud.Order(ctx, FleetOrder{
-		Deployment: d.Name, FailureDomain: c.domain, Reclaimable: c.reclaimable, VMs: vms, Holder: holder, Fence: fence,
+	t, err := f.leader.callCloud(ctx, func(ctx context.Context, t term) error {
+		return f.g.cfg.Cloud.Order(ctx, FleetOrder{
+			Deployment: d.Name, FailureDomain: c.domain, Reclaimable: c.reclaimable, VMs: vms, Holder: t.holder, Fence: t.fence,
+		})
 	})
 	f.g.metrics.Count("fleet_orders")
 	line := f.g.cfg.Log.Info().Str("event", "fleet_ordered").Str("deployment", d.Name).Str("failure_domain", c.domain).
-		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", ready).Float64("needed", s.demandTarget).Uint64("fence", fence).
-		Dur("lease_left", left).Dur("took", f.g.cfg.Now().Sub(sentAt))
+		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", ready).Float64("needed", s.demandTarget).Uint64("fence", t.fence).
+		Dur("lease_left", t.left).Dur("took", f.g.cfg.Now().Sub(sentAt))
 	if err != nil {
 		line.Err(err).Send()
 		refused := errorx.IsOfType(err, provider.Refused)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,9 @@
 
 // New returns a gateway that is not serving yet.
 func New(cfg Config) (*Gateway, error) {
+	if cfg.LeaseNow == nil {
+		cfg.LeaseNow = cfg.Now
+	}
 	now := cfg.Now()
 	boot := uint64(now.UnixMilli())
 	g := &Gateway{cfg: cfg, boot: boot, startedAt: now, state: newState(cfg, boot), metrics: measurer.New()}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -20,9 +20,6 @@
 	// leaseMargin is the time before the expiry of its lease at which a leader
 	// stops acting.
 	leaseMargin = time.Second
-	// cloudCallTimeout bounds a call to the cloud. It is at most leaseMargin, so a
-	// call sent just before the leader stops acting ends before the lease expires.
-	cloudCallTimeout = time.Second
 	// memberContendDelay is how long there must be no leader before entries that
 	// are not relays try to acquire the lease.
 	memberContendDelay = 8 * time.Second
@@ -62,7 +59,7 @@
 func newLeader(g *Gateway) *leader {
 	l := &leader{g: g}
 	lifetime := g.cfg.MinLeaderGap + leaseHeadroom
-	l.lease = leaser.New(leaser.Config{Holder: processName(g.cfg.ID, g.boot), Lifetime: lifetime, Margin: leaseMargin}, g.startedAt)
+	l.lease = leaser.New(leaser.Config{Holder: processName(g.cfg.ID, g.boot), Lifetime: lifetime, Margin: leaseMargin}, g.cfg.LeaseNow())
 	l.usage = newUsageReporter(g, l)
 	l.fleet = newFleetManager(g, l)
 	l.moves = &moveManager{g: g, rowVersions: map[string]provider.Version{}}
@@ -71,7 +68,7 @@
 
 // isLeader reports whether this entry may act as the leader. The state's lock must
 // be held.
-func (g *Gateway) isLeader(now time.Time) bool { return g.leader.lease.Holds(now) }
+func (g *Gateway) isLeader() bool { return g.leader.lease.Holds(g.cfg.LeaseNow()) }
 
 // mayContend reports whether this entry should try to acquire the lease: no
 // reachable entry reports a leader. Relays try first, so that not all of many
@@ -110,7 +107,7 @@
 	if l.eraKnown {
 		l.observeEra(l.g.cfg.Now(), l.g.cfg.Store.Era())
 	}
-	l.observeTerm(l.g.cfg.Now())
+	l.observeTerm(l.g.cfg.LeaseNow())
 	l.acquireOrRenew(ctx)
 	l.fleet.measureAll()
 	l.moves.readOldMoves(ctx)
@@ -149,20 +146,6 @@
 	l.moves.forgetRows()
 }
 
-func (l *leader) holdsLease() bool {
-	l.g.state.mu.Lock()
-	defer l.g.state.mu.Unlock()
-	return l.lease.Holds(l.g.cfg.Now())
-}
-
-// fencingToken returns the holder's name and the fencing token to be sent with each
-// call. It returns false if the entry may not act as the leader.
-func (l *leader) fencingToken() (holder string, fence uint64, ok bool) {
-	l.g.state.mu.Lock()
-	defer l.g.state.mu.Unlock()
-	return l.g.cfg.ID, l.lease.Fence(), l.lease.Holds(l.g.cfg.Now())
-}
-
 // acquireOrRenew renews this entry's lease. An entry without the lease reads its row
 // and takes the lease over if it has expired or was released.
 func (l *leader) acquireOrRenew(ctx context.Context) {
@@ -177,13 +160,14 @@
 			return
 		}
 	}
+	eraAge := now.Sub(l.eraSeenAt)
 	g.state.mu.Lock()
-	sentAt := g.cfg.Now()
+	sentAt := g.cfg.LeaseNow()
 	lease, ok := l.lease.ProposeWrite(sentAt)
 	version := l.lease.Version()
 	// After the store has returned from an older copy, the row may be missing, or show a
 	// release, although another entry has acquired the lease since.
-	eraSettled := sentAt.Sub(l.eraSeenAt) >= g.cfg.MinLeaderGap
+	eraSettled := l.eraSeenAt.IsZero() || eraAge >= g.cfg.MinLeaderGap
 	wasLeader, status := l.lease.Holds(sentAt), l.lease.Status(sentAt)
 	ok = ok && (eraSettled || wasLeader || status.Vacancy == leaser.Expired)
 	g.state.mu.Unlock()
@@ -203,7 +187,7 @@
 	g.state.mu.Unlock()
 	if !wasLeader {
 		line := g.cfg.Log.Info().Str("event", "duty_taken").Uint64("fence", lease.Fence).Uint64("row_version", result.Version.Number()).
-			Str("reason", string(status.Vacancy)).Str("previous", status.Holder).Dur("row_age", status.Age).Dur("uptime", sentAt.Sub(g.startedAt))
+			Str("reason", string(status.Vacancy)).Str("previous", status.Holder).Dur("row_age", status.Age).Dur("uptime", now.Sub(g.startedAt))
 		if !l.termEndedAt.IsZero() {
 			line.Dur("own_term_ended", sentAt.Sub(l.termEndedAt))
 		}
@@ -211,13 +195,6 @@
 	}
 }
 
-// leaseLeft returns the time that is left of the entry's term.
-func (l *leader) leaseLeft(now time.Time) time.Duration {
-	l.g.state.mu.Lock()
-	defer l.g.state.mu.Unlock()
-	return l.lease.Left(now)
-}
-
 // writeLease writes the lease's row if the row still has the given version.
 func (l *leader) writeLease(ctx context.Context, lease leaser.Lease, version provider.Version) (provider.CommitResult, error) {
 	lease.Nonce = processName(l.g.cfg.ID, uint64(l.g.cfg.Now().UnixNano()))
@@ -238,26 +215,21 @@
 		return err
 	}
 	// The holder may have renewed the lease at any time before the answer.
-	readAt := g.cfg.Now()
-	l.observeEra(readAt, page.Version.Era())
-	var lease leaser.Lease
-	version := uint64(0)
+	readAt := g.cfg.LeaseNow()
+	l.observeEra(g.cfg.Now(), page.Version.Era())
+	lease := provider.StoreRow{}
 	for _, row := range page.Rows {
-		if row.Key != leaseKey {
-			continue
-		}
-		if err := json.Unmarshal(row.Value, &lease); err != nil {
-			return err
+		if row.Key == leaseKey {
+			lease = row
 		}
-		version = uint64(row.Version)
 	}
-	minFence := version + 1
-	if version == 0 {
+	minFence := uint64(lease.Version) + 1
+	if lease.Version == 0 {
 		minFence = uint64(page.Version) + 1
 	}
+	l.observeRow(readAt, lease)
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	l.lease.Observe(readAt, version, lease)
 	if l.era > 0 {
 		// A take-over replaces a row of this version. In the order of eras and numbers
 		// no two replace the same one, and a later one replaces a newer one.
--- a/internal/gateway/leader_test.go
+++ b/internal/gateway/leader_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/galenahitch/galenahitch/internal/provider"
+	"github.com/galenahitch/galenahitch/pkg/leaser"
 )
 
 // turnCloud fails if the leaders' calls arrive in the order A, B, A within the gap, in
@@ -71,7 +74,7 @@
 	g, _ := newGateway(m.t, m.cloud)
 	m.clients[i] = &eraClient{store: m.store}
 	g.cfg.ID = fmt.Sprint("e", i)
-	g.cfg.Store, g.cfg.Now, g.startedAt, g.boot = m.clients[i], m.clock.read, m.clock.now, uint64(m.clock.now.UnixMilli())
+	g.cfg.Store, g.cfg.Now, g.cfg.LeaseNow, g.startedAt, g.boot = m.clients[i], m.clock.read, m.clock.read, m.clock.now, uint64(m.clock.now.UnixMilli())
 	g.cfg.Tables.Leases = "leases"
 	g.state.cfg = g.cfg
 	g.state.startedAt = m.clock.now
@@ -85,8 +88,11 @@
 	l := m.entries[i].leader
 	m.entries[i].state.accountant.CountStart(m.clock.now, "luna")
 	l.round(context.Background())
-	if holder, fence, ok := l.fencingToken(); ok {
-		require.NoError(m.t, m.cloud.Order(context.Background(), FleetOrder{Holder: holder, Fence: fence}))
+	if l.holdsLease() {
+		_, err := l.callCloud(context.Background(), func(ctx context.Context, term term) error {
+			return m.cloud.Order(ctx, FleetOrder{Holder: term.holder, Fence: term.fence})
+		})
+		require.NoError(m.t, err)
 	}
 }
 
@@ -160,7 +166,54 @@
 	}
 }
 
-// In any history of cuts, releases, restarts and lost answers, leaders do not act in the
+// A leader that was suspended went on with the lease of before, as the monotonic clock
+// had stood still.
+func TestSuspendedLeaderDoesNotAct(t *testing.T) {
+	cloud := &fakeCloud{}
+	g, c := newGateway(t, cloud)
+	lease := &clock{now: c.now}
+	g.cfg.LeaseNow = lease.read
+	g.leader = newLeader(g)
+	g.leader.lease.RecordWrite(lease.now, 1, leaser.Lease{Holder: processName(g.cfg.ID, g.boot), Fence: 1})
+	require.True(t, g.leader.holdsLease())
+	require.True(t, g.isLeaderNow())
+	lease.advance(3 * time.Second)
+	require.False(t, g.leader.holdsLease())
+	require.False(t, g.isLeaderNow())
+	_, err := g.leader.callCloud(context.Background(), func(context.Context, term) error {
+		t.Error("the call was sent")
+		return nil
+	})
+	require.True(t, errorx.IsOfType(err, provider.GuardFailed))
+}
+
+// A call that was sent in the last moment of a term could last as long as the margin of
+// the lease, or longer if the machine was suspended.
+func TestCallsEndBeforeTheLeaseExpires(t *testing.T) {
+	g, c := newGateway(t, &fakeCloud{})
+	var passed atomic.Int64
+	g.cfg.LeaseNow = func() time.Time { return c.now.Add(time.Duration(passed.Load())) }
+	g.leader = newLeader(g)
+	g.leader.lease.RecordWrite(c.now, 1, leaser.Lease{Holder: processName(g.cfg.ID, g.boot), Fence: 1})
+	passed.Store(int64(3*time.Second - time.Millisecond))
+	_, err := g.leader.callCloud(context.Background(), func(ctx context.Context, term term) error {
+		require.Equal(t, time.Millisecond, term.left)
+		deadline, bounded := ctx.Deadline()
+		require.True(t, bounded)
+		require.Less(t, time.Until(deadline), leaseMargin-arrivalMargin+term.left)
+		return nil
+	})
+	require.NoError(t, err)
+	_, err = g.leader.callCloud(context.Background(), func(ctx context.Context, _ term) error {
+		passed.Add(int64(leaseMargin))
+		<-ctx.Done()
+		require.ErrorIs(t, ctx.Err(), context.Canceled, "before its timer")
+		return ctx.Err()
+	})
+	require.Error(t, err)
+}
+
+// In any history of cuts, releases, restarts, lost answers and delayed writes, leaders do not act in the
 // order A, B, A within the gap, fences rise, and there is a leader in the end.
 func TestLeadersDoNotActInTurn(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -168,7 +221,11 @@
 		m := newLeaderModel(t, clock, newTurnCloud(rt, clock.read, 3*time.Second), 3)
 		for range rapid.IntRange(10, 80).Draw(rt, "steps") {
 			i := m.target(rapid.IntRange(0, 2*len(m.entries)).Draw(rt, "entry"))
-			switch rapid.IntRange(0, 9).Draw(rt, "action") {
+			switch rapid.IntRange(0, 11).Draw(rt, "action") {
+			case 10:
+				m.clients[i].delays = true
+			case 11:
+				m.clients[i].doDelayed()
 			case 0:
 				m.clients[i].losesAnswer = true
 			case 1, 2:
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -433,7 +433,7 @@
 	mayWrite := m.state == mover.Moving || m.state == state
 	to := m.order.To
 	st.mu.Unlock()
-	if _, _, isLeader := mm.g.leader.fencingToken(); !isLeader || !mayWrite {
+	if !mm.g.leader.holdsLease() || !mayWrite {
 		return true
 	}
 	row, err := mm.g.cfg.Encoder.MoveStatus(MoveStatus{Deployment: deployment, To: to, State: state})
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -76,7 +76,7 @@
 func (g *Gateway) maintainQuarantine(ctx context.Context) error {
 	for waiter.Pause(ctx, g.state.jitter(quarantineInterval)) {
 		now := g.cfg.Now()
-		change := g.state.quarantineChange(now, g.isLeaderNow(now))
+		change := g.state.quarantineChange(now, g.isLeaderNow())
 		if len(change.Put)+len(change.Delete) == 0 {
 			continue
 		}
@@ -159,8 +159,8 @@
 }
 
 // isLeaderNow reports whether this entry may act as the leader.
-func (g *Gateway) isLeaderNow(now time.Time) bool {
+func (g *Gateway) isLeaderNow() bool {
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	return g.isLeader(now)
+	return g.isLeader()
 }
--- /dev/null
+++ b/internal/gateway/term.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/provider"
+	"github.com/galenahitch/galenahitch/internal/waiter"
+	"github.com/galenahitch/galenahitch/pkg/leaser"
+)
+
+const (
+	// cloudCallTimeout bounds a call to the cloud. A call ends arrivalMargin before the
+	// lease of its term expires: it may arrive after its sender has given it up.
+	cloudCallTimeout = time.Second
+	arrivalMargin    = 250 * time.Millisecond
+	// termCheckInterval is the time between two looks at the lease during a call.
+	termCheckInterval = 50 * time.Millisecond
+)
+
+// term is a term of this entry as the leader, at one moment.
+type term struct {
+	holder string
+	fence  uint64
+	// version is that of the lease's row, left the time until the leader stops acting.
+	version provider.Version
+	left    time.Duration
+}
+
+// currentTerm returns an error of type provider.GuardFailed if the entry may not act as
+// the leader.
+func (l *leader) currentTerm() (term, error) {
+	l.g.state.mu.Lock()
+	defer l.g.state.mu.Unlock()
+	t := term{holder: l.g.cfg.ID, fence: l.lease.Fence(), version: provider.Version(l.lease.Version()), left: l.lease.Left(l.g.cfg.LeaseNow())}
+	if t.left <= 0 {
+		return t, provider.GuardFailed.New("the term with fence %d has ended", t.fence)
+	}
+	return t, nil
+}
+
+func (l *leader) holdsLease() bool {
+	_, err := l.currentTerm()
+	return err == nil
+}
+
+// callCloud makes a call to the cloud in the current term and returns the term. The call
+// is not sent after the term has ended, also if the process was paused, and is given up
+// before the lease expires. An error of type provider.GuardFailed means that it was not
+// sent.
+func (l *leader) callCloud(ctx context.Context, call func(ctx context.Context, t term) error) (term, error) {
+	t, err := l.currentTerm()
+	if err != nil {
+		return t, err
+	}
+	timeout := min(cloudCallTimeout, t.left+leaseMargin-arrivalMargin)
+	giveUpAt := l.g.cfg.LeaseNow().Add(timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	go func() {
+		// The timer of the context stands still while the machine is suspended.
+		for waiter.Pause(ctx, termCheckInterval) {
+			if !l.g.cfg.LeaseNow().Before(giveUpAt) {
+				cancel()
+			}
+		}
+	}()
+	return t, call(provider.WithGuard(ctx, func() error {
+		now, err := l.currentTerm()
+		if err == nil && now.fence != t.fence {
+			err = provider.GuardFailed.New("the term with fence %d has ended", t.fence)
+		}
+		return err
+	}), t)
+}
+
+// observeRow records the lease's row, as read at now.
+func (l *leader) observeRow(now time.Time, row provider.StoreRow) {
+	var lease leaser.Lease
+	if row.Version != 0 {
+		if err := json.Unmarshal(row.Value, &lease); err != nil {
+			l.g.cfg.Log.Error().Str("event", "lease_invalid").Uint64("row_version", row.Version.Number()).Err(err).Send()
+			return
+		}
+	}
+	l.g.state.mu.Lock()
+	defer l.g.state.mu.Unlock()
+	l.lease.Observe(now, uint64(row.Version), lease)
+}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -138,24 +138,19 @@
 		u.reportedWindows[w] = true
 		return
 	}
-	holder, fence, isLeader := u.leader.fencingToken()
-	if !isLeader {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, cloudCallTimeout)
-	defer cancel()
 	sentAt := u.g.cfg.Now()
-	left := u.leader.leaseLeft(sentAt)
-	err := u.g.cfg.Cloud.Report(ctx, Usage{Window: w, Counts: counts, Holder: holder, Fence: fence})
+	t, err := u.leader.callCloud(ctx, func(ctx context.Context, t term) error {
+		return u.g.cfg.Cloud.Report(ctx, Usage{Window: w, Counts: counts, Holder: t.holder, Fence: t.fence})
+	})
 	took := u.g.cfg.Now().Sub(sentAt)
 	if err != nil {
-		u.g.cfg.Log.Warn().Str("event", "usage_not_reported").Int64("window", w).Uint64("fence", fence).Dur("lease_left", left).Dur("took", took).Err(err).Send()
+		u.g.cfg.Log.Warn().Str("event", "usage_not_reported").Int64("window", w).Uint64("fence", t.fence).Dur("lease_left", t.left).Dur("took", took).Err(err).Send()
 		return
 	}
 	u.reportedWindows[w] = true
 	u.g.metrics.Count("usage_reports")
-	u.g.cfg.Log.Info().Str("event", "usage_reported").Int64("window", w).Uint64("fence", fence).Int("organisations", len(counts)).
-		Dur("lease_left", left).Dur("took", took).Send()
+	u.g.cfg.Log.Info().Str("event", "usage_reported").Int64("window", w).Uint64("fence", t.fence).Int("organisations", len(counts)).
+		Dur("lease_left", t.left).Dur("took", took).Send()
 }
 
 // agreeCounts writes the counts of a window to the store, unless another leader has
