internal/gateway: a leader's changes take effect in its term only

The store may do a write seconds after its sender has given it up. The agreed counts of a window, the time of an era and the state of a move were conditional on their own row alone, so a write of an earlier leader could take effect in the term of the next one, with what that leader knew long before: a move could be completed that had been taken back since. Each change of the leader is now conditional on the lease's row too, whose version changes with each term and renewal. Not seen with callers.

--- a/internal/gateway/leader_test.go
+++ b/internal/gateway/leader_test.go
@@ -213,6 +213,30 @@
 	require.Error(t, err)
 }
 
+// A change of a leader took effect after the store had delayed it into the term of the
+// next one.
+func TestDelayedChangesOfAnEarlierTermAreRefused(t *testing.T) {
+	clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+	m := newLeaderModel(t, clock, newTurnCloud(t, clock.read, 3*time.Second), 2)
+	m.round(0)
+	change := provider.Commit{Put: []provider.StoreRow{{Table: "status", Key: "model", Value: []byte("done")}}}
+	m.clients[0].delays = true
+	_, err := m.entries[0].leader.commit(context.Background(), change)
+	require.Error(t, err)
+	m.clients[0].unreachable = true
+	for !m.entries[1].leader.holdsLease() {
+		m.round(0)
+		m.round(1)
+		clock.advance(250 * time.Millisecond)
+	}
+	require.Zero(t, m.clients[0].doDelayed())
+	_, err = m.entries[0].leader.commit(context.Background(), change)
+	require.True(t, errorx.IsOfType(err, provider.Refused), "its term has ended")
+	result, err := m.entries[1].leader.commit(context.Background(), change)
+	require.NoError(t, err)
+	require.True(t, result.Applied)
+}
+
 // In any history of cuts, releases, restarts, lost answers and delayed writes, leaders do not act in the
 // order A, B, A within the gap, fences rise, and there is a leader in the end.
 func TestLeadersDoNotActInTurn(t *testing.T) {
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -443,7 +443,7 @@
 	}
 	row.Table = mm.g.cfg.Tables.MoveStatus
 	expect := provider.StoreRow{Table: row.Table, Key: row.Key, Version: mm.rowVersions[deployment]}
-	result, err := mm.g.cfg.Store.Commit(ctx, provider.Commit{Expect: []provider.StoreRow{expect}, Put: []provider.StoreRow{row}})
+	result, err := mm.g.leader.commit(ctx, provider.Commit{Expect: []provider.StoreRow{expect}, Put: []provider.StoreRow{row}})
 	if err != nil || !result.Applied {
 		mm.g.cfg.Log.Warn().Str("event", "move_status_not_written").Str("deployment", deployment).Str("state", string(state)).
 			Bool("refused", errorx.IsOfType(err, provider.Refused)).Err(err).Send()
--- a/internal/gateway/term.go
+++ b/internal/gateway/term.go
@@ -75,6 +75,27 @@
 	}), t)
 }
 
+// commit makes a change of the leader. It takes effect only while the lease's row is that
+// of the current term, however late the store does it.
+func (l *leader) commit(ctx context.Context, change provider.Commit) (provider.CommitResult, error) {
+	t, err := l.currentTerm()
+	if err != nil {
+		return provider.CommitResult{}, provider.Refused.Wrap(err, "commit")
+	}
+	lease := provider.StoreRow{Table: l.g.cfg.Tables.Leases, Key: leaseKey, Version: t.version}
+	change.Expect = append(change.Expect, lease)
+	result, err := l.g.cfg.Store.Commit(ctx, change)
+	if err != nil || result.Applied {
+		return result, err
+	}
+	for _, row := range result.Current {
+		if row.Table == lease.Table && row.Key == lease.Key {
+			l.observeRow(l.g.cfg.LeaseNow(), row)
+		}
+	}
+	return result, nil
+}
+
 // observeRow records the lease's row, as read at now.
 func (l *leader) observeRow(now time.Time, row provider.StoreRow) {
 	var lease leaser.Lease
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -174,7 +174,7 @@
 		Put:    []provider.StoreRow{{Table: table, Key: key, Value: value}},
 		Delete: []provider.StoreRow{{Table: table, Key: usageKeyPrefix + strconv.FormatInt(w-2*keptUsageWindows, 10)}},
 	}
-	result, err := u.g.cfg.Store.Commit(ctx, change)
+	result, err := u.leader.commit(ctx, change)
 	switch {
 	case err != nil:
 		// Unless the store refused the write, its outcome is unknown until the row is
--- a/internal/gateway/usageeras.go
+++ b/internal/gateway/usageeras.go
@@ -82,7 +82,7 @@
 			delete(u.eras, old)
 		}
 	}
-	result, err := u.g.cfg.Store.Commit(ctx, change)
+	result, err := u.leader.commit(ctx, change)
 	if err != nil {
 		u.g.cfg.Log.Warn().Str("event", "era_row_not_written").Uint64("era", era).Err(err).Send()
 		return time.Time{}, false
