docs, internal/gateway: why calls of two leaders do not mix

The design's row on the leader, its proofs and the events, after the changes of the lease; the end of a term is logged with the age of the row.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -123,11 +123,11 @@
 // observeTerm logs the end of a term in which the lease was not renewed in time.
 func (l *leader) observeTerm(now time.Time) {
 	l.g.state.mu.Lock()
-	holds, holder, fence := l.lease.Holds(now), l.lease.Holder(), l.lease.Fence()
+	holds, status, fence := l.lease.Holds(now), l.lease.Status(now), l.lease.Fence()
 	l.g.state.mu.Unlock()
 	if l.wasLeader && !holds {
 		l.termEndedAt = now
-		l.g.cfg.Log.Warn().Str("event", "duty_lost").Str("holder", holder).Uint64("fence", fence).Send()
+		l.g.cfg.Log.Warn().Str("event", "duty_lost").Str("holder", status.Holder).Uint64("fence", fence).Dur("row_age", status.Age).Send()
 	}
 	l.wasLeader = holds
 }
