internal/gateway: a move that the store has as done is not rolled back

Callers could be refused by all entries: a leader wrote that a move was done, the platform stopped the upstreams of the previous version, and an entry that had not received this rolled the move back. Roll-backs had precedence, so every entry then avoided the only version left (0 of 50 calls got an upstream), and the status in the store changed after its end. Cause, of the class of the incident: the roll-back rested on a state that was right a moment before. No entry has a move as done before the store has it, so that state is final now.

--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -119,11 +119,26 @@
 		if startedAt := now.Add(-time.Duration(update.ElapsedMS) * time.Millisecond); startedAt.Before(m.startedAt) {
 			m.startedAt = startedAt
 		}
-		merged := mover.Merge(mover.Move{Epoch: uint64(m.epoch), State: m.state, Reason: m.reason}, mover.Move{Epoch: uint64(m.epoch), State: update.State, Reason: update.Reason})
-		st.setMoveState(m, merged.State, merged.Reason)
+		state, reason := mergeEnds(m, update)
+		st.setMoveState(m, state, reason)
 	}
 }
 
+// mergeEnds returns the state of a move and its reason, given this entry's state of it
+// and another one's. No entry has the state Done before the store has it; from then on
+// the upstreams of the previous version stop, so that it is final. Otherwise mover.Merge
+// decides.
+func mergeEnds(m *move, update moveUpdate) (charter.State, string) {
+	switch mover.Done {
+	case m.state:
+		return m.state, m.reason
+	case update.State:
+		return update.State, update.Reason
+	}
+	merged := mover.Merge(mover.Move{State: m.state, Reason: m.reason}, mover.Move{State: update.State, Reason: update.Reason})
+	return merged.State, merged.Reason
+}
+
 // setMoveState records a new state of a move and deletes the move's counters. A move
 // that has ended must keep its state.
 func (st *state) setMoveState(m *move, state charter.State, reason string) {
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -185,3 +185,26 @@
 	later.leader.moves.readOldMoves(context.Background())
 	require.Equal(t, mover.Done, later.state.moves["model"].state)
 }
+
+// A move was reported as done, so that the upstreams of the previous version stopped. An
+// entry that had not received this rolled the move back: all entries then refused the
+// only version left, and the store's status was changed after its end.
+func TestMoveThatIsDoneIsNotRolledBack(t *testing.T) {
+	g, c := newGateway(t, nil)
+	makeLeader(g, c.now)
+	store := &statusStore{}
+	g.cfg.Store, g.cfg.Decoder, g.cfg.Encoder = store, plainDecoder{}, statusEncoder{}
+	listVersions(g, c.now, 18, 18)
+	g.state.startMove(c.now, moveToV2, 5, false)
+	require.True(t, g.leader.moves.writeStatus(context.Background(), "model", mover.Done))
+	listVersions(g, c.now, 0, 18)
+	newVersion, _ := pickMany(g, 50)
+	require.Equal(t, 50, newVersion)
+	update := moveUpdate{To: moveToV2.To, FinishWithinMS: moveToV2.FinishWithin.Milliseconds(), Epoch: 5, State: mover.RolledBack, Reason: "failures"}
+	g.state.mergeMoves(c.now, map[string]moveUpdate{"model": update})
+	c.advance(100 * time.Millisecond)
+	g.leader.moves.advance(context.Background())
+	newVersion, _ = pickMany(g, 50)
+	require.Equal(t, 50, newVersion, "there is no other version")
+	require.Equal(t, "done", string(store.row.Value))
+}
