internal/gateway: a stopping leader does not act after its release

A round that waited for the release of the lease went on after it with the lease still held in memory, so calls of two leaders could alternate at once (TestNoRoundActsAfterTheRelease failed: two leaders); the stopping entry also announced itself as the leader until its lease ended, which delays the next one. The term ends before the release is written now, and a round looks at whether the process stops when it has the lock. A lease is not released while a call without an answer may still arrive at the cloud: it expires instead (TestLeaseIsNotReleasedAfterAnUnknownOutcome failed: it was released).

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -51,6 +51,9 @@
 	// termEndedAt is when its last term had ended, zero if it had none.
 	wasLeader   bool
 	termEndedAt time.Time
+	// unknownUntil is the time until which a call with an unknown outcome may still arrive
+	// at the cloud.
+	unknownUntil time.Time
 	// roundMu is held in round and in release, which a stopping process calls
 	// concurrently.
 	roundMu sync.Mutex
@@ -92,9 +95,7 @@
 		return nil
 	}
 	for waiter.Pause(ctx, l.g.state.jitter(leaderInterval)) {
-		if !l.g.stopping.Load() {
-			l.round(ctx)
-		}
+		l.round(ctx)
 	}
 	return nil
 }
@@ -104,6 +105,9 @@
 func (l *leader) round(ctx context.Context) {
 	l.roundMu.Lock()
 	defer l.roundMu.Unlock()
+	if l.g.stopping.Load() {
+		return
+	}
 	if l.eraKnown {
 		l.observeEra(l.g.cfg.Now(), l.g.cfg.Store.Era())
 	}
@@ -241,7 +245,8 @@
 }
 
 // release releases the lease when the process stops, so that another entry may take
-// it over at once. This process does not acquire it again.
+// it over at once. This process does not acquire it again. If a call to the cloud may
+// still be under way, the lease is left to expire.
 func (l *leader) release(ctx context.Context) {
 	l.roundMu.Lock()
 	defer l.roundMu.Unlock()
@@ -251,8 +256,14 @@
 	l.usage.reportEnded(ctx)
 	g := l.g
 	g.state.mu.Lock()
+	now := g.cfg.LeaseNow()
 	released, version := leaser.Lease{Fence: l.lease.Fence()}, l.lease.Version()
+	l.lease.Drop(now)
 	g.state.mu.Unlock()
+	if now.Before(l.unknownUntil) {
+		g.cfg.Log.Info().Str("event", "duty_not_released").Uint64("fence", released.Fence).Dur("unknown_for", l.unknownUntil.Sub(now)).Send()
+		return
+	}
 	result, err := l.writeLease(ctx, released, provider.Version(version))
 	g.cfg.Log.Info().Str("event", "duty_released").Uint64("fence", released.Fence).Bool("written", err == nil && result.Applied).Err(err).Send()
 }
--- a/internal/gateway/term.go
+++ b/internal/gateway/term.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/leaser"
@@ -66,13 +68,17 @@
 			}
 		}
 	}()
-	return t, call(provider.WithGuard(ctx, func() error {
+	err = call(provider.WithGuard(ctx, func() error {
 		now, err := l.currentTerm()
 		if err == nil && now.fence != t.fence {
 			err = provider.GuardFailed.New("the term with fence %d has ended", t.fence)
 		}
 		return err
 	}), t)
+	if err != nil && !errorx.IsOfType(err, provider.Refused) && !errorx.IsOfType(err, provider.GuardFailed) {
+		l.unknownUntil = l.g.cfg.LeaseNow().Add(leaseMargin)
+	}
+	return t, err
 }
 
 // commit makes a change of the leader. It takes effect only while the lease's row is that
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -141,6 +141,13 @@
 	l.actedUntil = l.heldUntil
 }
 
+// Drop ends this node's term at now, before it releases the lease or lets it expire.
+func (l *Leaser) Drop(now time.Time) {
+	if l.Holds(now) {
+		l.heldUntil, l.actedUntil = now, now
+	}
+}
+
 // Holds reports whether this node holds the lease at now.
 func (l *Leaser) Holds(now time.Time) bool {
 	return l.lease.Holder == l.cfg.Holder && now.Before(l.heldUntil)
