internal/gateway: the end of a call follows from one look at the clock

A pause of 249 ms between two looks at the clock moved the end of a call from 250 ms to 1 ms before the lease expires (TestPauseAtTheBeginningOfACall failed). The moment from which a call's time counts is now the one at which the lease was looked at. An order that was not sent is neither counted nor logged as an order, and changes that are not sent have the same error as calls.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -324,9 +324,14 @@
 	sentAt := f.g.cfg.Now()
 	t, err := f.leader.callCloud(ctx, func(ctx context.Context, t term) error {
 		return f.g.cfg.Cloud.Order(ctx, FleetOrder{
-			Deployment: d.Name, FailureDomain: c.domain, Reclaimable: c.reclaimable, VMs: vms, Holder: t.holder, Fence: t.fence,
+			Deployment: d.Name, FailureDomain: c.domain, Reclaimable: c.reclaimable, VMs: vms, Holder: t.entry, Fence: t.fence,
 		})
 	})
+	if errorx.IsOfType(err, provider.GuardFailed) {
+		f.g.cfg.Log.Warn().Str("event", "fleet_order_not_sent").Str("deployment", d.Name).Str("failure_domain", c.domain).
+			Bool("reclaimable", c.reclaimable).Int("vms", vms).Uint64("fence", t.fence).Err(err).Send()
+		return true
+	}
 	f.g.metrics.Count("fleet_orders")
 	line := f.g.cfg.Log.Info().Str("event", "fleet_ordered").Str("deployment", d.Name).Str("failure_domain", c.domain).
 		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", ready).Float64("needed", s.demandTarget).Uint64("fence", t.fence).
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -28,7 +28,8 @@
 )
 
 // Cloud receives the leader's calls on behalf of all entries. An error means that
-// the outcome is unknown, unless the error has type provider.Refused.
+// the outcome is unknown, unless the error has type provider.Refused or
+// provider.GuardFailed.
 type Cloud interface {
 	Report(ctx context.Context, usage Usage) error
 	Order(ctx context.Context, order FleetOrder) error
--- a/internal/gateway/leader_test.go
+++ b/internal/gateway/leader_test.go
@@ -90,7 +90,7 @@
 	l.round(context.Background())
 	if l.holdsLease() {
 		_, err := l.callCloud(context.Background(), func(ctx context.Context, term term) error {
-			return m.cloud.Order(ctx, FleetOrder{Holder: term.holder, Fence: term.fence})
+			return m.cloud.Order(ctx, FleetOrder{Holder: term.entry, Fence: term.fence})
 		})
 		require.NoError(m.t, err)
 	}
@@ -231,7 +231,7 @@
 	}
 	require.Zero(t, m.clients[0].doDelayed())
 	_, err = m.entries[0].leader.commit(context.Background(), change)
-	require.True(t, errorx.IsOfType(err, provider.Refused), "its term has ended")
+	require.True(t, errorx.IsOfType(err, provider.GuardFailed), "its term has ended")
 	result, err := m.entries[1].leader.commit(context.Background(), change)
 	require.NoError(t, err)
 	require.True(t, result.Applied)
--- a/internal/gateway/term.go
+++ b/internal/gateway/term.go
@@ -23,19 +23,19 @@
 
 // term is a term of this entry as the leader, at one moment.
 type term struct {
-	holder string
-	fence  uint64
+	entry string
+	fence uint64
 	// version is that of the lease's row, left the time until the leader stops acting.
 	version provider.Version
 	left    time.Duration
 }
 
-// currentTerm returns an error of type provider.GuardFailed if the entry may not act as
-// the leader.
-func (l *leader) currentTerm() (term, error) {
+// termAt returns an error of type provider.GuardFailed if the entry may not act as the
+// leader at now.
+func (l *leader) termAt(now time.Time) (term, error) {
 	l.g.state.mu.Lock()
 	defer l.g.state.mu.Unlock()
-	t := term{holder: l.g.cfg.ID, fence: l.lease.Fence(), version: provider.Version(l.lease.Version()), left: l.lease.Left(l.g.cfg.LeaseNow())}
+	t := term{entry: l.g.cfg.ID, fence: l.lease.Fence(), version: provider.Version(l.lease.Version()), left: l.lease.Left(now)}
 	if t.left <= 0 {
 		return t, provider.GuardFailed.New("the term with fence %d has ended", t.fence)
 	}
@@ -43,33 +43,39 @@
 }
 
 func (l *leader) holdsLease() bool {
-	_, err := l.currentTerm()
+	_, err := l.termAt(l.g.cfg.LeaseNow())
 	return err == nil
 }
 
 // callCloud makes a call to the cloud in the current term and returns the term. The call
-// is not sent after the term has ended, also if the process was paused, and is given up
+// is not written after the term has ended, also if the process was paused, and is given up
 // before the lease expires. An error of type provider.GuardFailed means that it was not
-// sent.
+// sent, or not to its end.
 func (l *leader) callCloud(ctx context.Context, call func(ctx context.Context, t term) error) (term, error) {
-	t, err := l.currentTerm()
+	sentAt := l.g.cfg.LeaseNow()
+	t, err := l.termAt(sentAt)
 	if err != nil {
 		return t, err
 	}
 	timeout := min(cloudCallTimeout, t.left+leaseMargin-arrivalMargin)
-	giveUpAt := l.g.cfg.LeaseNow().Add(timeout)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	watched := make(chan struct{})
 	go func() {
-		// The timer of the context stands still while the machine is suspended.
+		defer close(watched)
+		// The process may have been paused before the timer of the context was set, and
+		// the timer stands still while the machine is suspended.
 		for waiter.Pause(ctx, termCheckInterval) {
-			if !l.g.cfg.LeaseNow().Before(giveUpAt) {
+			if l.g.cfg.LeaseNow().Sub(sentAt) >= timeout {
 				cancel()
 			}
 		}
 	}()
+	defer func() {
+		cancel()
+		<-watched
+	}()
 	err = call(provider.WithGuard(ctx, func() error {
-		now, err := l.currentTerm()
+		now, err := l.termAt(l.g.cfg.LeaseNow())
 		if err == nil && now.fence != t.fence {
 			err = provider.GuardFailed.New("the term with fence %d has ended", t.fence)
 		}
@@ -82,11 +88,12 @@
 }
 
 // commit makes a change of the leader. It takes effect only while the lease's row is that
-// of the current term, however late the store does it.
+// of the current term, however late the store does it. An error of type
+// provider.GuardFailed means that it was not sent.
 func (l *leader) commit(ctx context.Context, change provider.Commit) (provider.CommitResult, error) {
-	t, err := l.currentTerm()
+	t, err := l.termAt(l.g.cfg.LeaseNow())
 	if err != nil {
-		return provider.CommitResult{}, provider.Refused.Wrap(err, "commit")
+		return provider.CommitResult{}, err
 	}
 	lease := provider.StoreRow{Table: l.g.cfg.Tables.Leases, Key: leaseKey, Version: t.version}
 	change.Expect = append(change.Expect, lease)
--- a/internal/gateway/term_test.go
+++ b/internal/gateway/term_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/pkg/leaser"
 )
 
 const testGap = 3 * time.Second
@@ -42,3 +44,27 @@
 	require.Equal(t, version, m.store.number)
 	require.False(t, l.holdsLease())
 }
+
+// The process was paused between two looks at the clock, and a call lasted until the end
+// of the lease.
+func TestPauseAtTheBeginningOfACall(t *testing.T) {
+	g, c := newGateway(t, &fakeCloud{})
+	start, looks := c.now, 0
+	g.leader = newLeader(g)
+	g.leader.lease.RecordWrite(start, 1, leaser.Lease{Holder: processName(g.cfg.ID, g.boot), Fence: 1})
+	now := start.Add(2750 * time.Millisecond)
+	g.cfg.LeaseNow = func() time.Time {
+		if looks++; looks == 2 {
+			now = now.Add(249 * time.Millisecond)
+		}
+		return now
+	}
+	_, err := g.leader.callCloud(context.Background(), func(ctx context.Context, _ term) error {
+		deadline, bounded := ctx.Deadline()
+		require.True(t, bounded)
+		end := now.Add(time.Until(deadline)).Sub(start)
+		require.LessOrEqual(t, end, testGap+leaseHeadroom-arrivalMargin)
+		return nil
+	})
+	require.NoError(t, err)
+}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -140,7 +140,7 @@
 	}
 	sentAt := u.g.cfg.Now()
 	t, err := u.leader.callCloud(ctx, func(ctx context.Context, t term) error {
-		return u.g.cfg.Cloud.Report(ctx, Usage{Window: w, Counts: counts, Holder: t.holder, Fence: t.fence})
+		return u.g.cfg.Cloud.Report(ctx, Usage{Window: w, Counts: counts, Holder: t.entry, Fence: t.fence})
 	})
 	took := u.g.cfg.Now().Sub(sentAt)
 	if err != nil {
@@ -180,7 +180,7 @@
 		// Unless the store refused the write, its outcome is unknown until the row is
 		// read.
 		u.g.cfg.Log.Warn().Str("event", "usage_not_agreed").Int64("window", w).Err(err).Send()
-		if !errorx.IsOfType(err, provider.Refused) {
+		if !errorx.IsOfType(err, provider.Refused) && !errorx.IsOfType(err, provider.GuardFailed) {
 			if readErr := u.leader.readLease(ctx); readErr != nil {
 				u.g.cfg.Log.Debug().Str("event", "lease_not_read").Err(readErr).Send()
 			}
