internal/gateway: the wait in a new era is a whole lease, also for entries that know no other

Two leaders: an entry that had not read the lease in an earlier era, or had just started, took a released or missing row at once while the leader of the lost row still acted (TestFirstReadOfTheLeaseInALaterEra, TestStartInALaterEra failed). And the wait was the leader gap of 3 s, while a call of the lost term may last 3.75 s after its last renewal (TestTakeOverInALaterEraWaitsForCalls failed: 3.01 s). Every entry follows the era from its start now and waits a lease of 4 s.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -44,9 +44,8 @@
 	fleet *fleetManager
 	moves *moveManager
 	// era is the era of the store that the leader's work is based on. eraSeenAt is when
-	// it was first seen, zero if the process has seen no other.
+	// it was first seen, zero if the store has sent none.
 	era       uint64
-	eraKnown  bool
 	eraSeenAt time.Time
 	// wasLeader reports whether the entry was the leader when observeTerm was last called.
 	// termEndedAt is when its last term had ended, zero if it had none.
@@ -109,9 +108,7 @@
 	if l.g.stopping.Load() {
 		return
 	}
-	if l.eraKnown {
-		l.observeEra(l.g.cfg.Now(), l.g.cfg.Store.Era())
-	}
+	l.observeEra(l.g.cfg.Now(), l.g.cfg.Store.Era())
 	l.observeTerm(l.g.cfg.LeaseNow())
 	l.acquireOrRenew(ctx)
 	l.fleet.measureAll()
@@ -139,10 +136,6 @@
 
 // observeEra resets what is based on rows of an earlier era of the store.
 func (l *leader) observeEra(now time.Time, era uint64) {
-	if !l.eraKnown {
-		l.era, l.eraKnown = era, true
-		return
-	}
 	if era <= l.era {
 		return
 	}
@@ -172,7 +165,7 @@
 	version := l.lease.Version()
 	// After the store has returned from an older copy, the row may be missing, or show a
 	// release, although another entry has acquired the lease since.
-	eraSettled := l.eraSeenAt.IsZero() || eraAge >= g.cfg.MinLeaderGap
+	eraSettled := l.eraSeenAt.IsZero() || eraAge >= g.cfg.MinLeaderGap+leaseHeadroom
 	wasLeader, status := l.lease.Holds(sentAt), l.lease.Status(sentAt)
 	ok = ok && (eraSettled || wasLeader || status.Vacancy == leaser.Expired)
 	g.state.mu.Unlock()
--- a/internal/gateway/term_test.go
+++ b/internal/gateway/term_test.go
@@ -68,3 +68,59 @@
 	})
 	require.NoError(t, err)
 }
+
+// modelInEra returns a model whose store is in its first era and has a copy in which the
+// lease was released by the last of three entries.
+func modelInEra(t *testing.T) (*leaderModel, *clock) {
+	clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+	m := newLeaderModel(t, clock, newTurnCloud(t, clock.read, testGap), 3)
+	m.store.era = 1
+	m.store.takeCopy()
+	for range 2 {
+		m.round(2)
+		clock.advance(testGap + leaseHeadroom)
+	}
+	m.round(2)
+	m.entries[2].leader.release(context.Background())
+	m.store.takeCopy()
+	m.round(0)
+	clock.advance(20 * time.Second)
+	m.round(0)
+	require.True(t, m.entries[0].leader.holdsLease())
+	return m, clock
+}
+
+// The store returned from a copy in which the lease was released. An entry that had not
+// read the lease before took it at once, while the leader of the lost row acted.
+func TestFirstReadOfTheLeaseInALaterEra(t *testing.T) {
+	m, _ := modelInEra(t)
+	m.store.returnTo(1)
+	m.round(1)
+	require.LessOrEqual(t, m.leaders(), 1)
+}
+
+// The store returned from a copy without the lease. An entry that started then took it at
+// once, while the leader of the lost row acted.
+func TestStartInALaterEra(t *testing.T) {
+	m, _ := modelInEra(t)
+	m.store.returnTo(0)
+	m.start(1)
+	m.round(1)
+	require.LessOrEqual(t, m.leaders(), 1)
+}
+
+// The lease of an earlier era was taken over while calls of its last holder could still be
+// under way.
+func TestTakeOverInALaterEraWaitsForCalls(t *testing.T) {
+	m, clock := modelInEra(t)
+	m.entries[1].leader.observeEra(clock.now, 1)
+	renewed := clock.now
+	m.store.returnTo(1)
+	m.clients[0].unreachable = true
+	for !m.entries[1].leader.holdsLease() {
+		m.round(1)
+		clock.advance(10 * time.Millisecond)
+	}
+	lastArrival := testGap + leaseHeadroom - arrivalMargin
+	require.GreaterOrEqual(t, clock.now.Sub(renewed), lastArrival)
+}
