internal/gateway: fences rise over a lease row that was lost or spoilt

Two holders of one fence: after the lease's row was deleted, or replaced by {} or null, fences began again at 1, and with a row that can't be decoded there was no leader any more, with a line each round. Found by review.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -228,11 +228,9 @@
 	l.observeRow(readAt, lease)
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	if l.era > 0 {
-		// A take-over replaces a row of this version. In the order of eras and numbers
-		// no two replace the same one, and a later one replaces a newer one.
-		l.lease.SetMinFence(minFence)
-	}
+	// A take-over replaces a row of this version. In the order of eras and numbers no two
+	// replace the same one, and a later one replaces a newer one, also if the row is lost.
+	l.lease.SetMinFence(minFence)
 	clear(l.usage.eras)
 	l.usage.addAgreedRows(page)
 	return nil
--- a/internal/gateway/term.go
+++ b/internal/gateway/term.go
@@ -17,6 +17,9 @@
 	// lease of its term expires: it may arrive after its sender has given it up.
 	cloudCallTimeout = time.Second
 	arrivalMargin    = 250 * time.Millisecond
+	// unknownHolder stands for the holder of a lease whose row is invalid, which expires as
+	// any other.
+	unknownHolder = "unknown"
 	// termCheckInterval is the time between two looks at the lease during a call.
 	termCheckInterval = 50 * time.Millisecond
 )
@@ -113,9 +116,9 @@
 func (l *leader) observeRow(now time.Time, row provider.StoreRow) {
 	var lease leaser.Lease
 	if row.Version != 0 {
-		if err := json.Unmarshal(row.Value, &lease); err != nil {
+		if err := json.Unmarshal(row.Value, &lease); err != nil || lease.Fence == 0 {
 			l.g.cfg.Log.Error().Str("event", "lease_invalid").Uint64("row_version", row.Version.Number()).Err(err).Send()
-			return
+			lease = leaser.Lease{Holder: unknownHolder}
 		}
 	}
 	l.g.state.mu.Lock()
--- a/internal/gateway/term_test.go
+++ b/internal/gateway/term_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/pkg/leaser"
 )
 
@@ -124,3 +125,34 @@
 	lastArrival := testGap + leaseHeadroom - arrivalMargin
 	require.GreaterOrEqual(t, clock.now.Sub(renewed), lastArrival)
 }
+
+// The lease's row was deleted or spoilt: fences began again at 1, a row without a holder
+// was taken for a released lease, and with one that can't be decoded there was no leader
+// any more.
+func TestSpoiltLeaseRows(t *testing.T) {
+	for _, value := range []string{"", "{}", "null", "[", `{"holder":7}`} {
+		clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+		m := newLeaderModel(t, clock, newTurnCloud(t, clock.read, testGap), 2)
+		clock.advance(20 * time.Second)
+		m.round(0)
+		fence := m.entries[0].leader.lease.Fence()
+		m.clients[0].unreachable = true
+		key := "leases/" + leaseKey
+		m.store.number++
+		if value == "" {
+			delete(m.store.rows, key)
+			clock.advance(testGap + leaseHeadroom)
+		} else {
+			m.store.rows[key] = provider.StoreRow{Table: "leases", Key: leaseKey, Value: []byte(value), Version: provider.Version(m.store.number)}
+		}
+		spoiltAt := clock.now
+		for !m.entries[1].leader.holdsLease() {
+			require.Less(t, clock.now.Sub(spoiltAt), 10*time.Second, "%q", value)
+			m.round(0)
+			m.round(1)
+			require.LessOrEqual(t, m.leaders(), 1, "%q", value)
+			clock.advance(250 * time.Millisecond)
+		}
+		require.Greater(t, m.entries[1].leader.lease.Fence(), fence, "%q", value)
+	}
+}
