internal/gateway: a row of an entry that has left is not written again

The store may do a write seconds later: a write of an entry's row took effect after the stopping entry had deleted the row. The write is conditional on the row's version now; a process that does not know it learns it from the failed try, one more call at the start. The first write of a row that does not exist yet may still be late. Found by review.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/galenahitch/galenahitch/internal/gossiper"
 	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/pooler"
+	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/internal/waiter"
 )
 
@@ -53,6 +54,10 @@
 	quarantineFollower *follower.Follower
 	leader             *leader
 
+	// memberRowVersion is the version of this entry's row in the table of entries, 0 if it
+	// is not known. Only maintainMemberRow uses it.
+	memberRowVersion provider.Version
+
 	openRequests atomic.Int64
 	stopping     atomic.Bool
 	// stoppingSince is when the drain began. It is set before the field stopping
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/accountant"
@@ -26,6 +28,10 @@
 	// if it has returned from an older copy.
 	memberRowGrace = 10 * time.Second
 	eraWriteDelay  = time.Second
+	// memberRowTries is the number of tries of a write whose condition fails: a version of
+	// an earlier era is forgotten in the first, and that of the copy's row read in the
+	// second.
+	memberRowTries = 3
 	// memberRowRetryDelay is the delay after a failed write of the row.
 	memberRowRetryDelay = 500 * time.Millisecond
 )
@@ -181,8 +187,30 @@
 	if err != nil {
 		return err
 	}
-	_, err = g.cfg.Store.Commit(ctx, provider.Commit{Put: []provider.StoreRow{{Table: g.cfg.Tables.Entries, Key: g.cfg.ID, Value: value}}})
-	return err
+	return g.putMemberRow(ctx, provider.StoreRow{Table: g.cfg.Tables.Entries, Key: g.cfg.ID, Value: value})
+}
+
+// putMemberRow replaces this entry's row. The write is conditional on the row's version,
+// so that it has no effect if the store does it after the row was deleted.
+func (g *Gateway) putMemberRow(ctx context.Context, row provider.StoreRow) error {
+	for range memberRowTries {
+		expect := provider.StoreRow{Table: row.Table, Key: row.Key, Version: g.memberRowVersion}
+		result, err := g.cfg.Store.Commit(ctx, provider.Commit{Expect: []provider.StoreRow{expect}, Put: []provider.StoreRow{row}})
+		switch {
+		case err == nil && result.Applied:
+			g.memberRowVersion = result.Version
+			return nil
+		case err != nil && (g.memberRowVersion == 0 || !errorx.IsOfType(err, provider.Refused)):
+			return err
+		}
+		g.memberRowVersion = 0
+		for _, current := range result.Current {
+			if current.Table == row.Table && current.Key == row.Key {
+				g.memberRowVersion = current.Version
+			}
+		}
+	}
+	return provider.Refused.New("the row changes")
 }
 
 func (g *Gateway) deleteMemberRow(ctx context.Context) {
