internal/server: a roll-back replaces the end that the leader has stored

Callers could get a version that had been rolled back: if the leader's write of a move's end took effect just before another entry rolled the move back, or reached the table late, the row said that the move was done for good. Entries with the roll-back in memory kept it, but those that started later, or all after a restart, read the row and served the new version.

Cause: syncMoves wrote a local end only over a row that was in progress. mover.Merge puts a roll-back before an end, but the merged state was never stored.

Evidence: TestLateEndDoesNotUndoARollBack failed before ("taken_back" expected, "done" seen, the end first). The other order, a late end after the roll-back, passed before: the write is conditional on the row's version. Why it works: the row now takes each ended state that has precedence, so it converges to the join of what entries know.

--- a/internal/server/leader_test.go
+++ b/internal/server/leader_test.go
@@ -61,3 +61,34 @@
 	_, err = s.startMove(context.Background(), "ana", "s", "v5", 0)
 	require.ErrorContains(t, err, "a move to v4 goes on")
 }
+
+// The leader's write of a move's end took effect just before a roll-back, and stayed in
+// the row: entries that started later served the version that was rolled back.
+func TestLateEndDoesNotUndoARollBack(t *testing.T) {
+	open := mover.Start(time.Now(), mover.Move{ID: "m1", Epoch: 1, Deployment: "s", From: "v1", To: "v2"}, "ana", time.Minute)
+	done := open
+	done.State = mover.Done
+	done.Revision++
+	value, err := json.Marshal(done)
+	require.NoError(t, err)
+	for _, endFirst := range []bool{true, false} {
+		platform := emulator.NewPlatform(time.Now)
+		writeMoveRow(t, platform, open)
+		late := provider.Put{Key: movePrefix + "s", Value: value, Expect: 1}
+		s := testServer(t, "e1", platform, nil)
+		s.state.mergeMove(mover.RollBack(time.Now(), open, "system", "failures"))
+		if endFirst {
+			_, err = platform.Put(context.Background(), late)
+			require.NoError(t, err)
+		}
+		s.syncMoves(context.Background())
+		if !endFirst {
+			_, err = platform.Put(context.Background(), late)
+			require.NoError(t, err)
+		}
+		s.syncMoves(context.Background())
+		restarted := testServer(t, "e2", platform, nil)
+		restarted.syncMoves(context.Background())
+		require.Equal(t, mover.RolledBack, restarted.move("s").State, "the end first: %t", endFirst)
+	}
+}
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -9,6 +9,7 @@
 	"github.com/galenahitch/galenahitch/internal/messenger"
 	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/internal/waiter"
+	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/planner"
 	"github.com/galenahitch/galenahitch/pkg/recorder"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -92,13 +93,14 @@
 	s.state.dropOldNotices(s.now())
 }
 
-// syncMoves reads the stored moves. If a stored move is in progress but has ended in
-// this entry's state, for example by a roll-back while the platform was down, it
-// writes the ended move.
+// syncMoves reads the stored moves. If a move has ended in this entry's state, and that
+// end takes precedence over the stored state, it writes the ended move: the row may
+// still be in progress after a roll-back while the platform was down, or hold the end
+// that the leader wrote while this entry rolled the move back.
 func (s *Server) syncMoves(ctx context.Context) {
 	for _, stored := range s.readMoves(ctx) {
 		local := s.move(stored.Deployment)
-		if local.Epoch == stored.Epoch && !local.InProgress() && stored.InProgress() {
+		if local.Epoch == stored.Epoch && !local.InProgress() && !mover.Merge(stored.Move, local).SameState(stored.Move) {
 			s.writeMove(ctx, local, stored.rowVersion)
 		}
 	}
