internal/server: the log tells why a term began and ended and what each order met

The end of a term left no line; lease_taken did not say why the lease was free, whose it was or when this entry's last term ended, and was not written at all when an entry took its own lapsed lease again. Orders had no line with the time that was left of the lease and their duration. Errors of reading and writing the lease, the moves, the offers, the notices and the audit trail were dropped.

Failed calls are counted by operation and log one line at the first of consecutive failures and one at the next success. start_refused is part of vm_start now.

TestTermsAndFailuresAreLogged checks the lines over an outage of the table; it does not build on the code before.

--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 
 	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/pkg/planner"
@@ -70,6 +71,7 @@
 	}
 	s.fleet.nextDecision = now.Add(fleetInterval)
 	offers, err := s.cfg.Cloud.Offers(ctx)
+	s.observeCall("offers", err)
 	if err != nil {
 		return
 	}
@@ -188,17 +190,15 @@
 			Token: uuid.NewString(), Fence: s.fleet.leader.leaser.Fence(), Deployment: d.Name, Version: s.currentVersion(d),
 			FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable,
 		}
-		reply, err := s.cfg.Cloud.Start(ctx, order)
+		reply, err := s.sendStart(ctx, order)
 		if err != nil {
 			// The token makes the second order idempotent: its reply says whether
 			// the first one took effect.
-			reply, err = s.cfg.Cloud.Start(ctx, order)
+			reply, err = s.sendStart(ctx, order)
 		}
 		if err != nil || reply.Refused {
 			prov.RecordRefusal(now, o.FailureDomain, o.Reclaimable)
 			s.metrics.Count("starts_refused")
-			s.cfg.Log.Info().Str("event", "start_refused").Str("deployment", d.Name).Str("failure_domain", o.FailureDomain).
-				Bool("reclaimable", o.Reclaimable).Str("why", reply.Reason).Err(err).Send()
 			return
 		}
 		prov.RecordStart(o.FailureDomain, o.Reclaimable)
@@ -210,6 +210,29 @@
 	}
 }
 
+// sendStart sends one order for a VM and logs it.
+func (s *Server) sendStart(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
+	sentAt, left := s.now(), s.fleet.leader.leaser.Left(s.now())
+	reply, err := s.cfg.Cloud.Start(ctx, order)
+	s.logOrder("vm_start", order.Fence, sentAt, left).Str("deployment", order.Deployment).Str("failure_domain", order.FailureDomain).
+		Bool("reclaimable", order.Reclaimable).Str("vm", reply.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
+	return reply, err
+}
+
+// sendStop sends one order to stop a VM and logs it.
+func (s *Server) sendStop(ctx context.Context, order provider.StopOrder) (provider.OrderReply, error) {
+	sentAt, left := s.now(), s.fleet.leader.leaser.Left(s.now())
+	reply, err := s.cfg.Cloud.Stop(ctx, order)
+	s.logOrder("vm_stop", order.Fence, sentAt, left).Str("vm", order.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
+	return reply, err
+}
+
+// logOrder begins a line about an order with its fence, the time that was left of the
+// lease when it was sent, and its duration.
+func (s *Server) logOrder(event string, fence uint64, sentAt time.Time, left time.Duration) *zerolog.Event {
+	return s.cfg.Log.Info().Str("event", event).Uint64("fence", fence).Dur("lease_left", left).Dur("took", s.now().Sub(sentAt))
+}
+
 // currentVersion returns the version that new VMs of a deployment start with.
 func (s *Server) currentVersion(d planner.Deployment) string {
 	if m := s.move(d.Name); m.ID != "" {
@@ -241,7 +264,7 @@
 		if now.Before(end) || !s.fleet.leader.leaser.Holds(s.now()) {
 			continue
 		}
-		reply, err := s.cfg.Cloud.Stop(ctx, provider.StopOrder{VMID: id, Fence: s.fleet.leader.leaser.Fence()})
+		reply, err := s.sendStop(ctx, provider.StopOrder{VMID: id, Fence: s.fleet.leader.leaser.Fence()})
 		if err != nil || reply.Refused {
 			continue
 		}
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -39,6 +39,11 @@
 type leader struct {
 	name   string
 	leaser *leaser.Leaser
+	// wasLeader reports whether the entry was the leader when observeTerm was last called.
+	// termStartedAt and termEndedAt are the times of its last term, zero if it had none.
+	wasLeader     bool
+	termStartedAt time.Time
+	termEndedAt   time.Time
 }
 
 func newLeader(cfg Config, name string) *leader {
@@ -52,16 +57,32 @@
 func (s *Server) runAsLeader(lead *leader, work func(context.Context)) func(context.Context) error {
 	return func(ctx context.Context) error {
 		for {
+			s.observeTerm(lead)
 			if s.acquireOrRenew(ctx, lead) {
 				work(ctx)
 			}
 			if !waiter.Pause(ctx, s.leaderPollInterval(lead)) {
+				s.observeTerm(lead)
 				return nil
 			}
 		}
 	}
 }
 
+// observeTerm logs the end of a term, with the state of the lease that ended it.
+func (s *Server) observeTerm(lead *leader) {
+	now := s.now()
+	holds := lead.leaser.Holds(now)
+	if lead.wasLeader && !holds {
+		lead.termEndedAt = now
+		refusing, _ := s.state.refusesRequests()
+		s.cfg.Log.Warn().Str("event", "lease_lost").Str("duty", lead.name).Uint64("fence", lead.leaser.Fence()).
+			Str("holder", lead.leaser.Holder()).Bool("refusing", refusing).Dur("row_age", lead.leaser.Status(now).Age).
+			Dur("held", now.Sub(lead.termStartedAt)).Send()
+	}
+	lead.wasLeader = holds
+}
+
 // leaderPollInterval is the time to the next round. It is short for the leader
 // only; other entries read the lease rarely.
 func (s *Server) leaderPollInterval(lead *leader) time.Duration {
@@ -78,39 +99,66 @@
 	l := lead.leaser
 	if !l.Holds(s.now()) || l.Version() == 0 {
 		row, err := s.cfg.Table.Get(ctx, leasePrefix+lead.name)
-		if err != nil {
+		s.observeCall("lease_read", err)
+		if err != nil || !s.observeLease(l, row) {
 			return false
 		}
-		var lease leaser.Lease
-		_ = json.Unmarshal(row.Value, &lease)
-		l.Observe(s.now(), row.Version, lease)
 	}
 	refusing, _ := s.state.refusesRequests()
-	proposed, due := l.ProposeWrite(s.now())
+	sentAt := s.now()
+	proposed, due := l.ProposeWrite(sentAt)
 	if refusing || !due {
 		return l.Holds(s.now())
 	}
 	proposed.Nonce = uuid.NewString()
 	value, _ := json.Marshal(proposed)
-	sentAt := s.now()
-	acquired := l.Holder() != s.cfg.Self.ID
+	s.observeTerm(lead)
+	renewal, status := l.Holds(sentAt), l.Status(sentAt)
 	result, err := provider.PutWithReadBack(ctx, s.cfg.Table, provider.Put{Key: leasePrefix + lead.name, Value: value, Expect: l.Version()})
+	s.observeCall("lease_write", err)
 	if err != nil {
 		return l.Holds(s.now())
 	}
 	if !result.Applied {
-		var lease leaser.Lease
-		_ = json.Unmarshal(result.Row.Value, &lease)
-		l.Observe(s.now(), result.Row.Version, lease)
+		s.observeLease(l, result.Row)
 		return false
 	}
 	l.RecordWrite(sentAt, result.Row.Version, proposed)
-	if acquired {
-		s.cfg.Log.Info().Str("event", "lease_taken").Str("duty", lead.name).Uint64("fence", proposed.Fence).Send()
+	if !renewal {
+		s.logTakeOver(lead, proposed, status, sentAt)
 	}
 	return l.Holds(s.now())
 }
 
+// observeLease passes a row that was just read to the leaser. It returns false if the row
+// can't be decoded.
+func (s *Server) observeLease(l *leaser.Leaser, row provider.Row) bool {
+	var lease leaser.Lease
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &lease); err != nil {
+			s.observeCall("lease_decode", err)
+			return false
+		}
+	}
+	s.observeCall("lease_decode", nil)
+	l.Observe(s.now(), row.Version, lease)
+	return true
+}
+
+// logTakeOver logs the start of a term: why the lease was free, how old the observation
+// was on which the take-over rests, and how long ago this entry's last term ended.
+func (s *Server) logTakeOver(lead *leader, lease leaser.Lease, status leaser.Status, sentAt time.Time) {
+	now := s.now()
+	line := s.cfg.Log.Info().Str("event", "lease_taken").Str("duty", lead.name).Uint64("fence", lease.Fence).
+		Str("reason", string(status.Vacancy)).Str("previous", status.Holder).Dur("row_age", status.Age).
+		Dur("took", now.Sub(sentAt)).Dur("lease_left", lead.leaser.Left(now))
+	if !lead.termEndedAt.IsZero() {
+		line.Dur("own_term_ended", sentAt.Sub(lead.termEndedAt))
+	}
+	line.Send()
+	lead.termStartedAt, lead.wasLeader = now, true
+}
+
 // storedMove is a move as stored in the platform's table, with its row's version.
 type storedMove struct {
 	mover.Move
@@ -121,13 +169,16 @@
 // and merges the moves into the entry's state.
 func (s *Server) readMoves(ctx context.Context) []storedMove {
 	rows, err := s.cfg.Table.Scan(ctx, provider.Scan{Prefix: movePrefix})
+	s.observeCall("moves", err)
 	if err != nil {
 		return nil
 	}
 	var moves []storedMove
 	for _, row := range rows {
 		var m mover.Move
-		if json.Unmarshal(row.Value, &m) != nil {
+		err := json.Unmarshal(row.Value, &m)
+		s.observeCall("move_decode", err)
+		if err != nil {
 			continue
 		}
 		s.applyMove(m)
@@ -192,6 +243,7 @@
 func (s *Server) writeMove(ctx context.Context, m mover.Move, rowVersion uint64) bool {
 	value, _ := json.Marshal(m)
 	result, err := provider.PutWithReadBack(ctx, s.cfg.Table, provider.Put{Key: movePrefix + m.Deployment, Value: value, Expect: rowVersion})
+	s.observeCall("move_write", err)
 	return err == nil && result.Applied
 }
 
--- a/internal/server/leader_test.go
+++ b/internal/server/leader_test.go
@@ -1,11 +1,14 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenahitch/galenahitch/internal/emulator"
@@ -92,3 +95,35 @@
 		require.Equal(t, mover.RolledBack, restarted.move("s").State, "the end first: %t", endFirst)
 	}
 }
+
+// Neither the end of a term nor a failed call to the table left a line, so the log did not
+// tell why a leader had stopped.
+func TestTermsAndFailuresAreLogged(t *testing.T) {
+	clock := newTestClock()
+	platform := emulator.NewPlatform(clock.Now)
+	fault := 5
+	table := &lossyTable{Table: platform, nextFault: func() int { return fault }}
+	s := newFleetLeader(t, clock, platform)
+	var log bytes.Buffer
+	s.cfg.Table, s.cfg.Log = table, zerolog.New(&log)
+	lead := newLeader(s.cfg, fleetLeadership)
+	require.True(t, s.acquireOrRenew(context.Background(), lead))
+	fault = 0
+	for range 20 {
+		clock.now = clock.now.Add(s.cfg.LeaseLifetime / 4)
+		s.observeTerm(lead)
+		s.acquireOrRenew(context.Background(), lead)
+	}
+	fault = 5
+	clock.now = clock.now.Add(s.cfg.LeaseLifetime)
+	require.True(t, s.acquireOrRenew(context.Background(), lead))
+	for event, lines := range map[string]int{
+		`"event":"lease_taken","duty":"fleet","fence":1,"reason":"unused"`:                  1,
+		`"event":"lease_taken","duty":"fleet","fence":2,"reason":"expired","previous":"e1"`: 1,
+		`"event":"lease_lost","duty":"fleet","fence":1,"holder":"e1"`:                       1,
+		`"event":"platform_unreachable"`:                                                    2,
+		`"event":"platform_reachable"`:                                                      2,
+	} {
+		require.Equal(t, lines, strings.Count(log.String(), event), "%s in\n%s", event, log.String())
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -32,6 +32,10 @@
 	exchangesMu   sync.Mutex
 	openExchanges map[string]bool
 
+	failuresMu sync.Mutex
+	// failures counts the consecutive failures of each kind of call to the platform.
+	failures map[string]int
+
 	baseContext context.Context
 	cancel      context.CancelFunc
 }
@@ -50,6 +54,7 @@
 		gossipNow:     make(chan struct{}, 1),
 		outcomes:      newOutcomeQueue(),
 		openExchanges: map[string]bool{},
+		failures:      map[string]int{},
 		baseContext:   base,
 		cancel:        cancel,
 	}
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -57,7 +57,7 @@
 	rows, err := s.cfg.Table.Scan(ctx, provider.Scan{
 		Prefix: planner.KeyPrefix, After: planner.Key(s.state.generation()), Reverse: true, Limit: 1,
 	})
-	s.countUnreachable("table", err)
+	s.observeCall("table", err)
 	if err != nil || len(rows) == 0 {
 		return
 	}
@@ -78,7 +78,7 @@
 // syncVMs reads the VM list from the platform.
 func (s *Server) syncVMs(ctx context.Context) {
 	vms, err := s.cfg.Cloud.VMs(ctx)
-	s.countUnreachable("vm_list", err)
+	s.observeCall("vm_list", err)
 	if err == nil {
 		s.state.applyVMList(s.now(), vms)
 	}
@@ -87,6 +87,7 @@
 // syncNotices reads the reclaim notices from the platform and drops old ones.
 func (s *Server) syncNotices(ctx context.Context) {
 	notices, err := s.cfg.Cloud.Notices(ctx)
+	s.observeCall("notices", err)
 	if err == nil {
 		s.handleNotices(notices)
 	}
@@ -106,10 +107,23 @@
 	}
 }
 
-// countUnreachable counts a failed call to the platform.
-func (s *Server) countUnreachable(operation string, err error) {
-	if err != nil {
-		s.metrics.Count("platform_unreachable_" + operation)
+// observeCall counts a call to the platform that failed. It logs the first of consecutive
+// failures of an operation, and their number after the next success.
+func (s *Server) observeCall(operation string, err error) {
+	s.failuresMu.Lock()
+	defer s.failuresMu.Unlock()
+	failures := s.failures[operation]
+	if err == nil {
+		if failures > 0 {
+			delete(s.failures, operation)
+			s.cfg.Log.Info().Str("event", "platform_reachable").Str("operation", operation).Int("failures", failures).Send()
+		}
+		return
+	}
+	s.failures[operation]++
+	s.metrics.Count("platform_unreachable_" + operation)
+	if failures == 0 {
+		s.cfg.Log.Warn().Str("event", "platform_unreachable").Str("operation", operation).Err(err).Send()
 	}
 }
 
@@ -178,7 +192,9 @@
 		value, _ := json.Marshal(record)
 		writes = append(writes, provider.Put{Key: record.Key(), Value: value})
 	}
-	if _, err := s.cfg.Table.Batch(ctx, writes); err != nil {
+	_, err := s.cfg.Table.Batch(ctx, writes)
+	s.observeCall("audit", err)
+	if err != nil {
 		return
 	}
 	now := s.now()
