internal/server: an order is repeated only while this entry is the leader

Orders of two entries could reach the cloud in turn: an order whose answer was lost was sent again at once, without another look at the lease.

Cause: the check stood before the pair of calls instead of before each one. It is in the functions that send an order now. An order that is not sent is no refusal of the cloud and does not exclude a class of VMs.

Evidence: TestRepeatedOrderNeedsTheLease failed before (2 orders, 1 expected).

--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"time"
@@ -179,13 +180,9 @@
 	return pools
 }
 
-// startVMs orders VMs one by one and stops at the first refusal. Each order is
-// sent only while this entry holds the lease, and carries its fencing token.
+// startVMs orders VMs one by one and stops at the first refusal.
 func (s *Server) startVMs(ctx context.Context, now time.Time, prov *provisioner.Provisioner, d planner.Deployment, o provisioner.Order) {
 	for range o.Change {
-		if !s.fleet.leader.leaser.Holds(s.now()) {
-			return
-		}
 		order := provider.StartOrder{
 			Token: uuid.NewString(), Fence: s.fleet.leader.leaser.Fence(), Deployment: d.Name, Version: s.currentVersion(d),
 			FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable,
@@ -196,6 +193,9 @@
 			// the first one took effect.
 			reply, err = s.sendStart(ctx, order)
 		}
+		if errors.Is(err, errNotLeader) {
+			return
+		}
 		if err != nil || reply.Refused {
 			prov.RecordRefusal(now, o.FailureDomain, o.Reclaimable)
 			s.metrics.Count("starts_refused")
@@ -210,18 +210,26 @@
 	}
 }
 
-// sendStart sends one order for a VM and logs it.
+// sendStart sends one order for a VM, if this entry is the leader, and logs it.
 func (s *Server) sendStart(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
-	sentAt, left := s.now(), s.fleet.leader.leaser.Left(s.now())
+	sentAt := s.now()
+	left := s.fleet.leader.leaser.Left(sentAt)
+	if left == 0 {
+		return provider.OrderReply{}, errNotLeader
+	}
 	reply, err := s.cfg.Cloud.Start(ctx, order)
 	s.logOrder("vm_start", order.Fence, sentAt, left).Str("deployment", order.Deployment).Str("failure_domain", order.FailureDomain).
 		Bool("reclaimable", order.Reclaimable).Str("vm", reply.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
 	return reply, err
 }
 
-// sendStop sends one order to stop a VM and logs it.
+// sendStop sends one order to stop a VM, if this entry is the leader, and logs it.
 func (s *Server) sendStop(ctx context.Context, order provider.StopOrder) (provider.OrderReply, error) {
-	sentAt, left := s.now(), s.fleet.leader.leaser.Left(s.now())
+	sentAt := s.now()
+	left := s.fleet.leader.leaser.Left(sentAt)
+	if left == 0 {
+		return provider.OrderReply{}, errNotLeader
+	}
 	reply, err := s.cfg.Cloud.Stop(ctx, order)
 	s.logOrder("vm_stop", order.Fence, sentAt, left).Str("vm", order.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
 	return reply, err
@@ -261,7 +269,7 @@
 // tried again in the next round.
 func (s *Server) stopDrained(ctx context.Context, now time.Time) {
 	for id, end := range s.fleet.drainEnds {
-		if now.Before(end) || !s.fleet.leader.leaser.Holds(s.now()) {
+		if now.Before(end) {
 			continue
 		}
 		reply, err := s.sendStop(ctx, provider.StopOrder{VMID: id, Fence: s.fleet.leader.leaser.Fence()})
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -9,6 +11,8 @@
 	"github.com/galenahitch/galenahitch/internal/emulator"
 	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/pkg/leaser"
+	"github.com/galenahitch/galenahitch/pkg/planner"
+	"github.com/galenahitch/galenahitch/pkg/provisioner"
 	"github.com/galenahitch/galenahitch/pkg/tracker"
 )
 
@@ -19,6 +23,27 @@
 
 func (c *testClock) Now() time.Time { return c.now }
 
+// orderingCloud is a cloud that calls start and stop, if set, in place of its own.
+type orderingCloud struct {
+	provider.Cloud
+	start func(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error)
+	stop  func(ctx context.Context, order provider.StopOrder) (provider.OrderReply, error)
+}
+
+func (o *orderingCloud) Start(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
+	if o.start == nil {
+		return o.Cloud.Start(ctx, order)
+	}
+	return o.start(ctx, order)
+}
+
+func (o *orderingCloud) Stop(ctx context.Context, order provider.StopOrder) (provider.OrderReply, error) {
+	if o.stop == nil {
+		return o.Cloud.Stop(ctx, order)
+	}
+	return o.stop(ctx, order)
+}
+
 // newFleetLeader returns a server that has just become the leader of the fleet.
 func newFleetLeader(t require.TestingT, clock *testClock, cloud provider.Cloud) *Server {
 	s := New(Config{
@@ -28,3 +53,21 @@
 	s.fleet.leader.leaser.RecordWrite(clock.now, 1, leaser.Lease{Holder: "e1", Fence: 1})
 	return s
 }
+
+var testDeployment = planner.Deployment{Name: "m", Version: "v1"}
+
+// An order whose answer was lost was repeated without another look at the lease,
+// although another entry could be the leader by then.
+func TestRepeatedOrderNeedsTheLease(t *testing.T) {
+	clock := newTestClock()
+	orders := 0
+	cloud := &orderingCloud{Cloud: emulator.NewPlatform(clock.Now)}
+	s := newFleetLeader(t, clock, cloud)
+	cloud.start = func(context.Context, provider.StartOrder) (provider.OrderReply, error) {
+		orders++
+		clock.now = clock.now.Add(s.cfg.LeaseLifetime)
+		return provider.OrderReply{}, errLost
+	}
+	s.startVMs(context.Background(), clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
+	require.Equal(t, 1, orders)
+}
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -34,6 +34,9 @@
 	fleetLeadership = "fleet"
 )
 
+// errNotLeader is the error of a call that was not sent, as this entry is not the leader.
+var errNotLeader = errors.New("not the leader")
+
 // leader is this entry's view of one lease; the entry is the leader while it
 // holds the lease.
 type leader struct {
