internal/server: orders end with the leader's term

An order could reach the cloud after orders of the next leader: it was sent until the end of the term and could last 2 s, the timeout of a call to the platform, but the margin between that end and the earliest take-over is a third of the lease's lifetime, 1 s by default.

Cause: two bounds that were set apart from each other. The context of an order ends with the term now, so the whole margin is left for what is in transit.

Evidence: TestOrdersEndWithTheTerm failed before (the context had no deadline at all).

--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -213,12 +213,13 @@
 // sendStart sends one order for a VM, if this entry is the leader, and logs it.
 func (s *Server) sendStart(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
 	sentAt := s.now()
-	left := s.fleet.leader.leaser.Left(sentAt)
-	if left == 0 {
-		return provider.OrderReply{}, errNotLeader
+	ctx, cancel, err := s.leaderContext(ctx, sentAt, s.fleet.leader)
+	if err != nil {
+		return provider.OrderReply{}, err
 	}
+	defer cancel()
 	reply, err := s.cfg.Cloud.Start(ctx, order)
-	s.logOrder("vm_start", order.Fence, sentAt, left).Str("deployment", order.Deployment).Str("failure_domain", order.FailureDomain).
+	s.logOrder("vm_start", order.Fence, sentAt).Str("deployment", order.Deployment).Str("failure_domain", order.FailureDomain).
 		Bool("reclaimable", order.Reclaimable).Str("vm", reply.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
 	return reply, err
 }
@@ -226,19 +227,20 @@
 // sendStop sends one order to stop a VM, if this entry is the leader, and logs it.
 func (s *Server) sendStop(ctx context.Context, order provider.StopOrder) (provider.OrderReply, error) {
 	sentAt := s.now()
-	left := s.fleet.leader.leaser.Left(sentAt)
-	if left == 0 {
-		return provider.OrderReply{}, errNotLeader
+	ctx, cancel, err := s.leaderContext(ctx, sentAt, s.fleet.leader)
+	if err != nil {
+		return provider.OrderReply{}, err
 	}
+	defer cancel()
 	reply, err := s.cfg.Cloud.Stop(ctx, order)
-	s.logOrder("vm_stop", order.Fence, sentAt, left).Str("vm", order.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
+	s.logOrder("vm_stop", order.Fence, sentAt).Str("vm", order.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
 	return reply, err
 }
 
 // logOrder begins a line about an order with its fence, the time that was left of the
 // lease when it was sent, and its duration.
-func (s *Server) logOrder(event string, fence uint64, sentAt time.Time, left time.Duration) *zerolog.Event {
-	return s.cfg.Log.Info().Str("event", event).Uint64("fence", fence).Dur("lease_left", left).Dur("took", s.now().Sub(sentAt))
+func (s *Server) logOrder(event string, fence uint64, sentAt time.Time) *zerolog.Event {
+	return s.cfg.Log.Info().Str("event", event).Uint64("fence", fence).Dur("lease_left", s.fleet.leader.leaser.Left(sentAt)).Dur("took", s.now().Sub(sentAt))
 }
 
 // currentVersion returns the version that new VMs of a deployment start with.
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -71,3 +71,34 @@
 	s.startVMs(context.Background(), clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
 	require.Equal(t, 1, orders)
 }
+
+// An order could last for the timeout of a call to the platform, which is longer than
+// the margin of the lease, and so reach the cloud after orders of the next leader.
+func TestOrdersEndWithTheTerm(t *testing.T) {
+	clock := newTestClock()
+	var left []time.Duration
+	record := func(ctx context.Context) {
+		deadline, ok := ctx.Deadline()
+		require.True(t, ok)
+		left = append(left, time.Until(deadline))
+	}
+	cloud := &orderingCloud{
+		start: func(ctx context.Context, _ provider.StartOrder) (provider.OrderReply, error) {
+			record(ctx)
+			return provider.OrderReply{VMID: "m9"}, nil
+		},
+		stop: func(ctx context.Context, _ provider.StopOrder) (provider.OrderReply, error) {
+			record(ctx)
+			return provider.OrderReply{VMID: "m9"}, nil
+		},
+	}
+	s := newFleetLeader(t, clock, cloud)
+	clock.now = clock.now.Add(s.cfg.LeaseLifetime / 3)
+	s.startVMs(context.Background(), clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
+	s.fleet.drainEnds["m9"] = clock.now
+	s.stopDrained(context.Background(), clock.now)
+	require.Len(t, left, 2)
+	for _, remaining := range left {
+		require.LessOrEqual(t, remaining, s.cfg.LeaseLifetime/3, "the time that is left of the term")
+	}
+}
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -162,6 +162,18 @@
 	lead.termStartedAt, lead.wasLeader = now, true
 }
 
+// leaderContext returns a context for one call that this entry sends as the leader. It
+// ends with the term: the margin of the lease is left for what is in transit then. The
+// error is errNotLeader if the entry is not the leader at now.
+func (s *Server) leaderContext(ctx context.Context, now time.Time, lead *leader) (context.Context, context.CancelFunc, error) {
+	left := lead.leaser.Left(now)
+	if left == 0 {
+		return nil, nil, errNotLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	return ctx, cancel, nil
+}
+
 // storedMove is a move as stored in the platform's table, with its row's version.
 type storedMove struct {
 	mover.Move
