internal/server: writes of a move end with the leader's term

A move could take its next step on the evidence of a leader whose term had ended: its write and the read-back were each bounded by 2 s only, of which up to 2 s lay after the term. The write is conditional on the row's version, so two leaders never both take a step, and a roll-back has precedence over whatever arrives late (TestLateEndDoesNotUndoARollBack); but the share of the new version could rise when the next leader would have held it.

Cause: as for orders; the write has the same context now.

Evidence: TestMovesAreAdvancedWithinTheTerm failed before (no deadline).

--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -221,9 +221,14 @@
 		return
 	}
 	next, event := mover.Advance(now, local, evidence, policy)
-	if event == "" || !s.moveLeader.leaser.Holds(s.now()) {
+	if event == "" {
 		return
 	}
+	ctx, cancel, err := s.leaderContext(ctx, s.now(), s.moveLeader)
+	if err != nil {
+		return
+	}
+	defer cancel()
 	if !s.writeMove(ctx, next, rowVersion) {
 		return
 	}
--- a/internal/server/leader_test.go
+++ b/internal/server/leader_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenahitch/galenahitch/internal/emulator"
 	"github.com/galenahitch/galenahitch/internal/provider"
+	"github.com/galenahitch/galenahitch/pkg/leaser"
 	"github.com/galenahitch/galenahitch/pkg/mover"
 )
 
@@ -127,3 +128,37 @@
 		require.Equal(t, lines, strings.Count(log.String(), event), "%s in\n%s", event, log.String())
 	}
 }
+
+// deadlineTable is a table that records the time left to each write.
+type deadlineTable struct {
+	provider.Table
+	left []time.Duration
+}
+
+func (d *deadlineTable) Put(ctx context.Context, put provider.Put) (provider.PutResult, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(time.Hour)
+	}
+	d.left = append(d.left, time.Until(deadline))
+	return d.Table.Put(ctx, put)
+}
+
+// A leader's write of a move's next step could be sent as its term ended and take effect
+// when the next leader had other evidence.
+func TestMovesAreAdvancedWithinTheTerm(t *testing.T) {
+	clock := newTestClock()
+	platform := emulator.NewPlatform(clock.Now)
+	s := newFleetLeader(t, clock, platform)
+	table := &deadlineTable{Table: platform}
+	s.cfg.Table = table
+	baking := mover.Start(clock.now, mover.Move{ID: "m1", Epoch: 1, Deployment: "s", From: "v1", To: "v2"}, "ana", time.Minute)
+	baking.State, baking.FullMS = mover.Baking, clock.now.Add(-time.Hour).UnixMilli()
+	writeMoveRow(t, platform, baking)
+	s.moveLeader.leaser.RecordWrite(clock.now, 1, leaser.Lease{Holder: "e1", Fence: 1})
+	clock.now = clock.now.Add(s.cfg.LeaseLifetime / 3)
+	s.advanceMoves(context.Background())
+	require.Equal(t, mover.Done, s.move("s").State)
+	require.Len(t, table.left, 1)
+	require.LessOrEqual(t, table.left[0], s.cfg.LeaseLifetime/3, "the time that is left of the term")
+}
