internal/server: VMs are drained only while this entry is the leader

An entry whose term had ended could drain VMs that the next leader needed: a round reads the offers, which may last 2 s, and stops drained VMs before it decides, and only the orders that go to the cloud looked at the lease again. A notice spreads to all entries and nothing takes it back, so the VM was lost to the fleet.

Evidence: TestDrainsNeedTheLease failed before (the VM was drained).

--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -251,11 +251,14 @@
 	return d.Version
 }
 
-// drainVMs drains surplus VMs: this entry issues a notice for each, as for a
-// reclaim.
+// drainVMs drains surplus VMs: this entry, if it is the leader, issues a notice for
+// each, as for a reclaim.
 func (s *Server) drainVMs(now time.Time, o provisioner.Order, vms []provider.VM) {
 	remaining := -o.Change
 	for _, vm := range vms {
+		if !s.fleet.leader.leaser.Holds(s.now()) {
+			return
+		}
 		_, draining := s.fleet.drainEnds[vm.ID]
 		if remaining == 0 || draining || vm.FailureDomain != o.FailureDomain || vm.Reclaimable != o.Reclaimable {
 			continue
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -102,3 +102,15 @@
 		require.LessOrEqual(t, remaining, s.cfg.LeaseLifetime/3, "the time that is left of the term")
 	}
 }
+
+// A VM was drained although the term had ended while the offers were read.
+func TestDrainsNeedTheLease(t *testing.T) {
+	clock := newTestClock()
+	s := newFleetLeader(t, clock, emulator.NewPlatform(clock.Now))
+	vms := []provider.VM{{ID: "m1", Role: provider.RoleEngine, Deployment: "m", FailureDomain: "z"}}
+	s.state.applyVMList(clock.now, vms)
+	clock.now = clock.now.Add(s.cfg.LeaseLifetime)
+	s.drainVMs(clock.now, provisioner.Order{FailureDomain: "z", Change: -1}, vms)
+	require.Empty(t, s.fleet.drainEnds)
+	require.False(t, s.state.router.IsLeaving("m1"))
+}
