internal/server: a surplus seen in an earlier term drains no VMs

VMs were drained at once by an entry that became the leader of the fleet again: a surplus has to last ten minutes, but the time was counted from the entry's last term, even if that was hours ago and the demand had been high in between.

Cause: the provisioners' observations outlived the term in which they were made. They begin anew with each fence, as the type's comment says of a new leader.

--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -37,6 +37,8 @@
 type fleetManager struct {
 	leader       *leader
 	nextDecision time.Time
+	// fence is the fence of the term that provisioners and demandPeaks are from.
+	fence uint64
 	// provisioners and demandPeaks, in VMs, are by deployment.
 	provisioners map[string]*provisioner.Provisioner
 	demandPeaks  map[string]float64
@@ -62,6 +64,16 @@
 	}
 }
 
+// observeTerm drops what was observed in an earlier term: a surplus must have lasted
+// without a gap.
+func (f *fleetManager) observeTerm() {
+	if fence := f.leader.leaser.Fence(); fence != f.fence {
+		f.fence = fence
+		clear(f.provisioners)
+		clear(f.demandPeaks)
+	}
+}
+
 // reconcileFleet orders and drains VMs as the provisioners decide, if the
 // configuration allows it.
 func (s *Server) reconcileFleet(ctx context.Context) {
@@ -76,6 +88,7 @@
 	if err != nil {
 		return
 	}
+	s.fleet.observeTerm()
 	s.stopDrained(ctx, now)
 	for _, d := range cfg.Deployments {
 		if s.move(d.Name).InProgress() {
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -114,3 +115,27 @@
 	require.Empty(t, s.fleet.drainEnds)
 	require.False(t, s.state.router.IsLeaving("m1"))
 }
+
+// A leader that took its duty up again after an hour drained VMs at once, as the surplus
+// that it had seen in its last term counted as one that had lasted since.
+func TestNewTermForgetsSurpluses(t *testing.T) {
+	clock := newTestClock()
+	s := newFleetLeader(t, clock, emulator.NewPlatform(clock.Now))
+	cfg := s.state.config()
+	cfg.Fleet.ProvisionsVMs = true
+	var vms []provider.VM
+	for i := range 20 {
+		vms = append(vms, provider.VM{ID: fmt.Sprintf("m%d", i), Role: provider.RoleEngine, Deployment: "m", Version: "v1", FailureDomain: "z", Slots: 4})
+		s.cfg.Cloud.(*emulator.Platform).AddVM(vms[i])
+	}
+	s.state.applyVMList(clock.now, vms)
+	s.reconcileFleet(context.Background())
+	clock.now = clock.now.Add(time.Hour)
+	s.fleet.leader.leaser.RecordWrite(clock.now, 9, leaser.Lease{Holder: "e1", Fence: 3})
+	s.reconcileFleet(context.Background())
+	require.Empty(t, s.fleet.drainEnds)
+	for clock.now = clock.now.Add(fleetInterval); len(s.fleet.drainEnds) == 0; clock.now = clock.now.Add(fleetInterval) {
+		s.fleet.leader.leaser.RecordWrite(clock.now, 9, leaser.Lease{Holder: "e1", Fence: 3})
+		s.reconcileFleet(context.Background())
+	}
+}
