internal/server: a drain that is no longer announced begins again before its VM is stopped

Requests could be cut off: a leader stopped a VM that it had drained long before, in an earlier term or while the cloud did not take the order. The notice of a drain is sent to peers for a minute after its end; entries that started later do not know of it and send the VM work.

Cause: only the end of the drain time was looked at, not whether entries still hear of it. Such a drain is announced again now and gets its whole time.

Evidence: TestOldDrainsAreAnnouncedAgain failed before (the VM was stopped at once).

--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -277,19 +277,31 @@
 			continue
 		}
 		remaining--
-		s.fleet.drainEnds[vm.ID] = now.Add(drainTime)
 		s.audit("system", "vm_drained", vm.ID, "no longer wanted in "+vm.FailureDomain)
-		s.handleNotices([]provider.Notice{{VMID: vm.ID, RemainingMS: drainTime.Milliseconds()}})
+		s.announceDrain(now, vm.ID)
 	}
 }
 
+// announceDrain sends entries a notice of a VM that will be stopped after drainTime.
+func (s *Server) announceDrain(now time.Time, id string) {
+	s.fleet.drainEnds[id] = now.Add(drainTime)
+	s.handleNotices([]provider.Notice{{VMID: id, RemainingMS: drainTime.Milliseconds()}})
+}
+
 // stopDrained stops the VMs whose drain time has passed. A stop that fails is
-// tried again in the next round.
+// tried again in the next round. If it could not be stopped for so long that the notice
+// is not sent to peers any more, entries that started since may use the VM, and it is
+// announced again.
 func (s *Server) stopDrained(ctx context.Context, now time.Time) {
 	for id, end := range s.fleet.drainEnds {
 		if now.Before(end) {
 			continue
 		}
+		if now.Sub(end) >= noticeRetention {
+			s.state.forgetNotice(id)
+			s.announceDrain(now, id)
+			continue
+		}
 		reply, err := s.sendStop(ctx, provider.StopOrder{VMID: id, Fence: s.fleet.leader.leaser.Fence()})
 		if err != nil || reply.Refused {
 			continue
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -139,3 +139,27 @@
 		s.reconcileFleet(context.Background())
 	}
 }
+
+// A drained VM was stopped long after its drain, when entries that had started since sent
+// it requests: the notice is sent to peers only for a minute.
+func TestOldDrainsAreAnnouncedAgain(t *testing.T) {
+	clock := newTestClock()
+	stops := 0
+	cloud := &orderingCloud{stop: func(context.Context, provider.StopOrder) (provider.OrderReply, error) {
+		stops++
+		return provider.OrderReply{}, nil
+	}}
+	s := newFleetLeader(t, clock, cloud)
+	vms := []provider.VM{{ID: "m1", Role: provider.RoleEngine, Deployment: "m", FailureDomain: "z"}}
+	s.state.applyVMList(clock.now, vms)
+	s.drainVMs(clock.now, provisioner.Order{FailureDomain: "z", Change: -1}, vms)
+	clock.now = clock.now.Add(drainTime + noticeRetention)
+	s.fleet.leader.leaser.RecordWrite(clock.now, 9, leaser.Lease{Holder: "e1", Fence: 3})
+	s.stopDrained(context.Background(), clock.now)
+	require.Zero(t, stops)
+	require.Equal(t, []provider.Notice{{VMID: "m1", RemainingMS: drainTime.Milliseconds()}}, s.state.recentNotices(clock.now))
+	clock.now = clock.now.Add(drainTime)
+	s.fleet.leader.leaser.RecordWrite(clock.now, 10, leaser.Lease{Holder: "e1", Fence: 3})
+	s.stopDrained(context.Background(), clock.now)
+	require.Equal(t, 1, stops)
+}
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -181,6 +181,13 @@
 	return true
 }
 
+// forgetNotice deletes a VM's notice, so that another one can be recorded.
+func (s *state) forgetNotice(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.reclaimTimes, id)
+}
+
 // recentNotices returns the notices to send to peers. The lock must be held.
 func (s *state) recentNotices(now time.Time) []provider.Notice {
 	var notices []provider.Notice
