--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -21,6 +21,7 @@
 	spares         map[string]provider.VM
 	startedByToken map[string]string
 	lastFence      uint64
+	orders         []Order
 }
 
 // AddSpare adds a VM that Start may put on the VM list.
@@ -74,14 +75,21 @@
 func (p *Platform) Start(_ context.Context, o provider.StartOrder) (provider.OrderReply, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	reply := p.start(o)
+	p.cloud.record(p.now().Sub(p.startedAt), o.Holder, o.Fence, reply)
+	return reply, nil
+}
+
+// start carries out an order. The lock must be held.
+func (p *Platform) start(o provider.StartOrder) provider.OrderReply {
 	if id, ok := p.cloud.startedByToken[o.Token]; ok {
-		return provider.OrderReply{VMID: id}, nil
+		return provider.OrderReply{VMID: id}
 	}
 	if reason := p.checkFence(o.Fence); reason != "" {
-		return provider.OrderReply{Refused: true, Reason: reason}, nil
+		return provider.OrderReply{Refused: true, Reason: reason}
 	}
 	if p.faults.RefuseStarts && o.Reclaimable {
-		return provider.OrderReply{Refused: true, Reason: "no capacity"}, nil
+		return provider.OrderReply{Refused: true, Reason: "no capacity"}
 	}
 	var ids []string
 	for id, vm := range p.cloud.spares {
@@ -90,13 +98,13 @@
 		}
 	}
 	if len(ids) == 0 {
-		return provider.OrderReply{Refused: true, Reason: "no capacity"}, nil
+		return provider.OrderReply{Refused: true, Reason: "no capacity"}
 	}
 	id := slices.Min(ids)
 	p.vms[id] = p.cloud.spares[id]
 	delete(p.cloud.spares, id)
 	p.cloud.startedByToken[o.Token] = id
-	return provider.OrderReply{VMID: id}, nil
+	return provider.OrderReply{VMID: id}
 }
 
 // Stop removes a VM from the VM list. An order with a fencing token below the
@@ -104,11 +112,14 @@
 func (p *Platform) Stop(_ context.Context, o provider.StopOrder) (provider.OrderReply, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	reply := provider.OrderReply{VMID: o.VMID}
 	if reason := p.checkFence(o.Fence); reason != "" {
-		return provider.OrderReply{Refused: true, Reason: reason}, nil
+		reply = provider.OrderReply{Refused: true, Reason: reason}
+	} else {
+		delete(p.vms, o.VMID)
 	}
-	delete(p.vms, o.VMID)
-	return provider.OrderReply{VMID: o.VMID}, nil
+	p.cloud.record(p.now().Sub(p.startedAt), o.Holder, o.Fence, reply)
+	return reply, nil
 }
 
 // checkFence returns why an order with this fencing token is refused, or an
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -51,6 +51,7 @@
 	faults       PlatformFaults
 	calls        CallCounts
 	now          func() time.Time
+	startedAt    time.Time
 }
 
 // CallCounts are the numbers of calls to the platform: Reads and Writes of the
@@ -68,6 +69,7 @@
 		vms:          map[string]provider.VM{},
 		reclaimTimes: map[string]time.Time{},
 		now:          now,
+		startedAt:    now(),
 	}
 }
 
@@ -114,6 +116,9 @@
 	mux.HandleFunc("POST /control/reclaim", handleJSON(func(_ *http.Request, r Reclaim) ([]string, error) {
 		return p.Reclaim(r), nil
 	}))
+	mux.HandleFunc("GET /control/orders", handleJSON(func(*http.Request, struct{}) ([]Order, error) {
+		return p.Orders(), nil
+	}))
 	mux.HandleFunc("GET /control/calls", handleJSON(func(*http.Request, struct{}) (CallCounts, error) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -86,9 +86,11 @@
 	PricePerHour  float64 `json:"price_per_hour"`
 }
 
-// StartOrder orders one VM. Orders with the same token start at most one VM.
+// StartOrder orders one VM. Orders with the same token start at most one VM. Holder is the
+// entry that sends it as the leader.
 type StartOrder struct {
 	Token         string `json:"token"`
+	Holder        string `json:"holder"`
 	Fence         uint64 `json:"fence"`
 	Deployment    string `json:"deployment"`
 	Version       string `json:"version"`
@@ -96,10 +98,11 @@
 	Reclaimable   bool   `json:"reclaimable"`
 }
 
-// StopOrder releases one VM.
+// StopOrder releases one VM. Holder is the entry that sends it as the leader.
 type StopOrder struct {
-	VMID  string `json:"vm_id"`
-	Fence uint64 `json:"fence"`
+	VMID   string `json:"vm_id"`
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
 }
 
 // OrderReply is the response to an order. A refused start is not an error.
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -150,7 +150,7 @@
 // VM to the VM list unless listed=false:
 // entry NAME domain=D [seed=ENTRY] [lease=1s] [listed=true]
 func (f *fleet) cmdEntry(args []string) error {
-	o := parseOptions(args[1:], "lease=1s", "listed=true")
+	o := parseOptions(args[1:], "lease="+leaseLifetime.String(), "listed=true")
 	host := f.nextHost()
 	ip := fmt.Sprintf("%s%d", f.ipPrefix, host)
 	relay := f.address(2, 20000+host)
@@ -609,8 +609,12 @@
 // cmdTruth compares the verdicts that callers received with the journals of the
 // running upstreams: no key of a route ran twice, no request with the verdict
 // not_run ran, and each request with the verdict ran and each completed service
-// call with a key did run. Calls that have not ended are skipped.
+// call with a key did run. Calls that have not ended are skipped. The orders that
+// arrived at the cloud must be those of one leader at a time.
 func (f *fleet) cmdTruth([]string) error {
+	if err := f.checkOneLeader(); err != nil {
+		return err
+	}
 	runsByKey := map[string]int{}
 	ranIDs := map[string]bool{}
 	for _, p := range f.upstreams() {
@@ -643,6 +647,18 @@
 	return nil
 }
 
+// leaseLifetime is the lifetime of the leaders' leases in scripts.
+const leaseLifetime = time.Second
+
+// checkOneLeader checks the orders that have arrived at the cloud.
+func (f *fleet) checkOneLeader() error {
+	orders, err := getJSON[[]emulator.Order](f, f.controlURL("orders"), "")
+	if err != nil {
+		return err
+	}
+	return emulator.CheckOneLeader(orders, leaseLifetime)
+}
+
 func (c *call) checkVerdict(ranIDs map[string]bool, runsByKey map[string]int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -197,7 +197,7 @@
 func (s *Server) startVMs(ctx context.Context, now time.Time, prov *provisioner.Provisioner, d planner.Deployment, o provisioner.Order) {
 	for range o.Change {
 		order := provider.StartOrder{
-			Token: uuid.NewString(), Fence: s.fleet.leader.leaser.Fence(), Deployment: d.Name, Version: s.currentVersion(d),
+			Token: uuid.NewString(), Holder: s.cfg.Self.ID, Fence: s.fleet.leader.leaser.Fence(), Deployment: d.Name, Version: s.currentVersion(d),
 			FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable,
 		}
 		reply, err := s.sendStart(ctx, order)
@@ -302,7 +302,7 @@
 			s.announceDrain(now, id)
 			continue
 		}
-		reply, err := s.sendStop(ctx, provider.StopOrder{VMID: id, Fence: s.fleet.leader.leaser.Fence()})
+		reply, err := s.sendStop(ctx, provider.StopOrder{VMID: id, Holder: s.cfg.Self.ID, Fence: s.fleet.leader.leaser.Fence()})
 		if err != nil || reply.Refused {
 			continue
 		}
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/galenahitch/galenahitch/internal/emulator"
 	"github.com/galenahitch/galenahitch/internal/provider"
@@ -163,3 +165,124 @@
 	s.stopDrained(context.Background(), clock.now)
 	require.Equal(t, 1, stops)
 }
+
+// fleetHistory is a history of entries that contend for the fleet's lease and order VMs
+// on one clock, while orders are lost, arrive late or overlap with the rounds of others.
+type fleetHistory struct {
+	t        *rapid.T
+	clock    *testClock
+	platform *emulator.Platform
+	entries  []*Server
+	// busy marks the entries that are in a round.
+	busy    []bool
+	transit []transitOrder
+}
+
+// transitOrder is an order that its sender has given up and that arrives later.
+type transitOrder struct {
+	order provider.StartOrder
+	at    time.Time
+}
+
+const (
+	// callTimeout is the timeout of a call to the platform.
+	callTimeout = 2 * time.Second
+	// maxTransit is the time that a given up order may still be on its way, below the
+	// margin of the lease.
+	maxTransit = 700 * time.Millisecond
+)
+
+func (h *fleetHistory) drawMS(label string, max time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(0, max.Milliseconds()).Draw(h.t, label)) * time.Millisecond
+}
+
+// advance lets time pass and delivers the orders whose time has come.
+func (h *fleetHistory) advance(d time.Duration) {
+	end := h.clock.now.Add(d)
+	for len(h.transit) > 0 {
+		next := slices.MinFunc(h.transit, func(a, b transitOrder) int { return a.at.Compare(b.at) })
+		if next.at.After(end) {
+			break
+		}
+		h.transit = slices.DeleteFunc(h.transit, func(o transitOrder) bool { return o.order.Token == next.order.Token && o.at.Equal(next.at) })
+		h.clock.now = next.at
+		_, err := h.platform.Start(context.Background(), next.order)
+		require.NoError(h.t, err)
+	}
+	h.clock.now = end
+}
+
+// round runs one round of an entry that is not in a round already.
+func (h *fleetHistory) round() {
+	i := rapid.IntRange(0, len(h.entries)-1).Draw(h.t, "entry")
+	if h.busy[i] {
+		return
+	}
+	h.busy[i] = true
+	defer func() { h.busy[i] = false }()
+	if rapid.IntRange(0, 19).Draw(h.t, "restart") == 0 {
+		h.entries[i] = h.newEntry(i)
+	}
+	s := h.entries[i]
+	s.observeTerm(s.fleet.leader)
+	if s.acquireOrRenew(context.Background(), s.fleet.leader) {
+		s.startVMs(context.Background(), h.clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 3})
+	}
+}
+
+// pass lets time pass in which other entries have rounds.
+func (h *fleetHistory) pass(d time.Duration) {
+	for end := h.clock.now.Add(d); h.clock.now.Before(end); {
+		h.advance(min(end.Sub(h.clock.now), time.Millisecond+h.drawMS("step", 700*time.Millisecond)))
+		h.round()
+	}
+}
+
+// start is the cloud's side of an order.
+func (h *fleetHistory) start(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
+	limit := callTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(deadline))
+	}
+	switch rapid.IntRange(0, 3).Draw(h.t, "fate") {
+	case 0:
+		h.pass(limit)
+		return provider.OrderReply{}, errLost
+	case 1:
+		h.pass(h.drawMS("delay", limit))
+		return h.platform.Start(ctx, order)
+	case 2:
+		h.transit = append(h.transit, transitOrder{order, h.clock.now.Add(limit + h.drawMS("transit", maxTransit))})
+		h.pass(limit)
+		return provider.OrderReply{}, errLost
+	default:
+		return h.platform.Start(ctx, order)
+	}
+}
+
+func (h *fleetHistory) newEntry(i int) *Server {
+	return New(Config{
+		Self: tracker.Member{ID: fmt.Sprintf("e%d", i), FailureDomain: "z"}, Table: h.platform,
+		Cloud: &orderingCloud{Cloud: h.platform, start: h.start}, Log: zerolog.Nop(), Now: h.clock.Now,
+	})
+}
+
+// Orders that were lost, late or sent again reached the cloud after those of the next
+// leader.
+func TestOrdersAreOfOneLeaderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := newTestClock()
+		h := &fleetHistory{t: t, clock: clock, platform: emulator.NewPlatform(clock.Now), busy: make([]bool, 3)}
+		for i := range 200 {
+			h.platform.AddSpare(provider.VM{ID: fmt.Sprintf("m%d", i), Deployment: "m", Version: "v1", FailureDomain: "z"})
+		}
+		for i := range h.busy {
+			h.entries = append(h.entries, h.newEntry(i))
+		}
+		for range 60 {
+			h.advance(h.drawMS("pause", 2*time.Second))
+			h.round()
+		}
+		require.NoError(t, emulator.CheckOneLeader(h.platform.Orders(), defaultLeaseLifetime))
+	})
+}
