internal/server: leases are counted on a clock that goes on while the machine is suspended

A leader whose machine was suspended made calls with the lease of before, while another entry was the leader: Go's monotonic clock stands still in a suspension and the others' clocks go on. Leases are counted on Config.LeaseNow, which serve sets to timekeeper.Now.

Evidence: TestSuspendedLeaderOrdersNothing fails if leaseNow returns Now, as before (one order arrived after the suspension).

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -18,6 +18,7 @@
 	"github.com/galenahitch/galenahitch/internal/messenger"
 	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/internal/server"
+	"github.com/galenahitch/galenahitch/internal/timekeeper"
 	"github.com/galenahitch/galenahitch/pkg/tracker"
 )
 
@@ -153,7 +154,7 @@
 		Self:   tracker.Member{ID: s.ID, Address: address, FailureDomain: s.FailureDomain},
 		Listen: s.Listen, AdminListen: s.AdminListen, PeerListen: s.PeerListen,
 		Seeds: s.Seeds, Table: platform, Cloud: platform, Upstreams: upstreams, Peers: peers,
-		Security: s.security(), Log: log, Now: now, StopGrace: s.StopGrace, LeaseLifetime: s.LeaseLifetime,
+		Security: s.security(), Log: log, Now: now, LeaseNow: timekeeper.Now, StopGrace: s.StopGrace, LeaseLifetime: s.LeaseLifetime,
 	}
 	for _, operator := range s.Operators {
 		match := operatorPattern.FindStringSubmatch(operator)
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -39,6 +39,9 @@
 	Log       zerolog.Logger
 	// Now returns the time, with a monotonic clock reading.
 	Now func() time.Time
+	// LeaseNow is a steady clock that goes on while the machine is suspended, as that of
+	// timekeeper. Nil means Now.
+	LeaseNow func() time.Time
 	// Seed seeds random choices; 0 derives a seed from the entry's ID.
 	Seed uint64
 	// StopGrace bounds the drain of a planned stop. 0 means 10 minutes.
@@ -88,4 +91,7 @@
 	if c.LeaseLifetime <= 0 {
 		c.LeaseLifetime = defaultLeaseLifetime
 	}
+	if c.LeaseNow == nil {
+		c.LeaseNow = c.Now
+	}
 }
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -225,7 +225,7 @@
 
 // sendStart sends one order for a VM, if this entry is the leader, and logs it.
 func (s *Server) sendStart(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
-	sentAt := s.now()
+	sentAt := s.leaseNow()
 	ctx, cancel, err := s.leaderContext(ctx, sentAt, s.fleet.leader)
 	if err != nil {
 		return provider.OrderReply{}, err
@@ -239,7 +239,7 @@
 
 // sendStop sends one order to stop a VM, if this entry is the leader, and logs it.
 func (s *Server) sendStop(ctx context.Context, order provider.StopOrder) (provider.OrderReply, error) {
-	sentAt := s.now()
+	sentAt := s.leaseNow()
 	ctx, cancel, err := s.leaderContext(ctx, sentAt, s.fleet.leader)
 	if err != nil {
 		return provider.OrderReply{}, err
@@ -253,7 +253,7 @@
 // logOrder begins a line about an order with its fence, the time that was left of the
 // lease when it was sent, and its duration.
 func (s *Server) logOrder(event string, fence uint64, sentAt time.Time) *zerolog.Event {
-	return s.cfg.Log.Info().Str("event", event).Uint64("fence", fence).Dur("lease_left", s.fleet.leader.leaser.Left(sentAt)).Dur("took", s.now().Sub(sentAt))
+	return s.cfg.Log.Info().Str("event", event).Uint64("fence", fence).Dur("lease_left", s.fleet.leader.leaser.Left(sentAt)).Dur("took", s.leaseNow().Sub(sentAt))
 }
 
 // currentVersion returns the version that new VMs of a deployment start with.
@@ -269,7 +269,7 @@
 func (s *Server) drainVMs(now time.Time, o provisioner.Order, vms []provider.VM) {
 	remaining := -o.Change
 	for _, vm := range vms {
-		if !s.fleet.leader.leaser.Holds(s.now()) {
+		if !s.fleet.leader.leaser.Holds(s.leaseNow()) {
 			return
 		}
 		_, draining := s.fleet.drainEnds[vm.ID]
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -166,6 +166,20 @@
 	require.Equal(t, 1, stops)
 }
 
+// A leader whose machine was suspended went on with the lease of before: the clock that
+// counted it had stood still.
+func TestSuspendedLeaderOrdersNothing(t *testing.T) {
+	clock, leaseClock := newTestClock(), newTestClock()
+	platform := emulator.NewPlatform(clock.Now)
+	s := New(Config{
+		Self: tracker.Member{ID: "e1", FailureDomain: "z"}, Table: platform, Cloud: platform, Log: zerolog.Nop(), Now: clock.Now, LeaseNow: leaseClock.Now,
+	})
+	require.True(t, s.acquireOrRenew(context.Background(), s.fleet.leader))
+	leaseClock.now = leaseClock.now.Add(time.Hour)
+	s.startVMs(context.Background(), clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
+	require.Empty(t, platform.Orders())
+}
+
 // fleetHistory is a history of entries that contend for the fleet's lease and order VMs
 // on one clock, while orders are lost, arrive late or overlap with the rounds of others.
 type fleetHistory struct {
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -52,7 +52,7 @@
 func newLeader(cfg Config, name string) *leader {
 	return &leader{name: name, leaser: leaser.New(leaser.Config{
 		Holder: cfg.Self.ID, Lifetime: cfg.LeaseLifetime, Margin: cfg.LeaseLifetime / leaseMarginDivisor,
-	}, cfg.Now())}
+	}, cfg.LeaseNow())}
 }
 
 // runAsLeader returns a task that contends for a lease and calls work in each
@@ -74,7 +74,7 @@
 
 // observeTerm logs the end of a term, with the state of the lease that ended it.
 func (s *Server) observeTerm(lead *leader) {
-	now := s.now()
+	now := s.leaseNow()
 	holds := lead.leaser.Holds(now)
 	if lead.wasLeader && !holds {
 		lead.termEndedAt = now
@@ -89,7 +89,7 @@
 // leaderPollInterval is the time to the next round. It is short for the leader
 // only; other entries read the lease rarely.
 func (s *Server) leaderPollInterval(lead *leader) time.Duration {
-	if lead.leaser.Holds(s.now()) {
+	if lead.leaser.Holds(s.leaseNow()) {
 		return leaderInterval
 	}
 	return s.jitter(max(minPollInterval, s.sharedPollInterval()))
@@ -100,7 +100,7 @@
 // because it is stopping or leaving, does not write the lease.
 func (s *Server) acquireOrRenew(ctx context.Context, lead *leader) bool {
 	l := lead.leaser
-	if !l.Holds(s.now()) || l.Version() == 0 {
+	if !l.Holds(s.leaseNow()) || l.Version() == 0 {
 		row, err := s.cfg.Table.Get(ctx, leasePrefix+lead.name)
 		s.observeCall("lease_read", err)
 		if err != nil || !s.observeLease(l, row) {
@@ -108,10 +108,10 @@
 		}
 	}
 	refusing, _ := s.state.refusesRequests()
-	sentAt := s.now()
+	sentAt := s.leaseNow()
 	proposed, due := l.ProposeWrite(sentAt)
 	if refusing || !due {
-		return l.Holds(s.now())
+		return l.Holds(s.leaseNow())
 	}
 	proposed.Nonce = uuid.NewString()
 	value, _ := json.Marshal(proposed)
@@ -120,7 +120,7 @@
 	result, err := provider.PutWithReadBack(ctx, s.cfg.Table, provider.Put{Key: leasePrefix + lead.name, Value: value, Expect: l.Version()})
 	s.observeCall("lease_write", err)
 	if err != nil {
-		return l.Holds(s.now())
+		return l.Holds(s.leaseNow())
 	}
 	if !result.Applied {
 		s.observeLease(l, result.Row)
@@ -130,7 +130,7 @@
 	if !renewal {
 		s.logTakeOver(lead, proposed, status, sentAt)
 	}
-	return l.Holds(s.now())
+	return l.Holds(s.leaseNow())
 }
 
 // observeLease passes a row that was just read to the leaser. It returns false if the row
@@ -144,14 +144,14 @@
 		}
 	}
 	s.observeCall("lease_decode", nil)
-	l.Observe(s.now(), row.Version, lease)
+	l.Observe(s.leaseNow(), row.Version, lease)
 	return true
 }
 
 // logTakeOver logs the start of a term: why the lease was free, how old the observation
 // was on which the take-over rests, and how long ago this entry's last term ended.
 func (s *Server) logTakeOver(lead *leader, lease leaser.Lease, status leaser.Status, sentAt time.Time) {
-	now := s.now()
+	now := s.leaseNow()
 	line := s.cfg.Log.Info().Str("event", "lease_taken").Str("duty", lead.name).Uint64("fence", lease.Fence).
 		Str("reason", string(status.Vacancy)).Str("previous", status.Holder).Dur("row_age", status.Age).
 		Dur("took", now.Sub(sentAt)).Dur("lease_left", lead.leaser.Left(now))
@@ -224,7 +224,7 @@
 	if event == "" {
 		return
 	}
-	ctx, cancel, err := s.leaderContext(ctx, s.now(), s.moveLeader)
+	ctx, cancel, err := s.leaderContext(ctx, s.leaseNow(), s.moveLeader)
 	if err != nil {
 		return
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,6 +62,9 @@
 
 func (s *Server) now() time.Time { return s.cfg.Now() }
 
+// leaseNow returns the time by which leases are counted.
+func (s *Server) leaseNow() time.Time { return s.cfg.LeaseNow() }
+
 // listeners are an entry's listeners on its three addresses.
 type listeners struct {
 	callers net.Listener
