internal/server, internal/provider: a leader's call is not written after its term

An order, or the write of a move, could be sent by an entry that was no longer the leader: the lease was looked at before a connection was opened, which may take 1 s, and a pause of the process after that look was not bounded by anything. What a given up call had left in the socket still went to the cloud, also after the end of the process.

The context of such a call has a guard now that is checked right before each write (provider.WithGuard), and the client of the platform opens its connections with provider.GuardedDial, which resets them when they are closed. Its calls without a guard use the same connections, so each call sets its own guard.

Evidence: TestOrdersAreNotSentAfterAPause failed before (the order arrived after the pause); it also makes a call without a guard afterwards. What is left is a pause between the guard and the write, and a network or cloud that holds a call for longer than the margin: there the cloud's comparison of fences is the last guard.

--- a/internal/provider/http.go
+++ b/internal/provider/http.go
@@ -30,7 +30,7 @@
 }
 
 // HTTP is the client of a platform with a JSON API over HTTP. It implements
-// Table and Cloud.
+// Table and Cloud. It checks the guards of its calls' contexts (WithGuard).
 type HTTP struct {
 	base    string
 	timeout time.Duration
@@ -47,7 +47,7 @@
 	if cfg.LocalIP != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.LocalIP)}
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: maxHeadBytes}
+	transport := &http.Transport{DialContext: GuardedDial(dialer.DialContext), MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: maxHeadBytes}
 	return &HTTP{base: cfg.BaseURL, timeout: timeout, client: &http.Client{Transport: transport}}
 }
 
@@ -96,6 +96,9 @@
 	return call[OrderReply](ctx, h, "/cloud/stop", order)
 }
 
+// noGuard is the guard of calls that are sent without a condition.
+func noGuard() error { return nil }
+
 func call[Resp, Req any](ctx context.Context, h *HTTP, path string, req Req) (Resp, error) {
 	var resp Resp
 	body, err := json.Marshal(req)
@@ -104,6 +107,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.timeout)
 	defer cancel()
+	// A kept connection may have the guard of its last call. The guard of ctx, if any, is
+	// set after this one.
+	ctx = WithGuard(ctx, noGuard)
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+path, bytes.NewReader(body))
 	if err != nil {
 		return resp, Unreachable.Wrap(err, "address %s", path)
@@ -111,7 +117,7 @@
 	httpReq.Header.Set("Content-Type", "application/json")
 	httpResp, err := h.client.Do(httpReq)
 	if err != nil {
-		return resp, Unreachable.Wrap(err, "call %s", path)
+		return resp, CallError(err, path)
 	}
 	defer httpResp.Body.Close()
 	if httpResp.StatusCode != http.StatusOK {
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
 
 	"github.com/galenahitch/galenahitch/internal/provider"
@@ -206,7 +206,7 @@
 			// the first one took effect.
 			reply, err = s.sendStart(ctx, order)
 		}
-		if errors.Is(err, errNotLeader) {
+		if errorx.IsOfType(err, provider.GuardFailed) {
 			return
 		}
 		if err != nil || reply.Refused {
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -180,6 +182,32 @@
 	require.Empty(t, platform.Orders())
 }
 
+// A leader that was paused between its look at the lease and the write of an order sent the
+// order after the pause. Other calls on the same connections are not held back.
+func TestOrdersAreNotSentAfterAPause(t *testing.T) {
+	clock := newTestClock()
+	platform := emulator.NewPlatform(clock.Now)
+	server := httptest.NewServer(platform.Handler())
+	defer server.Close()
+	client := provider.NewHTTP(provider.HTTPConfig{BaseURL: server.URL})
+	pause := time.Duration(0)
+	cloud := &orderingCloud{start: func(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
+		clock.now = clock.now.Add(pause)
+		return client.Start(ctx, order)
+	}}
+	s := newFleetLeader(t, clock, cloud)
+	order := provider.StartOrder{Token: "t1", Holder: "e1", Fence: 1}
+	_, err := s.sendStart(context.Background(), order)
+	require.NoError(t, err)
+	require.Len(t, platform.Orders(), 1)
+	pause = s.cfg.LeaseLifetime
+	_, err = s.sendStart(context.Background(), order)
+	require.True(t, errorx.IsOfType(err, provider.GuardFailed), "%v", err)
+	require.Len(t, platform.Orders(), 1)
+	_, err = client.VMs(context.Background())
+	require.NoError(t, err)
+}
+
 // fleetHistory is a history of entries that contend for the fleet's lease and order VMs
 // on one clock, while orders are lost, arrive late or overlap with the rounds of others.
 type fleetHistory struct {
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -34,9 +34,6 @@
 	fleetLeadership = "fleet"
 )
 
-// errNotLeader is the error of a call that was not sent, as this entry is not the leader.
-var errNotLeader = errors.New("not the leader")
-
 // leader is this entry's view of one lease; the entry is the leader while it
 // holds the lease.
 type leader struct {
@@ -162,15 +159,23 @@
 	lead.termStartedAt, lead.wasLeader = now, true
 }
 
-// leaderContext returns a context for one call that this entry sends as the leader. It
-// ends with the term: the margin of the lease is left for what is in transit then. The
-// error is errNotLeader if the entry is not the leader at now.
+// leaderContext returns a context for one call that this entry sends as the leader. The
+// call is not sent after the end of the term, also if the process is paused before, and is
+// given up then: the margin of the lease is left for what is in transit. An error of type
+// provider.GuardFailed means that the entry is not the leader at now.
 func (s *Server) leaderContext(ctx context.Context, now time.Time, lead *leader) (context.Context, context.CancelFunc, error) {
-	left := lead.leaser.Left(now)
-	if left == 0 {
-		return nil, nil, errNotLeader
+	left, fence := lead.leaser.Left(now), lead.leaser.Fence()
+	termEnd := now.Add(left)
+	guard := func() error {
+		if !s.leaseNow().Before(termEnd) {
+			return provider.GuardFailed.New("the term with fence %d has ended", fence)
+		}
+		return nil
+	}
+	if err := guard(); err != nil {
+		return nil, nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
+	ctx, cancel := context.WithTimeout(provider.WithGuard(ctx, guard), left)
 	return ctx, cancel, nil
 }
 
