internal/server, internal/waiter: calls of a term are given up after a suspension

An order that was under way when the machine was suspended was waited for afterwards for as long as its timer had left, and the kernel went on to send it again: timers stand still in a suspension, as the monotonic clock does. Its context ends by the lease's clock now, at most 50 ms after the process runs again, and its connection is reset.

Evidence: TestOrdersAreGivenUpAfterASuspension did not end before (5 s). The clock of the tests is safe for concurrent use now, as the deadline is looked at by another goroutine; nothing else of the tests has changed.

--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,11 +23,17 @@
 )
 
 // testClock is a clock that tests advance.
-type testClock struct{ now time.Time }
+type testClock struct{ ns atomic.Int64 }
 
-func newTestClock() *testClock { return &testClock{now: time.UnixMilli(1_700_000_000_000)} }
+func newTestClock() *testClock {
+	c := &testClock{}
+	c.ns.Store(1_700_000_000_000_000_000)
+	return c
+}
+
+func (c *testClock) Now() time.Time { return time.Unix(0, c.ns.Load()) }
 
-func (c *testClock) Now() time.Time { return c.now }
+func (c *testClock) advance(d time.Duration) { c.ns.Add(int64(d)) }
 
 // orderingCloud is a cloud that calls start and stop, if set, in place of its own.
 type orderingCloud struct {
@@ -54,8 +61,8 @@
 	s := New(Config{
 		Self: tracker.Member{ID: "e1", FailureDomain: "z"}, Table: emulator.NewPlatform(clock.Now), Cloud: cloud, Log: zerolog.Nop(), Now: clock.Now,
 	})
-	s.state.applyConfig(clock.now, testConfig(t, 1))
-	s.fleet.leader.leaser.RecordWrite(clock.now, 1, leaser.Lease{Holder: "e1", Fence: 1})
+	s.state.applyConfig(clock.Now(), testConfig(t, 1))
+	s.fleet.leader.leaser.RecordWrite(clock.Now(), 1, leaser.Lease{Holder: "e1", Fence: 1})
 	return s
 }
 
@@ -70,10 +77,10 @@
 	s := newFleetLeader(t, clock, cloud)
 	cloud.start = func(context.Context, provider.StartOrder) (provider.OrderReply, error) {
 		orders++
-		clock.now = clock.now.Add(s.cfg.LeaseLifetime)
+		clock.advance(s.cfg.LeaseLifetime)
 		return provider.OrderReply{}, errLost
 	}
-	s.startVMs(context.Background(), clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
+	s.startVMs(context.Background(), clock.Now(), &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
 	require.Equal(t, 1, orders)
 }
 
@@ -98,10 +105,10 @@
 		},
 	}
 	s := newFleetLeader(t, clock, cloud)
-	clock.now = clock.now.Add(s.cfg.LeaseLifetime / 3)
-	s.startVMs(context.Background(), clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
-	s.fleet.drainEnds["m9"] = clock.now
-	s.stopDrained(context.Background(), clock.now)
+	clock.advance(s.cfg.LeaseLifetime / 3)
+	s.startVMs(context.Background(), clock.Now(), &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
+	s.fleet.drainEnds["m9"] = clock.Now()
+	s.stopDrained(context.Background(), clock.Now())
 	require.Len(t, left, 2)
 	for _, remaining := range left {
 		require.LessOrEqual(t, remaining, s.cfg.LeaseLifetime/3, "the time that is left of the term")
@@ -113,9 +120,9 @@
 	clock := newTestClock()
 	s := newFleetLeader(t, clock, emulator.NewPlatform(clock.Now))
 	vms := []provider.VM{{ID: "m1", Role: provider.RoleEngine, Deployment: "m", FailureDomain: "z"}}
-	s.state.applyVMList(clock.now, vms)
-	clock.now = clock.now.Add(s.cfg.LeaseLifetime)
-	s.drainVMs(clock.now, provisioner.Order{FailureDomain: "z", Change: -1}, vms)
+	s.state.applyVMList(clock.Now(), vms)
+	clock.advance(s.cfg.LeaseLifetime)
+	s.drainVMs(clock.Now(), provisioner.Order{FailureDomain: "z", Change: -1}, vms)
 	require.Empty(t, s.fleet.drainEnds)
 	require.False(t, s.state.router.IsLeaving("m1"))
 }
@@ -132,14 +139,14 @@
 		vms = append(vms, provider.VM{ID: fmt.Sprintf("m%d", i), Role: provider.RoleEngine, Deployment: "m", Version: "v1", FailureDomain: "z", Slots: 4})
 		s.cfg.Cloud.(*emulator.Platform).AddVM(vms[i])
 	}
-	s.state.applyVMList(clock.now, vms)
+	s.state.applyVMList(clock.Now(), vms)
 	s.reconcileFleet(context.Background())
-	clock.now = clock.now.Add(time.Hour)
-	s.fleet.leader.leaser.RecordWrite(clock.now, 9, leaser.Lease{Holder: "e1", Fence: 3})
+	clock.advance(time.Hour)
+	s.fleet.leader.leaser.RecordWrite(clock.Now(), 9, leaser.Lease{Holder: "e1", Fence: 3})
 	s.reconcileFleet(context.Background())
 	require.Empty(t, s.fleet.drainEnds)
-	for clock.now = clock.now.Add(fleetInterval); len(s.fleet.drainEnds) == 0; clock.now = clock.now.Add(fleetInterval) {
-		s.fleet.leader.leaser.RecordWrite(clock.now, 9, leaser.Lease{Holder: "e1", Fence: 3})
+	for clock.advance(fleetInterval); len(s.fleet.drainEnds) == 0; clock.advance(fleetInterval) {
+		s.fleet.leader.leaser.RecordWrite(clock.Now(), 9, leaser.Lease{Holder: "e1", Fence: 3})
 		s.reconcileFleet(context.Background())
 	}
 }
@@ -155,16 +162,16 @@
 	}}
 	s := newFleetLeader(t, clock, cloud)
 	vms := []provider.VM{{ID: "m1", Role: provider.RoleEngine, Deployment: "m", FailureDomain: "z"}}
-	s.state.applyVMList(clock.now, vms)
-	s.drainVMs(clock.now, provisioner.Order{FailureDomain: "z", Change: -1}, vms)
-	clock.now = clock.now.Add(drainTime + noticeRetention)
-	s.fleet.leader.leaser.RecordWrite(clock.now, 9, leaser.Lease{Holder: "e1", Fence: 3})
-	s.stopDrained(context.Background(), clock.now)
+	s.state.applyVMList(clock.Now(), vms)
+	s.drainVMs(clock.Now(), provisioner.Order{FailureDomain: "z", Change: -1}, vms)
+	clock.advance(drainTime + noticeRetention)
+	s.fleet.leader.leaser.RecordWrite(clock.Now(), 9, leaser.Lease{Holder: "e1", Fence: 3})
+	s.stopDrained(context.Background(), clock.Now())
 	require.Zero(t, stops)
-	require.Equal(t, []provider.Notice{{VMID: "m1", RemainingMS: drainTime.Milliseconds()}}, s.state.recentNotices(clock.now))
-	clock.now = clock.now.Add(drainTime)
-	s.fleet.leader.leaser.RecordWrite(clock.now, 10, leaser.Lease{Holder: "e1", Fence: 3})
-	s.stopDrained(context.Background(), clock.now)
+	require.Equal(t, []provider.Notice{{VMID: "m1", RemainingMS: drainTime.Milliseconds()}}, s.state.recentNotices(clock.Now()))
+	clock.advance(drainTime)
+	s.fleet.leader.leaser.RecordWrite(clock.Now(), 10, leaser.Lease{Holder: "e1", Fence: 3})
+	s.stopDrained(context.Background(), clock.Now())
 	require.Equal(t, 1, stops)
 }
 
@@ -177,11 +184,29 @@
 		Self: tracker.Member{ID: "e1", FailureDomain: "z"}, Table: platform, Cloud: platform, Log: zerolog.Nop(), Now: clock.Now, LeaseNow: leaseClock.Now,
 	})
 	require.True(t, s.acquireOrRenew(context.Background(), s.fleet.leader))
-	leaseClock.now = leaseClock.now.Add(time.Hour)
-	s.startVMs(context.Background(), clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
+	leaseClock.advance(time.Hour)
+	s.startVMs(context.Background(), clock.Now(), &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 1})
 	require.Empty(t, platform.Orders())
 }
 
+// An order that was under way when the machine was suspended was still waited for, and sent
+// again by the kernel, after the suspension.
+func TestOrdersAreGivenUpAfterASuspension(t *testing.T) {
+	clock, leaseClock := newTestClock(), newTestClock()
+	cloud := &orderingCloud{start: func(ctx context.Context, _ provider.StartOrder) (provider.OrderReply, error) {
+		leaseClock.advance(time.Hour)
+		<-ctx.Done()
+		return provider.OrderReply{}, ctx.Err()
+	}}
+	s := New(Config{
+		Self: tracker.Member{ID: "e1", FailureDomain: "z"}, Table: emulator.NewPlatform(clock.Now), Cloud: cloud, Log: zerolog.Nop(), Now: clock.Now, LeaseNow: leaseClock.Now,
+		LeaseLifetime: time.Hour,
+	})
+	require.True(t, s.acquireOrRenew(context.Background(), s.fleet.leader))
+	_, err := s.sendStart(context.Background(), provider.StartOrder{Token: "t1", Holder: "e1", Fence: 1})
+	require.ErrorIs(t, err, context.Canceled)
+}
+
 // A leader that was paused between its look at the lease and the write of an order sent the
 // order after the pause. Other calls on the same connections are not held back.
 func TestOrdersAreNotSentAfterAPause(t *testing.T) {
@@ -192,7 +217,7 @@
 	client := provider.NewHTTP(provider.HTTPConfig{BaseURL: server.URL})
 	pause := time.Duration(0)
 	cloud := &orderingCloud{start: func(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
-		clock.now = clock.now.Add(pause)
+		clock.advance(pause)
 		return client.Start(ctx, order)
 	}}
 	s := newFleetLeader(t, clock, cloud)
@@ -240,18 +265,18 @@
 
 // advance lets time pass and delivers the orders whose time has come.
 func (h *fleetHistory) advance(d time.Duration) {
-	end := h.clock.now.Add(d)
+	end := h.clock.Now().Add(d)
 	for len(h.transit) > 0 {
 		next := slices.MinFunc(h.transit, func(a, b transitOrder) int { return a.at.Compare(b.at) })
 		if next.at.After(end) {
 			break
 		}
 		h.transit = slices.DeleteFunc(h.transit, func(o transitOrder) bool { return o.order.Token == next.order.Token && o.at.Equal(next.at) })
-		h.clock.now = next.at
+		h.clock.advance(next.at.Sub(h.clock.Now()))
 		_, err := h.platform.Start(context.Background(), next.order)
 		require.NoError(h.t, err)
 	}
-	h.clock.now = end
+	h.clock.advance(end.Sub(h.clock.Now()))
 }
 
 // round runs one round of an entry that is not in a round already.
@@ -268,14 +293,14 @@
 	s := h.entries[i]
 	s.observeTerm(s.fleet.leader)
 	if s.acquireOrRenew(context.Background(), s.fleet.leader) {
-		s.startVMs(context.Background(), h.clock.now, &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 3})
+		s.startVMs(context.Background(), h.clock.Now(), &provisioner.Provisioner{}, testDeployment, provisioner.Order{FailureDomain: "z", Change: 3})
 	}
 }
 
 // pass lets time pass in which other entries have rounds.
 func (h *fleetHistory) pass(d time.Duration) {
-	for end := h.clock.now.Add(d); h.clock.now.Before(end); {
-		h.advance(min(end.Sub(h.clock.now), time.Millisecond+h.drawMS("step", 700*time.Millisecond)))
+	for end := h.clock.Now().Add(d); h.clock.Now().Before(end); {
+		h.advance(min(end.Sub(h.clock.Now()), time.Millisecond+h.drawMS("step", 700*time.Millisecond)))
 		h.round()
 	}
 }
@@ -294,7 +319,7 @@
 		h.pass(h.drawMS("delay", limit))
 		return h.platform.Start(ctx, order)
 	case 2:
-		h.transit = append(h.transit, transitOrder{order, h.clock.now.Add(limit + h.drawMS("transit", maxTransit))})
+		h.transit = append(h.transit, transitOrder{order, h.clock.Now().Add(limit + h.drawMS("transit", maxTransit))})
 		h.pass(limit)
 		return provider.OrderReply{}, errLost
 	default:
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -175,7 +175,7 @@
 	if err := guard(); err != nil {
 		return nil, nil, err
 	}
-	ctx, cancel := context.WithTimeout(provider.WithGuard(ctx, guard), left)
+	ctx, cancel := waiter.WithDeadline(provider.WithGuard(ctx, guard), s.leaseNow, termEnd)
 	return ctx, cancel, nil
 }
 
--- a/internal/server/leader_test.go
+++ b/internal/server/leader_test.go
@@ -111,12 +111,12 @@
 	require.True(t, s.acquireOrRenew(context.Background(), lead))
 	fault = 0
 	for range 20 {
-		clock.now = clock.now.Add(s.cfg.LeaseLifetime / 4)
+		clock.advance(s.cfg.LeaseLifetime / 4)
 		s.observeTerm(lead)
 		s.acquireOrRenew(context.Background(), lead)
 	}
 	fault = 5
-	clock.now = clock.now.Add(s.cfg.LeaseLifetime)
+	clock.advance(s.cfg.LeaseLifetime)
 	require.True(t, s.acquireOrRenew(context.Background(), lead))
 	for event, lines := range map[string]int{
 		`"event":"lease_taken","duty":"fleet","fence":1,"reason":"unused"`:                  1,
@@ -152,11 +152,11 @@
 	s := newFleetLeader(t, clock, platform)
 	table := &deadlineTable{Table: platform}
 	s.cfg.Table = table
-	baking := mover.Start(clock.now, mover.Move{ID: "m1", Epoch: 1, Deployment: "s", From: "v1", To: "v2"}, "ana", time.Minute)
-	baking.State, baking.FullMS = mover.Baking, clock.now.Add(-time.Hour).UnixMilli()
+	baking := mover.Start(clock.Now(), mover.Move{ID: "m1", Epoch: 1, Deployment: "s", From: "v1", To: "v2"}, "ana", time.Minute)
+	baking.State, baking.FullMS = mover.Baking, clock.Now().Add(-time.Hour).UnixMilli()
 	writeMoveRow(t, platform, baking)
-	s.moveLeader.leaser.RecordWrite(clock.now, 1, leaser.Lease{Holder: "e1", Fence: 1})
-	clock.now = clock.now.Add(s.cfg.LeaseLifetime / 3)
+	s.moveLeader.leaser.RecordWrite(clock.Now(), 1, leaser.Lease{Holder: "e1", Fence: 1})
+	clock.advance(s.cfg.LeaseLifetime / 3)
 	s.advanceMoves(context.Background())
 	require.Equal(t, mover.Done, s.move("s").State)
 	require.Len(t, table.left, 1)
--- a/internal/waiter/waiter.go
+++ b/internal/waiter/waiter.go
@@ -1,4 +1,5 @@
-// Package waiter provides a sleep that a context can end.
+// Package waiter provides a sleep that a context can end, and contexts that end by
+// another clock than that of timers.
 //
 //	for waiter.Pause(ctx, time.Second) {
 //		// once a second until ctx is done
@@ -21,3 +22,21 @@
 		return false
 	}
 }
+
+// clockCheckInterval is the time between two looks at the clock of WithDeadline.
+const clockCheckInterval = 50 * time.Millisecond
+
+// WithDeadline returns a context that ends at a time of the clock now. Timers stand still
+// while the machine is suspended; if the clock goes on then, the context ends up to
+// clockCheckInterval after the process runs again.
+func WithDeadline(ctx context.Context, now func() time.Time, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now()))
+	go func() {
+		for Pause(ctx, clockCheckInterval) {
+			if !now().Before(deadline) {
+				cancel()
+			}
+		}
+	}()
+	return ctx, cancel
+}
