--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -28,7 +28,8 @@
 )
 
 // Cloud receives the leader's calls on behalf of all entries. An error means that
-// the outcome is unknown, unless the error has type provider.Refused.
+// the outcome is unknown, unless the error has type provider.Refused or
+// provider.GuardFailed.
 type Cloud interface {
 	Report(ctx context.Context, usage Usage) error
 	Order(ctx context.Context, order FleetOrder) error
@@ -43,14 +44,16 @@
 	fleet *fleetManager
 	moves *moveManager
 	// era is the era of the store that the leader's work is based on. eraSeenAt is when
-	// it was first seen, zero if the process has seen no other.
+	// it was first seen, zero if the store has sent none.
 	era       uint64
-	eraKnown  bool
 	eraSeenAt time.Time
 	// wasLeader reports whether the entry was the leader when observeTerm was last called.
 	// termEndedAt is when its last term had ended, zero if it had none.
 	wasLeader   bool
 	termEndedAt time.Time
+	// unknownUntil is the time until which a call with an unknown outcome may still arrive
+	// at the cloud.
+	unknownUntil time.Time
 	// roundMu is held in round and in release, which a stopping process calls
 	// concurrently.
 	roundMu sync.Mutex
@@ -92,9 +95,7 @@
 		return nil
 	}
 	for waiter.Pause(ctx, l.g.state.jitter(leaderInterval)) {
-		if !l.g.stopping.Load() {
-			l.round(ctx)
-		}
+		l.round(ctx)
 	}
 	return nil
 }
@@ -104,9 +105,10 @@
 func (l *leader) round(ctx context.Context) {
 	l.roundMu.Lock()
 	defer l.roundMu.Unlock()
-	if l.eraKnown {
-		l.observeEra(l.g.cfg.Now(), l.g.cfg.Store.Era())
+	if l.g.stopping.Load() {
+		return
 	}
+	l.observeEra(l.g.cfg.Now(), l.g.cfg.Store.Era())
 	l.observeTerm(l.g.cfg.LeaseNow())
 	l.acquireOrRenew(ctx)
 	l.fleet.measureAll()
@@ -134,10 +136,6 @@
 
 // observeEra resets what is based on rows of an earlier era of the store.
 func (l *leader) observeEra(now time.Time, era uint64) {
-	if !l.eraKnown {
-		l.era, l.eraKnown = era, true
-		return
-	}
 	if era <= l.era {
 		return
 	}
@@ -167,7 +165,7 @@
 	version := l.lease.Version()
 	// After the store has returned from an older copy, the row may be missing, or show a
 	// release, although another entry has acquired the lease since.
-	eraSettled := l.eraSeenAt.IsZero() || eraAge >= g.cfg.MinLeaderGap
+	eraSettled := l.eraSeenAt.IsZero() || eraAge >= g.cfg.MinLeaderGap+leaseHeadroom
 	wasLeader, status := l.lease.Holds(sentAt), l.lease.Status(sentAt)
 	ok = ok && (eraSettled || wasLeader || status.Vacancy == leaser.Expired)
 	g.state.mu.Unlock()
@@ -230,18 +228,17 @@
 	l.observeRow(readAt, lease)
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	if l.era > 0 {
-		// A take-over replaces a row of this version. In the order of eras and numbers
-		// no two replace the same one, and a later one replaces a newer one.
-		l.lease.SetMinFence(minFence)
-	}
+	// A take-over replaces a row of this version. In the order of eras and numbers no two
+	// replace the same one, and a later one replaces a newer one, also if the row is lost.
+	l.lease.SetMinFence(minFence)
 	clear(l.usage.eras)
 	l.usage.addAgreedRows(page)
 	return nil
 }
 
 // release releases the lease when the process stops, so that another entry may take
-// it over at once. This process does not acquire it again.
+// it over at once. This process does not acquire it again. If a call to the cloud may
+// still be under way, the lease is left to expire.
 func (l *leader) release(ctx context.Context) {
 	l.roundMu.Lock()
 	defer l.roundMu.Unlock()
@@ -251,8 +248,14 @@
 	l.usage.reportEnded(ctx)
 	g := l.g
 	g.state.mu.Lock()
+	now := g.cfg.LeaseNow()
 	released, version := leaser.Lease{Fence: l.lease.Fence()}, l.lease.Version()
+	l.lease.Drop(now)
 	g.state.mu.Unlock()
+	if now.Before(l.unknownUntil) {
+		g.cfg.Log.Info().Str("event", "duty_not_released").Uint64("fence", released.Fence).Dur("unknown_for", l.unknownUntil.Sub(now)).Send()
+		return
+	}
 	result, err := l.writeLease(ctx, released, provider.Version(version))
 	g.cfg.Log.Info().Str("event", "duty_released").Uint64("fence", released.Fence).Bool("written", err == nil && result.Applied).Err(err).Send()
 }
