--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -32,6 +32,10 @@
 	exchangesMu   sync.Mutex
 	openExchanges map[string]bool
 
+	failuresMu sync.Mutex
+	// failures counts the consecutive failures of each kind of call to the platform.
+	failures map[string]int
+
 	baseContext context.Context
 	cancel      context.CancelFunc
 }
@@ -50,6 +54,7 @@
 		gossipNow:     make(chan struct{}, 1),
 		outcomes:      newOutcomeQueue(),
 		openExchanges: map[string]bool{},
+		failures:      map[string]int{},
 		baseContext:   base,
 		cancel:        cancel,
 	}
@@ -57,6 +62,9 @@
 
 func (s *Server) now() time.Time { return s.cfg.Now() }
 
+// leaseNow returns the time by which leases are counted.
+func (s *Server) leaseNow() time.Time { return s.cfg.LeaseNow() }
+
 // listeners are an entry's listeners on its three addresses.
 type listeners struct {
 	callers net.Listener
