pkg/router, internal/gateway: one answer to whether an upstream may get a request

Whether an upstream may get a request was answered in three places: available and IsAvailable in the router, and a check for unreachable failure domains in the gateway after the pick. With a random sample of three, the pick could fall on an unreachable domain although others had upstreams, and the call was refused; retries asked hasOtherUpstream, which did not know of it.

router.Admission answers now, with cause, source, since and until. It also knows two things that callers of the package can report next: what an upstream says of itself in a response (RecordSignals: it leaves, or wants nothing for a time), with a gradual return after a backoff. NextReturn, Changes and AvoidedCounts follow from it. A leaving upstream is now also remembered for 10 minutes after it was last listed, not only after its termination time.

Two tests follow the names: IsAvailable is Admission().Allowed() in quarantine_test.go, and state_test.go applies reachability by the function that each round calls. Both require what they did.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -208,8 +208,7 @@
 	if !ok {
 		picked, ok = st.router.Pick(now, query)
 	}
-	if !ok || st.unreachableDomains[picked.FailureDomain] {
-		// The router picks an unreachable domain only if there is no other.
+	if !ok {
 		return Upstream{}, false
 	}
 	u, ok := st.upstreamByID[picked.ID]
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -281,7 +281,7 @@
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.router.SetDomainPenalties(st.domainPenalties(now))
+	st.applyReachability(now)
 	st.updatePlan(now)
 	st.compareVersions()
 	st.rounds++
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -137,7 +137,7 @@
 	query.Exclude = append(slices.Clone(query.Exclude), ids...)
 	picked, ok := st.router.Pick(now, query)
 	// If all others are excluded, the router picks an upstream that has failed.
-	return picked, ok && st.router.IsAvailable(now, picked.ID)
+	return picked, ok && st.router.Admission(now, picked.ID).Allowed()
 }
 
 // upstreamsOfSuspects returns the upstreams on which other suspects of this entry run, if
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -260,7 +260,7 @@
 		g.recordFailure(t.Context(), c, u, &failure{verdict: judge.MayHaveRun, connectionBroke: true})
 	}
 	clock.advance(unreachableBackoff)
-	require.True(t, st.router.IsAvailable(clock.now, "k0"))
+	require.True(t, st.router.Admission(clock.now, "k0").Allowed())
 }
 
 // A poison request failed on the new version each time it ran there again, which counted
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -18,6 +19,13 @@
 	connectFailureTTL = 3 * time.Second
 )
 
+// applyReachability passes the state of the failure domains to the router. The lock must
+// be held.
+func (st *state) applyReachability(now time.Time) {
+	st.router.SetDomainPenalties(st.domainPenalties(now))
+	st.router.SetUnreachableDomains(maps.Clone(st.unreachableDomains))
+}
+
 // domainPenalties returns the cost of the failure domains from which no
 // messages arrive, and updates unreachableDomains. The lock must be held.
 func (st *state) domainPenalties(now time.Time) map[string]float64 {
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -58,7 +58,7 @@
 	receiveFrom(g, c.now, "b1", "b", nil)
 	st.connectFailedAt["b"] = c.now
 	c.advance(time.Second)
-	st.router.SetDomainPenalties(st.domainPenalties(c.now))
+	st.applyReachability(c.now)
 	_, ok = g.chooseUpstream(pending)
 	require.False(t, ok)
 }
--- a/pkg/router/doc.go
+++ b/pkg/router/doc.go
@@ -17,6 +17,9 @@
 //	r.Begin(u.ID)
 //	defer r.End(u.ID)
 //
+// Admission answers whether an upstream may get a request at all. What an upstream says of
+// itself in a response is recorded with RecordSignals.
+//
 // An upstream with a notice stays in state leaving: no later VM list makes it
 // live again, since VM ids are never reused. Router is not safe for concurrent
 // use; the caller locks it.
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -48,12 +48,13 @@
 	eligible := make([]*record, 0, len(group))
 	var suspects []*record
 	for _, rec := range group {
-		if req.Version != "" && rec.Version != req.Version || req.AvoidVersion != "" && rec.Version == req.AvoidVersion || slices.Contains(req.Exclude, rec.ID) {
+		if !req.allowsVersion(rec.Version) || slices.Contains(req.Exclude, rec.ID) {
 			continue
 		}
-		if r.available(now, rec) {
+		switch r.admission(now, rec).Cause {
+		case CauseNone:
 			eligible = append(eligible, rec)
-		} else if rec.state == "suspect" {
+		case CauseSuspect:
 			suspects = append(suspects, rec)
 		}
 	}
@@ -65,18 +66,9 @@
 	return eligible
 }
 
-// IsAvailable reports whether an upstream may get work: it is listed, and neither a
-// suspect nor leaving.
-func (r *Router) IsAvailable(now time.Time, id string) bool {
-	rec, ok := r.records[id]
-	return ok && rec.listed && r.available(now, rec)
-}
-
-func (r *Router) available(now time.Time, rec *record) bool {
-	if rec.state == "suspect" && !now.Before(rec.suspectUntil) {
-		r.applyEvent(rec.ID, "recover")
-	}
-	return rec.state == "live"
+// allowsVersion reports whether the request may go to an upstream with a version.
+func (req Request) allowsVersion(version string) bool {
+	return (req.Version == "" || version == req.Version) && (req.AvoidVersion == "" || version != req.AvoidVersion)
 }
 
 const (
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -90,11 +90,17 @@
 	running              int
 	reportedAt           time.Time
 	suspectUntil         time.Time
+	backoff              backoff
 	consecutiveFailures  int
 	failureRate          float64
 	failureRateUpdatedAt time.Time
+	leavingSource        Source
+	leavingSince         time.Time
 	terminatesAt         time.Time
 	listed               bool
+	listedAt             time.Time
+	// reported is what Changes returned last.
+	reported Admission
 }
 
 // Router holds the state of the upstreams of an entry.
@@ -105,6 +111,9 @@
 	byDeployment    map[string][]*record
 	domainPenalties map[string]float64
 	entryCount      int
+	// unreachableDomains are the failure domains whose upstreams get no requests.
+	unreachableDomains map[string]bool
+	unlistedChanges    []Change
 }
 
 // New returns a Router without upstreams.
@@ -132,7 +141,8 @@
 
 // Replace sets the VM list. Upstreams that are no longer listed get no new work.
 // Replace removes them once no attempt of this entry is in flight on them; one with
-// a notice is kept until noticeRetention after its termination time.
+// a notice is kept until noticeRetention after its termination time, or after it was
+// last listed.
 func (r *Router) Replace(now time.Time, list []Upstream) {
 	r.init()
 	for _, rec := range r.records {
@@ -145,9 +155,12 @@
 			r.records[u.ID] = rec
 		}
 		rec.Upstream = u
-		rec.listed = true
+		rec.listed, rec.listedAt = true, now
 	}
 	for id, rec := range r.records {
+		if !rec.listed {
+			r.reportUnlisted(rec)
+		}
 		if !rec.listed && rec.inFlight == 0 && !rec.retainsNotice(now) {
 			delete(r.records, id)
 		}
@@ -158,10 +171,11 @@
 // retainsNotice reports whether the notice of an upstream must be kept, since an
 // outdated list could still contain the VM.
 func (rec *record) retainsNotice(now time.Time) bool {
-	return rec.state == "leaving" && now.Before(rec.terminatesAt.Add(noticeRetention))
+	return rec.state == "leaving" && (now.Before(rec.terminatesAt.Add(noticeRetention)) || now.Before(rec.listedAt.Add(noticeRetention)))
 }
 
-// noticeRetention is how long a notice is kept after the VM's termination time.
+// noticeRetention is how long a notice is kept after the VM's termination time, and after
+// its removal from the list.
 const noticeRetention = 10 * time.Minute
 
 func (r *Router) indexByDeployment() {
@@ -226,13 +240,17 @@
 // its VM terminates after the remaining time. A notice for an id that is not in the
 // list yet is kept. MarkLeaving returns false if the upstream was leaving already.
 func (r *Router) MarkLeaving(now time.Time, id string, remaining time.Duration) bool {
+	return r.markLeaving(now, id, remaining, SourceList)
+}
+
+func (r *Router) markLeaving(now time.Time, id string, remaining time.Duration, source Source) bool {
 	r.init()
 	if _, ok := r.records[id]; !ok {
 		r.records[id] = &record{Upstream: Upstream{ID: id}, state: charter.Upstream().Initial()}
 	}
 	isNew := r.records[id].state != "leaving"
 	if rec := r.applyEvent(id, "notice"); rec != nil && isNew {
-		rec.terminatesAt = now.Add(remaining)
+		rec.terminatesAt, rec.leavingSince, rec.leavingSource = now.Add(remaining), now, source
 	}
 	return isNew
 }
@@ -320,6 +338,7 @@
 func (r *Router) Begin(id string) {
 	if rec, ok := r.records[id]; ok {
 		rec.inFlight++
+		rec.backoff.begun++
 	}
 }
 
