internal/gateway, platform: an upstream that says that it leaves gets no more requests

Callers' requests went on to an upstream whose responses carried Server-Leaving for as long as it answered, as its row was still that of one that does not leave: the header was not read anywhere.

The head of each response is now reported by the pool (Request.OnHead), that of a response to another request and interim ones included. Leaving said there is what a row that says so is: final for the id, which names one run of the upstream's process, whatever rows of that run say later. A request that waited for its connection asks again before it is sent (Request.MaySend). Beginnings and ends of the time in which an upstream is avoided are logged, with cause, source, age and time left; gauges count them.

An upstream that says that it leaves and stays is not tried again before its next run: whatever time passed, a request could reach one that leaves.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -247,12 +247,14 @@
 	g.cfg.Codec.SetAttempt(header, attempt)
 	response, err := g.pool.Do(ctx, u.Address, pooler.Request{
 		ID: c.request.ID, Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header, Body: c.body,
+		MaySend: func() bool { return g.maySend(u.ID) },
+		OnHead:  func(status int, header http.Header) { g.recordSignals(u.ID, g.cfg.Codec.Response(status, header)) },
 	})
 	if err != nil {
 		verdict := judge.VerdictOf(err)
 		return &failure{
 			verdict: verdict, unsent: verdict == judge.NotRun, connectionBroke: verdict != judge.NotRun && ctx.Err() == nil,
-			retryCharged: silence.retryCharged.Load(), busy: pooler.IsFull(err), cause: err,
+			retryCharged: silence.retryCharged.Load(), busy: pooler.IsFull(err) || pooler.IsWithdrawn(err), cause: err,
 		}
 	}
 	defer response.Close()
@@ -329,7 +331,7 @@
 	st.mu.Lock()
 	switch {
 	case f.misdirected:
-		st.router.MarkLeaving(now, u.ID, 0)
+		st.recordSignals(now, u.ID, router.Signals{Leaving: true})
 	case c.disconnected || f.busy || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		// Neither a disconnected caller nor a full queue is the upstream's fault.
 	case f.unsent:
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -68,6 +68,8 @@
 	Sealed bool
 	// Misdirected reports that another upstream now has the address.
 	Misdirected bool
+	// Leaving reports that the upstream says that it leaves.
+	Leaving bool
 }
 
 // Codec translates between the gateway and the messages of callers and
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -130,7 +130,7 @@
 		st.recordCrash(now, u.ID, foundRefused, []isolator.Attempt{attempt.Attempt})
 		return nil
 	}
-	if !f.connectionBroke || ctx.Err() != nil {
+	if !f.connectionBroke || ctx.Err() != nil || st.router.Admission(now, u.ID).Forbids() {
 		return nil
 	}
 	done, running := st.crashes.probes[u.ID]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/pooler"
 	"github.com/galenahitch/galenahitch/internal/waiter"
+	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
 const (
@@ -181,6 +182,7 @@
 			g.metrics.Count("store_eras")
 		}
 		g.sweepPeers(g.cfg.Now())
+		g.state.updateDisputedLeavings(g.cfg.Now())
 		limits := g.state.connectionLimits()
 		for address, limit := range limits {
 			g.pool.SetMaxConnections(address, limit)
@@ -240,4 +242,9 @@
 	g.metrics.Gauge("entries", int64(st.memberCount()))
 	g.metrics.Gauge("upstreams", int64(len(st.upstreams)))
 	g.metrics.Gauge("quarantine", int64(len(st.quarantine.rows)))
+	g.metrics.Gauge("upstreams_leaving_disputed", int64(len(st.disputedLeavings)))
+	counts := st.router.AvoidedCounts(now)
+	for _, cause := range router.AvoidedCauses {
+		g.metrics.Gauge("upstreams_avoided_"+string(cause), int64(counts[cause]))
+	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -282,6 +282,8 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.applyReachability(now)
+	st.router.SetEntryCount(st.memberCount())
+	st.logAvoided(now)
 	st.updatePlan(now)
 	st.compareVersions()
 	st.rounds++
--- /dev/null
+++ b/internal/gateway/signals_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/logger"
+	"github.com/galenahitch/galenahitch/pkg/router"
+)
+
+// newSignalGateway returns a gateway with two listed upstreams and its log.
+func newSignalGateway(t *testing.T) (*Gateway, *clock, *bytes.Buffer) {
+	t.Helper()
+	g, c := newGateway(t, nil)
+	var log bytes.Buffer
+	var err error
+	g.state.log, err = logger.New(&log, "info")
+	require.NoError(t, err)
+	for _, name := range []string{"u", "v"} {
+		g.state.upstreams[name] = Upstream{Name: name, Upstream: router.Upstream{ID: name + ".1", Deployment: "model", Slots: 8}}
+	}
+	g.state.updateRouter(c.now)
+	return g, c, &log
+}
+
+// An upstream that says that it leaves and stays gets nothing before it starts again. The
+// operator is told.
+func TestDisputedLeaving(t *testing.T) {
+	g, c, log := newSignalGateway(t)
+	st := g.state
+	g.recordSignals("u.1", ResponseInfo{Leaving: true})
+	require.False(t, g.maySend("u.1"))
+	st.updateDisputedLeavings(c.now)
+	require.Empty(t, st.disputedLeavings)
+	c.advance(disputeAge)
+	for range 3 {
+		st.updateRouter(c.now)
+		st.updateDisputedLeavings(c.now)
+	}
+	require.Equal(t, map[string]bool{"u.1": true}, st.disputedLeavings)
+	require.Equal(t, 1, strings.Count(log.String(), "event=upstream_leaving_disputed"))
+	require.False(t, g.maySend("u.1"))
+	u := st.upstreams["u"]
+	u.ID = "u.2"
+	st.upstreams["u"] = u
+	st.updateRouter(c.now)
+	st.updateDisputedLeavings(c.now)
+	require.Empty(t, st.disputedLeavings)
+	require.True(t, g.maySend("u.2"))
+}
+
+// The response of a process that has taken an upstream's address says nothing of it.
+func TestSignalsOfOtherProcessesAreIgnored(t *testing.T) {
+	g, _, _ := newSignalGateway(t)
+	g.recordSignals("u.1", ResponseInfo{Misdirected: true, Leaving: true})
+	require.True(t, g.maySend("u.1"))
+}
+
+// Each time in which an upstream is avoided is logged with its cause, at both ends.
+func TestAvoidedUpstreamsAreLogged(t *testing.T) {
+	g, c, log := newSignalGateway(t)
+	g.state.router.Suspect("u.1", c.now.Add(time.Second))
+	g.recordSignals("v.1", ResponseInfo{Leaving: true})
+	c.advance(5 * time.Second)
+	g.state.logAvoided(c.now)
+	delete(g.state.upstreams, "v")
+	g.state.updateRouter(c.now)
+	g.state.logAvoided(c.now)
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	require.Len(t, lines, 4, log.String())
+	for i, want := range []string{"event=upstream_avoided cause=", "event=upstream_avoided cause=", "event=upstream_avoidance_ended cause=suspect", "event=upstream_avoidance_ended cause=leaving"} {
+		for _, part := range strings.Fields(want) {
+			require.Contains(t, lines[i], part)
+		}
+	}
+	require.Contains(t, lines[3], "now=unlisted")
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -72,8 +72,11 @@
 	connectFailedAt  map[string]time.Time
 	// unreachableDomains are the failure domains that get no requests for now.
 	unreachableDomains map[string]bool
-	promptHistory      promptHistory
-	startedAt          time.Time
+	// disputedLeavings are the upstreams that have said that they leave while the list
+	// says otherwise, by ID.
+	disputedLeavings map[string]bool
+	promptHistory    promptHistory
+	startedAt        time.Time
 	// canServeSince is when the configuration and the list of upstreams were known.
 	canServeSince time.Time
 	// leaderlessSince is the time since which no message has named another
@@ -143,6 +146,7 @@
 		crashes:            newCrashDetector(),
 		quarantine:         newQuarantine(),
 		connectFailedAt:    map[string]time.Time{},
+		disputedLeavings:   map[string]bool{},
 		unreachableDomains: map[string]bool{},
 		random:             rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
 	}
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -191,6 +191,9 @@
 			// The HTTP library takes any error within a head for the end of the connection.
 			return nil, errHeadTooLarge
 		}
+		if err == nil && request.OnHead != nil {
+			request.OnHead(response.StatusCode, response.Header)
+		}
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -28,6 +28,12 @@
 	idleMargin = 500 * time.Millisecond
 )
 
+var errWithdrawn = judge.Errorf(judge.NotRun, "the upstream takes no more requests")
+
+// IsWithdrawn reports whether Do failed because MaySend returned false. The request was
+// not sent.
+func IsWithdrawn(err error) bool { return errors.Is(err, errWithdrawn) }
+
 var errFull = judge.Errorf(judge.NotRun, "all connections to the upstream are in use")
 
 // IsFull reports whether Do failed because all connections to the upstream were
@@ -59,6 +65,12 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// MaySend, if set, is called when there is a connection. The request is sent only if
+	// it returns true.
+	MaySend func() bool
+	// OnHead, if set, is called for the head of each response that arrives, whether or
+	// not it belongs to the request.
+	OnHead func(status int, header http.Header)
 }
 
 // head encodes the request line and the header.
@@ -181,6 +193,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.MaySend != nil && !request.MaySend() {
+		p.discard(address, c)
+		return nil, errWithdrawn
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := c.exchange(request, p.cfg.IDHeader)
 	if err != nil {
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -268,3 +268,39 @@
 	_, err = newPool().Probe(ended, address)
 	require.Error(t, err)
 }
+
+// What a response says of its upstream was lost if it belonged to another request.
+func TestHeadsOfForeignResponsesAreReported(t *testing.T) {
+	foreign := "HTTP/1.1 503 Busy\r\nX-Id: other\r\nX-Says: 1\r\nContent-Length: 0\r\n\r\n"
+	address, _ := startUpstream(t, []string{"HTTP/1.1 103 Early\r\n\r\n" + foreign + response("1", "one")})
+	p := pooler.New(pooler.Config{IDHeader: idHeader, Now: time.Now})
+	var statuses []int
+	var says []string
+	r, err := p.Do(t.Context(), address, pooler.Request{
+		ID: "1", Method: http.MethodGet, Target: "/", Host: "h",
+		OnHead: func(status int, header http.Header) {
+			statuses, says = append(statuses, status), append(says, header.Get("X-Says"))
+		},
+	})
+	require.NoError(t, err)
+	defer r.Close()
+	require.Equal(t, []int{103, 503, 200}, statuses)
+	require.Equal(t, []string{"", "1", ""}, says)
+}
+
+// A request was sent to an upstream that took no more requests when the connection was
+// open at last.
+func TestWithdrawnRequestsAreNotSent(t *testing.T) {
+	address, accepted := startUpstream(t, nil, []string{response("2", "two")})
+	p := pooler.New(pooler.Config{IDHeader: idHeader, Now: time.Now})
+	p.SetMaxConnections(address, 1)
+	request := pooler.Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", MaySend: func() bool { return false }}
+	_, err := p.Do(t.Context(), address, request)
+	require.True(t, pooler.IsWithdrawn(err))
+	require.Equal(t, judge.NotRun, judge.VerdictOf(err))
+	request.ID, request.MaySend = "2", func() bool { return true }
+	r, err := p.Do(t.Context(), address, request)
+	require.NoError(t, err, "the connection is released")
+	r.Close()
+	require.Equal(t, 2, accepted())
+}
