internal/gateway, platform: an upstream that asks for time gets nothing before it is over

An upstream that refused a request with 503 and Retry-After got the next request at once: the header was not read.

Nothing is sent during a backoff, crash probes included. If all upstreams of a deployment are avoided, a caller is refused at once and asked to come back after the first of them returns, spread.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -372,7 +372,7 @@
 	if c.runs > 0 {
 		return judge.Refuse(judge.CodeUpstreamFailed, judge.MayHaveRun, "no other upstream takes it")
 	}
-	return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+c.deployment+" takes work").WithRetryAfter(g.state.jitter(retryDelay))
+	return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+c.deployment+" takes work").WithRetryAfter(g.retryAfter(c))
 }
 
 // refuseEnded returns the refusal of a call that ended early: its deadline
@@ -393,7 +393,7 @@
 // refuseFailed returns the refusal of a call whose last attempt failed.
 func (g *Gateway) refuseFailed(c *call, f *failure) *judge.Refusal {
 	if c.runs == 0 {
-		return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, f.cause.Error()).WithRetryAfter(g.state.jitter(retryDelay))
+		return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, f.cause.Error()).WithRetryAfter(g.retryAfter(c))
 	}
 	return judge.Refuse(judge.CodeUpstreamFailed, judge.MayHaveRun, f.cause.Error())
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -68,8 +68,10 @@
 	Sealed bool
 	// Misdirected reports that another upstream now has the address.
 	Misdirected bool
-	// Leaving reports that the upstream says that it leaves.
-	Leaving bool
+	// Leaving reports that the upstream says that it leaves, RetryAfter how long it wants
+	// nothing from this entry.
+	Leaving    bool
+	RetryAfter time.Duration
 }
 
 // Codec translates between the gateway and the messages of callers and
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -21,14 +21,19 @@
 // recordSignals records what an upstream says of itself in the head of a response. That of
 // a process that has taken the upstream's address says nothing of the upstream.
 func (g *Gateway) recordSignals(id string, info ResponseInfo) {
-	if info.Misdirected || !info.Leaving {
+	if info.Misdirected || !info.Leaving && info.RetryAfter == 0 {
 		return
 	}
-	g.metrics.Count("responses_leaving")
+	if info.Leaving {
+		g.metrics.Count("responses_leaving")
+	}
+	if info.RetryAfter > 0 {
+		g.metrics.Count("responses_retry_after")
+	}
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.recordSignals(g.cfg.Now(), id, router.Signals{Leaving: info.Leaving})
+	st.recordSignals(g.cfg.Now(), id, router.Signals{Leaving: info.Leaving, RetryAfter: info.RetryAfter})
 }
 
 // recordSignals passes signals to the router. The lock must be held.
@@ -86,3 +91,21 @@
 		}
 	}
 }
+
+// retryAfter returns the time after which a caller that no upstream could serve is asked to
+// retry: if all upstreams are avoided, after the first of them returns.
+func (g *Gateway) retryAfter(c *call) time.Duration {
+	now := g.cfg.Now()
+	st := g.state
+	st.mu.Lock()
+	next, known := st.router.NextReturn(now, router.Request{Deployment: c.deployment})
+	st.mu.Unlock()
+	if !known {
+		return st.jitter(retryDelay)
+	}
+	return next.Sub(now) + st.jitter(minRetrySpread) + st.jitter(next.Sub(now)/retrySpreadParts)
+}
+
+// retrySpreadParts divides the time until an upstream returns; the callers that wait for
+// it come back within one part.
+const retrySpreadParts = 2
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -27,6 +27,30 @@
 	return g, c, &log
 }
 
+// A caller was asked to come back before any upstream would take its request.
+func TestRetryAfterIsThatOfTheFirstUpstream(t *testing.T) {
+	g, c, _ := newSignalGateway(t)
+	pending := &call{deployment: "model"}
+	require.Less(t, g.retryAfter(pending), 2*retryDelay)
+	g.recordSignals("u.1", ResponseInfo{RetryAfter: 8 * time.Second})
+	require.Less(t, g.retryAfter(pending), 2*retryDelay, "the other upstream takes requests")
+	g.recordSignals("v.1", ResponseInfo{RetryAfter: 4 * time.Second})
+	_, ok := g.chooseUpstream(pending)
+	require.False(t, ok)
+	first := g.state.router.Admission(c.now, "v.1").Until.Sub(c.now)
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		wait := g.retryAfter(pending)
+		require.Greater(t, wait, first)
+		require.Less(t, wait, 2*first)
+		seen[wait] = true
+	}
+	require.Greater(t, len(seen), 50, "the callers are spread")
+	c.advance(first)
+	require.True(t, g.maySend("v.1"))
+	require.False(t, g.maySend("u.1"))
+}
+
 // An upstream that says that it leaves and stays gets nothing before it starts again. The
 // operator is told.
 func TestDisputedLeaving(t *testing.T) {
@@ -56,14 +80,24 @@
 // The response of a process that has taken an upstream's address says nothing of it.
 func TestSignalsOfOtherProcessesAreIgnored(t *testing.T) {
 	g, _, _ := newSignalGateway(t)
-	g.recordSignals("u.1", ResponseInfo{Misdirected: true, Leaving: true})
+	g.recordSignals("u.1", ResponseInfo{Misdirected: true, Leaving: true, RetryAfter: time.Second})
 	require.True(t, g.maySend("u.1"))
 }
 
+// An upstream whose connection broke was probed although it had asked for time.
+func TestNoProbeDuringABackoff(t *testing.T) {
+	g, c, _ := newSignalGateway(t)
+	u := g.state.upstreams["u"]
+	g.recordSignals(u.ID, ResponseInfo{RetryAfter: time.Second})
+	broken := &call{deployment: "model", upstream: u, attemptAt: c.now}
+	require.Nil(t, g.recordBroken(t.Context(), broken, u, &failure{connectionBroke: true}))
+	require.Empty(t, g.state.crashes.probes)
+}
+
 // Each time in which an upstream is avoided is logged with its cause, at both ends.
 func TestAvoidedUpstreamsAreLogged(t *testing.T) {
 	g, c, log := newSignalGateway(t)
-	g.state.router.Suspect("u.1", c.now.Add(time.Second))
+	g.recordSignals("u.1", ResponseInfo{RetryAfter: time.Second})
 	g.recordSignals("v.1", ResponseInfo{Leaving: true})
 	c.advance(5 * time.Second)
 	g.state.logAvoided(c.now)
@@ -72,10 +106,11 @@
 	g.state.logAvoided(c.now)
 	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
 	require.Len(t, lines, 4, log.String())
-	for i, want := range []string{"event=upstream_avoided cause=", "event=upstream_avoided cause=", "event=upstream_avoidance_ended cause=suspect", "event=upstream_avoidance_ended cause=leaving"} {
+	for i, want := range []string{"event=upstream_avoided cause=backoff", "event=upstream_avoided cause=leaving", "event=upstream_avoidance_ended cause=backoff", "event=upstream_avoidance_ended cause=leaving"} {
 		for _, part := range strings.Fields(want) {
 			require.Contains(t, lines[i], part)
 		}
 	}
+	require.Contains(t, lines[2], "lasted=5000")
 	require.Contains(t, lines[3], "now=unlisted")
 }
