--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -119,11 +119,26 @@
 		if startedAt := now.Add(-time.Duration(update.ElapsedMS) * time.Millisecond); startedAt.Before(m.startedAt) {
 			m.startedAt = startedAt
 		}
-		merged := mover.Merge(mover.Move{Epoch: uint64(m.epoch), State: m.state, Reason: m.reason}, mover.Move{Epoch: uint64(m.epoch), State: update.State, Reason: update.Reason})
-		st.setMoveState(m, merged.State, merged.Reason)
+		state, reason := mergeEnds(m, update)
+		st.setMoveState(m, state, reason)
 	}
 }
 
+// mergeEnds returns the state of a move and its reason, given this entry's state of it
+// and another one's. No entry has the state Done before the store has it; from then on
+// the upstreams of the previous version stop, so that it is final. Otherwise mover.Merge
+// decides.
+func mergeEnds(m *move, update moveUpdate) (charter.State, string) {
+	switch mover.Done {
+	case m.state:
+		return m.state, m.reason
+	case update.State:
+		return update.State, update.Reason
+	}
+	merged := mover.Merge(mover.Move{State: m.state, Reason: m.reason}, mover.Move{State: update.State, Reason: update.Reason})
+	return merged.State, merged.Reason
+}
+
 // setMoveState records a new state of a move and deletes the move's counters. A move
 // that has ended must keep its state.
 func (st *state) setMoveState(m *move, state charter.State, reason string) {
@@ -433,7 +448,7 @@
 	mayWrite := m.state == mover.Moving || m.state == state
 	to := m.order.To
 	st.mu.Unlock()
-	if _, _, isLeader := mm.g.leader.fencingToken(); !isLeader || !mayWrite {
+	if !mm.g.leader.holdsLease() || !mayWrite {
 		return true
 	}
 	row, err := mm.g.cfg.Encoder.MoveStatus(MoveStatus{Deployment: deployment, To: to, State: state})
@@ -443,7 +458,7 @@
 	}
 	row.Table = mm.g.cfg.Tables.MoveStatus
 	expect := provider.StoreRow{Table: row.Table, Key: row.Key, Version: mm.rowVersions[deployment]}
-	result, err := mm.g.cfg.Store.Commit(ctx, provider.Commit{Expect: []provider.StoreRow{expect}, Put: []provider.StoreRow{row}})
+	result, err := mm.g.leader.commit(ctx, provider.Commit{Expect: []provider.StoreRow{expect}, Put: []provider.StoreRow{row}})
 	if err != nil || !result.Applied {
 		mm.g.cfg.Log.Warn().Str("event", "move_status_not_written").Str("deployment", deployment).Str("state", string(state)).
 			Bool("refused", errorx.IsOfType(err, provider.Refused)).Err(err).Send()
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -138,24 +138,19 @@
 		u.reportedWindows[w] = true
 		return
 	}
-	holder, fence, isLeader := u.leader.fencingToken()
-	if !isLeader {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, cloudCallTimeout)
-	defer cancel()
 	sentAt := u.g.cfg.Now()
-	left := u.leader.leaseLeft(sentAt)
-	err := u.g.cfg.Cloud.Report(ctx, Usage{Window: w, Counts: counts, Holder: holder, Fence: fence})
+	t, err := u.leader.callCloud(ctx, func(ctx context.Context, t term) error {
+		return u.g.cfg.Cloud.Report(ctx, Usage{Window: w, Counts: counts, Holder: t.entry, Fence: t.fence})
+	})
 	took := u.g.cfg.Now().Sub(sentAt)
 	if err != nil {
-		u.g.cfg.Log.Warn().Str("event", "usage_not_reported").Int64("window", w).Uint64("fence", fence).Dur("lease_left", left).Dur("took", took).Err(err).Send()
+		u.g.cfg.Log.Warn().Str("event", "usage_not_reported").Int64("window", w).Uint64("fence", t.fence).Dur("lease_left", t.left).Dur("took", took).Err(err).Send()
 		return
 	}
 	u.reportedWindows[w] = true
 	u.g.metrics.Count("usage_reports")
-	u.g.cfg.Log.Info().Str("event", "usage_reported").Int64("window", w).Uint64("fence", fence).Int("organisations", len(counts)).
-		Dur("lease_left", left).Dur("took", took).Send()
+	u.g.cfg.Log.Info().Str("event", "usage_reported").Int64("window", w).Uint64("fence", t.fence).Int("organisations", len(counts)).
+		Dur("lease_left", t.left).Dur("took", took).Send()
 }
 
 // agreeCounts writes the counts of a window to the store, unless another leader has
@@ -179,13 +174,13 @@
 		Put:    []provider.StoreRow{{Table: table, Key: key, Value: value}},
 		Delete: []provider.StoreRow{{Table: table, Key: usageKeyPrefix + strconv.FormatInt(w-2*keptUsageWindows, 10)}},
 	}
-	result, err := u.g.cfg.Store.Commit(ctx, change)
+	result, err := u.leader.commit(ctx, change)
 	switch {
 	case err != nil:
 		// Unless the store refused the write, its outcome is unknown until the row is
 		// read.
 		u.g.cfg.Log.Warn().Str("event", "usage_not_agreed").Int64("window", w).Err(err).Send()
-		if !errorx.IsOfType(err, provider.Refused) {
+		if !errorx.IsOfType(err, provider.Refused) && !errorx.IsOfType(err, provider.GuardFailed) {
 			if readErr := u.leader.readLease(ctx); readErr != nil {
 				u.g.cfg.Log.Debug().Str("event", "lease_not_read").Err(readErr).Send()
 			}
