--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,7 +14,9 @@
 	"github.com/galenahitch/galenahitch/internal/gossiper"
 	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/pooler"
+	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/internal/waiter"
+	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
 const (
@@ -53,6 +55,10 @@
 	quarantineFollower *follower.Follower
 	leader             *leader
 
+	// memberRowVersion is the version of this entry's row in the table of entries, 0 if it
+	// is not known. Only maintainMemberRow uses it.
+	memberRowVersion provider.Version
+
 	openRequests atomic.Int64
 	stopping     atomic.Bool
 	// stoppingSince is when the drain began. It is set before the field stopping
@@ -184,6 +190,7 @@
 			g.metrics.Count("store_eras")
 		}
 		g.sweepPeers(g.cfg.Now())
+		g.state.updateDisputedLeavings(g.cfg.Now())
 		limits := g.state.connectionLimits()
 		for address, limit := range limits {
 			g.pool.SetMaxConnections(address, limit)
@@ -243,4 +250,9 @@
 	g.metrics.Gauge("entries", int64(st.memberCount()))
 	g.metrics.Gauge("upstreams", int64(len(st.upstreams)))
 	g.metrics.Gauge("quarantine", int64(len(st.quarantine.rows)))
+	g.metrics.Gauge("upstreams_leaving_disputed", int64(len(st.disputedLeavings)))
+	counts := st.router.AvoidedCounts(now)
+	for _, cause := range router.AvoidedCauses {
+		g.metrics.Gauge("upstreams_avoided_"+string(cause), int64(counts[cause]))
+	}
 }
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -39,12 +39,17 @@
 type leader struct {
 	name   string
 	leaser *leaser.Leaser
+	// wasLeader reports whether the entry was the leader when observeTerm was last called.
+	// termStartedAt and termEndedAt are the times of its last term, zero if it had none.
+	wasLeader     bool
+	termStartedAt time.Time
+	termEndedAt   time.Time
 }
 
 func newLeader(cfg Config, name string) *leader {
 	return &leader{name: name, leaser: leaser.New(leaser.Config{
 		Holder: cfg.Self.ID, Lifetime: cfg.LeaseLifetime, Margin: cfg.LeaseLifetime / leaseMarginDivisor,
-	}, cfg.Now())}
+	}, cfg.LeaseNow())}
 }
 
 // runAsLeader returns a task that contends for a lease and calls work in each
@@ -52,20 +57,36 @@
 func (s *Server) runAsLeader(lead *leader, work func(context.Context)) func(context.Context) error {
 	return func(ctx context.Context) error {
 		for {
+			s.observeTerm(lead)
 			if s.acquireOrRenew(ctx, lead) {
 				work(ctx)
 			}
 			if !waiter.Pause(ctx, s.leaderPollInterval(lead)) {
+				s.observeTerm(lead)
 				return nil
 			}
 		}
 	}
 }
 
+// observeTerm logs the end of a term, with the state of the lease that ended it.
+func (s *Server) observeTerm(lead *leader) {
+	now := s.leaseNow()
+	holds := lead.leaser.Holds(now)
+	if lead.wasLeader && !holds {
+		lead.termEndedAt = now
+		refusing, _ := s.state.refusesRequests()
+		s.cfg.Log.Warn().Str("event", "lease_lost").Str("duty", lead.name).Uint64("fence", lead.leaser.Fence()).
+			Str("holder", lead.leaser.Holder()).Bool("refusing", refusing).Dur("row_age", lead.leaser.Status(now).Age).
+			Dur("held", now.Sub(lead.termStartedAt)).Send()
+	}
+	lead.wasLeader = holds
+}
+
 // leaderPollInterval is the time to the next round. It is short for the leader
 // only; other entries read the lease rarely.
 func (s *Server) leaderPollInterval(lead *leader) time.Duration {
-	if lead.leaser.Holds(s.now()) {
+	if lead.leaser.Holds(s.leaseNow()) {
 		return leaderInterval
 	}
 	return s.jitter(max(minPollInterval, s.sharedPollInterval()))
@@ -76,39 +97,86 @@
 // because it is stopping or leaving, does not write the lease.
 func (s *Server) acquireOrRenew(ctx context.Context, lead *leader) bool {
 	l := lead.leaser
-	if !l.Holds(s.now()) || l.Version() == 0 {
+	if !l.Holds(s.leaseNow()) || l.Version() == 0 {
 		row, err := s.cfg.Table.Get(ctx, leasePrefix+lead.name)
-		if err != nil {
+		s.observeCall("lease_read", err)
+		if err != nil || !s.observeLease(l, row) {
 			return false
 		}
-		var lease leaser.Lease
-		_ = json.Unmarshal(row.Value, &lease)
-		l.Observe(s.now(), row.Version, lease)
 	}
 	refusing, _ := s.state.refusesRequests()
-	proposed, due := l.ProposeWrite(s.now())
+	sentAt := s.leaseNow()
+	proposed, due := l.ProposeWrite(sentAt)
 	if refusing || !due {
-		return l.Holds(s.now())
+		return l.Holds(s.leaseNow())
 	}
 	proposed.Nonce = uuid.NewString()
 	value, _ := json.Marshal(proposed)
-	sentAt := s.now()
-	acquired := l.Holder() != s.cfg.Self.ID
+	s.observeTerm(lead)
+	renewal, status := l.Holds(sentAt), l.Status(sentAt)
 	result, err := provider.PutWithReadBack(ctx, s.cfg.Table, provider.Put{Key: leasePrefix + lead.name, Value: value, Expect: l.Version()})
+	s.observeCall("lease_write", err)
 	if err != nil {
-		return l.Holds(s.now())
+		return l.Holds(s.leaseNow())
 	}
 	if !result.Applied {
-		var lease leaser.Lease
-		_ = json.Unmarshal(result.Row.Value, &lease)
-		l.Observe(s.now(), result.Row.Version, lease)
+		s.observeLease(l, result.Row)
 		return false
 	}
 	l.RecordWrite(sentAt, result.Row.Version, proposed)
-	if acquired {
-		s.cfg.Log.Info().Str("event", "lease_taken").Str("duty", lead.name).Uint64("fence", proposed.Fence).Send()
+	if !renewal {
+		s.logTakeOver(lead, proposed, status, sentAt)
+	}
+	return l.Holds(s.leaseNow())
+}
+
+// observeLease passes a row that was just read to the leaser. It returns false if the row
+// can't be decoded.
+func (s *Server) observeLease(l *leaser.Leaser, row provider.Row) bool {
+	var lease leaser.Lease
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &lease); err != nil {
+			s.observeCall("lease_decode", err)
+			return false
+		}
+	}
+	s.observeCall("lease_decode", nil)
+	l.Observe(s.leaseNow(), row.Version, lease)
+	return true
+}
+
+// logTakeOver logs the start of a term: why the lease was free, how old the observation
+// was on which the take-over rests, and how long ago this entry's last term ended.
+func (s *Server) logTakeOver(lead *leader, lease leaser.Lease, status leaser.Status, sentAt time.Time) {
+	now := s.leaseNow()
+	line := s.cfg.Log.Info().Str("event", "lease_taken").Str("duty", lead.name).Uint64("fence", lease.Fence).
+		Str("reason", string(status.Vacancy)).Str("previous", status.Holder).Dur("row_age", status.Age).
+		Dur("took", now.Sub(sentAt)).Dur("lease_left", lead.leaser.Left(now))
+	if !lead.termEndedAt.IsZero() {
+		line.Dur("own_term_ended", sentAt.Sub(lead.termEndedAt))
+	}
+	line.Send()
+	lead.termStartedAt, lead.wasLeader = now, true
+}
+
+// leaderContext returns a context for one call that this entry sends as the leader. The
+// call is not sent after the end of the term, also if the process is paused before, and is
+// given up then: the margin of the lease is left for what is in transit. An error of type
+// provider.GuardFailed means that the entry is not the leader at now.
+func (s *Server) leaderContext(ctx context.Context, now time.Time, lead *leader) (context.Context, context.CancelFunc, error) {
+	left, fence := lead.leaser.Left(now), lead.leaser.Fence()
+	termEnd := now.Add(left)
+	guard := func() error {
+		if !s.leaseNow().Before(termEnd) {
+			return provider.GuardFailed.New("the term with fence %d has ended", fence)
+		}
+		return nil
 	}
-	return l.Holds(s.now())
+	if err := guard(); err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := waiter.WithDeadline(provider.WithGuard(ctx, guard), s.leaseNow, termEnd)
+	return ctx, cancel, nil
 }
 
 // storedMove is a move as stored in the platform's table, with its row's version.
@@ -121,13 +189,16 @@
 // and merges the moves into the entry's state.
 func (s *Server) readMoves(ctx context.Context) []storedMove {
 	rows, err := s.cfg.Table.Scan(ctx, provider.Scan{Prefix: movePrefix})
+	s.observeCall("moves", err)
 	if err != nil {
 		return nil
 	}
 	var moves []storedMove
 	for _, row := range rows {
 		var m mover.Move
-		if json.Unmarshal(row.Value, &m) != nil {
+		err := json.Unmarshal(row.Value, &m)
+		s.observeCall("move_decode", err)
+		if err != nil {
 			continue
 		}
 		s.applyMove(m)
@@ -155,9 +226,14 @@
 		return
 	}
 	next, event := mover.Advance(now, local, evidence, policy)
-	if event == "" || !s.moveLeader.leaser.Holds(s.now()) {
+	if event == "" {
+		return
+	}
+	ctx, cancel, err := s.leaderContext(ctx, s.leaseNow(), s.moveLeader)
+	if err != nil {
 		return
 	}
+	defer cancel()
 	if !s.writeMove(ctx, next, rowVersion) {
 		return
 	}
@@ -192,6 +268,7 @@
 func (s *Server) writeMove(ctx context.Context, m mover.Move, rowVersion uint64) bool {
 	value, _ := json.Marshal(m)
 	result, err := provider.PutWithReadBack(ctx, s.cfg.Table, provider.Put{Key: movePrefix + m.Deployment, Value: value, Expect: rowVersion})
+	s.observeCall("move_write", err)
 	return err == nil && result.Applied
 }
 
--- a/internal/server/leader_test.go
+++ b/internal/server/leader_test.go
@@ -1,15 +1,19 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenahitch/galenahitch/internal/emulator"
 	"github.com/galenahitch/galenahitch/internal/provider"
+	"github.com/galenahitch/galenahitch/pkg/leaser"
 	"github.com/galenahitch/galenahitch/pkg/mover"
 )
 
@@ -61,3 +65,100 @@
 	_, err = s.startMove(context.Background(), "ana", "s", "v5", 0)
 	require.ErrorContains(t, err, "a move to v4 goes on")
 }
+
+// The leader's write of a move's end took effect just before a roll-back, and stayed in
+// the row: entries that started later served the version that was rolled back.
+func TestLateEndDoesNotUndoARollBack(t *testing.T) {
+	open := mover.Start(time.Now(), mover.Move{ID: "m1", Epoch: 1, Deployment: "s", From: "v1", To: "v2"}, "ana", time.Minute)
+	done := open
+	done.State = mover.Done
+	done.Revision++
+	value, err := json.Marshal(done)
+	require.NoError(t, err)
+	for _, endFirst := range []bool{true, false} {
+		platform := emulator.NewPlatform(time.Now)
+		writeMoveRow(t, platform, open)
+		late := provider.Put{Key: movePrefix + "s", Value: value, Expect: 1}
+		s := testServer(t, "e1", platform, nil)
+		s.state.mergeMove(mover.RollBack(time.Now(), open, "system", "failures"))
+		if endFirst {
+			_, err = platform.Put(context.Background(), late)
+			require.NoError(t, err)
+		}
+		s.syncMoves(context.Background())
+		if !endFirst {
+			_, err = platform.Put(context.Background(), late)
+			require.NoError(t, err)
+		}
+		s.syncMoves(context.Background())
+		restarted := testServer(t, "e2", platform, nil)
+		restarted.syncMoves(context.Background())
+		require.Equal(t, mover.RolledBack, restarted.move("s").State, "the end first: %t", endFirst)
+	}
+}
+
+// Neither the end of a term nor a failed call to the table left a line, so the log did not
+// tell why a leader had stopped.
+func TestTermsAndFailuresAreLogged(t *testing.T) {
+	clock := newTestClock()
+	platform := emulator.NewPlatform(clock.Now)
+	fault := 5
+	table := &lossyTable{Table: platform, nextFault: func() int { return fault }}
+	s := newFleetLeader(t, clock, platform)
+	var log bytes.Buffer
+	s.cfg.Table, s.cfg.Log = table, zerolog.New(&log)
+	lead := newLeader(s.cfg, fleetLeadership)
+	require.True(t, s.acquireOrRenew(context.Background(), lead))
+	fault = 0
+	for range 20 {
+		clock.advance(s.cfg.LeaseLifetime / 4)
+		s.observeTerm(lead)
+		s.acquireOrRenew(context.Background(), lead)
+	}
+	fault = 5
+	clock.advance(s.cfg.LeaseLifetime)
+	require.True(t, s.acquireOrRenew(context.Background(), lead))
+	for event, lines := range map[string]int{
+		`"event":"lease_taken","duty":"fleet","fence":1,"reason":"unused"`:                  1,
+		`"event":"lease_taken","duty":"fleet","fence":2,"reason":"expired","previous":"e1"`: 1,
+		`"event":"lease_lost","duty":"fleet","fence":1,"holder":"e1"`:                       1,
+		`"event":"platform_unreachable"`:                                                    2,
+		`"event":"platform_reachable"`:                                                      2,
+	} {
+		require.Equal(t, lines, strings.Count(log.String(), event), "%s in\n%s", event, log.String())
+	}
+}
+
+// deadlineTable is a table that records the time left to each write.
+type deadlineTable struct {
+	provider.Table
+	left []time.Duration
+}
+
+func (d *deadlineTable) Put(ctx context.Context, put provider.Put) (provider.PutResult, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(time.Hour)
+	}
+	d.left = append(d.left, time.Until(deadline))
+	return d.Table.Put(ctx, put)
+}
+
+// A leader's write of a move's next step could be sent as its term ended and take effect
+// when the next leader had other evidence.
+func TestMovesAreAdvancedWithinTheTerm(t *testing.T) {
+	clock := newTestClock()
+	platform := emulator.NewPlatform(clock.Now)
+	s := newFleetLeader(t, clock, platform)
+	table := &deadlineTable{Table: platform}
+	s.cfg.Table = table
+	baking := mover.Start(clock.Now(), mover.Move{ID: "m1", Epoch: 1, Deployment: "s", From: "v1", To: "v2"}, "ana", time.Minute)
+	baking.State, baking.FullMS = mover.Baking, clock.Now().Add(-time.Hour).UnixMilli()
+	writeMoveRow(t, platform, baking)
+	s.moveLeader.leaser.RecordWrite(clock.Now(), 1, leaser.Lease{Holder: "e1", Fence: 1})
+	clock.advance(s.cfg.LeaseLifetime / 3)
+	s.advanceMoves(context.Background())
+	require.Equal(t, mover.Done, s.move("s").State)
+	require.Len(t, table.left, 1)
+	require.LessOrEqual(t, table.left[0], s.cfg.LeaseLifetime/3, "the time that is left of the term")
+}
