internal/gateway, pooler, waiter, platform: one context with the deadline of a lease

Both fronts bound their calls by waiter.WithDeadline now, whose watcher has ended when it is cancelled. Comments say what a reset does not take back: what the peer's machine has received. timekeeper no longer falls back to a clock that can be set.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -225,7 +225,8 @@
 	MaxUsageDelay time.Duration
 	// OrdersVMs enables fleet orders.
 	OrdersVMs bool
-	// MinLeaderGap is the shortest time between the terms of two leaders.
+	// MinLeaderGap is the shortest time between calls of one leader before and after calls
+	// of another one.
 	MinLeaderGap time.Duration
 	// StopGrace is the time from the cancellation of Run's context to the end of
 	// the process.
--- a/internal/gateway/leader_test.go
+++ b/internal/gateway/leader_test.go
@@ -237,8 +237,9 @@
 	require.True(t, result.Applied)
 }
 
-// In any history of cuts, releases, restarts, lost answers and delayed writes, leaders do not act in the
-// order A, B, A within the gap, fences rise, and there is a leader in the end.
+// In any history of cuts, releases, restarts, lost answers and delayed writes, leaders do
+// not act in the order A, B, A within the gap, fences rise, and there is a leader in the
+// end.
 func TestLeadersDoNotActInTurn(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
@@ -246,10 +247,6 @@
 		for range rapid.IntRange(10, 80).Draw(rt, "steps") {
 			i := m.target(rapid.IntRange(0, 2*len(m.entries)).Draw(rt, "entry"))
 			switch rapid.IntRange(0, 11).Draw(rt, "action") {
-			case 10:
-				m.clients[i].delays = true
-			case 11:
-				m.clients[i].doDelayed()
 			case 0:
 				m.clients[i].losesAnswer = true
 			case 1, 2:
@@ -263,6 +260,10 @@
 				m.start(i)
 			case 5:
 				m.start(i)
+			case 6:
+				m.clients[i].delays = true
+			case 7:
+				m.clients[i].doDelayed()
 			}
 			for range rapid.IntRange(0, 4).Draw(rt, "rounds") {
 				for i := range m.entries {
--- a/internal/gateway/term.go
+++ b/internal/gateway/term.go
@@ -20,8 +20,6 @@
 	// unknownHolder stands for the holder of a lease whose row is invalid, which expires as
 	// any other.
 	unknownHolder = "unknown"
-	// termCheckInterval is the time between two looks at the lease during a call.
-	termCheckInterval = 50 * time.Millisecond
 )
 
 // term is a term of this entry as the leader, at one moment.
@@ -61,22 +59,8 @@
 		return t, err
 	}
 	timeout := min(cloudCallTimeout, t.left+leaseMargin-arrivalMargin)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	watched := make(chan struct{})
-	go func() {
-		defer close(watched)
-		// The process may have been paused before the timer of the context was set, and
-		// the timer stands still while the machine is suspended.
-		for waiter.Pause(ctx, termCheckInterval) {
-			if l.g.cfg.LeaseNow().Sub(sentAt) >= timeout {
-				cancel()
-			}
-		}
-	}()
-	defer func() {
-		cancel()
-		<-watched
-	}()
+	ctx, cancel := waiter.WithDeadline(ctx, l.g.cfg.LeaseNow, sentAt.Add(timeout))
+	defer cancel()
 	err = call(provider.WithGuard(ctx, func() error {
 		now, err := l.termAt(l.g.cfg.LeaseNow())
 		if err == nil && now.fence != t.fence {
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -72,24 +73,36 @@
 	idleUntil time.Time
 }
 
+// DialerConfig configures a dialer.
+type DialerConfig struct {
+	// LocalIP is the local address of connections. Empty means any.
+	LocalIP string
+	// Timeout limits the opening of a connection.
+	Timeout time.Duration
+	// UnackedTimeout is the time after which a connection whose peer acknowledges no data
+	// is closed. Zero means 1.5 s.
+	UnackedTimeout time.Duration
+}
+
 // NewDialer returns a dialer for connections that do not hang: TCP keep-alive
 // and the TCP user timeout close a connection whose peer is unreachable.
-func NewDialer(localIP string, timeout time.Duration) *net.Dialer {
+func NewDialer(cfg DialerConfig) *net.Dialer {
+	unacked := cmp.Or(cfg.UnackedTimeout, unackedTimeout)
 	dialer := &net.Dialer{
-		Timeout:         timeout,
+		Timeout:         cfg.Timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optionErr error
 			if err := raw.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
 			}); err != nil {
 				return err
 			}
 			return optionErr
 		},
 	}
-	if localIP != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(localIP)}
+	if cfg.LocalIP != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.LocalIP)}
 	}
 	return dialer
 }
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -105,7 +105,7 @@
 
 // New returns an empty pool.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, dialer: NewDialer(cfg.LocalIP, connectTimeout), hosts: map[string]*upstreamConns{}}
+	return &Pool{cfg: cfg, dialer: NewDialer(DialerConfig{LocalIP: cfg.LocalIP, Timeout: connectTimeout}), hosts: map[string]*upstreamConns{}}
 }
 
 // SetMaxConnections limits the connections to an upstream. Zero means no limit.
--- a/internal/provider/guard.go
+++ b/internal/provider/guard.go
@@ -26,7 +26,7 @@
 }
 
 // CallError returns the error of a call for that of its HTTP client: of type GuardFailed if
-// the call was not sent, else of type Unreachable.
+// the call was not sent to its end, else of type Unreachable.
 func CallError(err error, path string) error {
 	var cause *errorx.Error
 	if errors.As(err, &cause) && cause.IsOfType(GuardFailed) {
@@ -38,10 +38,10 @@
 // DialContext opens a connection.
 type DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
-// GuardedDial returns a dial function for connections that check the guards of calls. They
-// are reset when they are closed, also by the end of the process: what the peer has not
-// acknowledged is dropped then, so that a call can't arrive after its sender has given it
-// up.
+// GuardedDial returns a dial function for connections that check the guards of calls. The
+// connections are reset when they are closed, also by the end of the process: the kernel
+// drops what the peer has not acknowledged, so that a call that its sender has given up
+// reaches the peer's machine no more. What has reached it by then may still be read there.
 func GuardedDial(dial DialContext) DialContext {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
--- a/internal/provider/guard_test.go
+++ b/internal/provider/guard_test.go
@@ -64,7 +64,8 @@
 	require.NoError(t, call(func() error { return nil }))
 }
 
-// A call was given up by its sender, whose socket went on to deliver it.
+// A call was given up by its sender, whose socket went on to send it: a closed connection
+// must be reset.
 func TestClosedConnectionsAreReset(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -15,12 +15,12 @@
 
 // Now returns the time since an arbitrary moment, which is the same for all processes
 // of a machine until it boots. It is not affected by changes of the time of day and is
-// not comparable with times of other clocks. If the clock can't be read, it returns the
-// time of day without a monotonic reading.
+// not comparable with times of other clocks. Every Linux kernel since 2.6.39 has the clock;
+// Now panics if it can't be read, as no other clock can stand in for it.
 func Now() time.Time {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		return time.Now().Round(0)
+		panic("timekeeper: read CLOCK_BOOTTIME: " + err.Error())
 	}
 	return time.Unix(now.Unix())
 }
--- a/internal/waiter/waiter.go
+++ b/internal/waiter/waiter.go
@@ -28,15 +28,21 @@
 
 // WithDeadline returns a context that ends at a time of the clock now. Timers stand still
 // while the machine is suspended; if the clock goes on then, the context ends up to
-// clockCheckInterval after the process runs again.
+// clockCheckInterval after the process runs again. The clock is not read after the
+// function that cancels the context has returned.
 func WithDeadline(ctx context.Context, now func() time.Time, deadline time.Time) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now()))
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		for Pause(ctx, clockCheckInterval) {
 			if !now().Before(deadline) {
 				cancel()
 			}
 		}
 	}()
-	return ctx, cancel
+	return ctx, func() {
+		cancel()
+		<-ended
+	}
 }
