internal/server: histories of orders draw no negative delay on a busy machine

The time that is left of an order is counted on the real clock and may be over before the first draw. A delay of none is drawn then; the check is as it was.

--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -309,7 +309,7 @@
 func (h *fleetHistory) start(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
 	limit := callTimeout
 	if deadline, ok := ctx.Deadline(); ok {
-		limit = min(limit, time.Until(deadline))
+		limit = max(0, min(limit, time.Until(deadline)))
 	}
 	switch rapid.IntRange(0, 3).Draw(h.t, "fate") {
 	case 0:
