internal/server, dispatcher: upstreams of the product's own interface say that they leave or want time

An entry of the product's own interface learned that an upstream leaves only from the platform's notices and from reports of load, once a second at best, and did not read Retry-After: an upstream that refused with it got the next request at once, and a model request waited for it until its deadline.

dispatcher.HTTP reports what the head of each response says (X-Leaving-Ms, and Retry-After with status 503), calls and queries alike. Leaving is a notice, as that of a report of load; time asked for is a backoff of pkg/router, during which no requests, reports, queries of progress, probes or transfers of KV caches go to the upstream. While all upstreams of a deployment are in a backoff, requests are refused at once. A stream whose KV cache was moved to an upstream that leaves or has asked for time since goes elsewhere. The emulated upstreams learn both.

NextReturn does not count suspects: they get requests as the last resort.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -107,6 +107,23 @@
 	Progress(ctx context.Context, target Target, requestID string, attempt int) (Progress, error)
 }
 
+// Signals are what an upstream says of itself in the head of a response of any kind.
+type Signals struct {
+	// Leaving says that the upstream is reclaimed after ReclaimIn.
+	Leaving   bool
+	ReclaimIn time.Duration
+	// RetryAfter is the time in which the upstream wants nothing from this entry, 0 if it
+	// asks for none. Only a refusal with status 503 asks for time.
+	RetryAfter time.Duration
+}
+
+// SignalSource is implemented by clients that report the signals of upstreams.
+type SignalSource interface {
+	// OnSignals sets the function that is called for each response with signals, before
+	// the call that it belongs to returns.
+	OnSignals(handle func(Target, Signals))
+}
+
 // UpstreamClient combines the interfaces through which an entry calls upstreams.
 type UpstreamClient interface {
 	EngineClient
@@ -122,6 +139,8 @@
 	headerKey        = "X-Key"
 	headerNotRun     = "X-Not-Run"
 	headerRunning    = "X-Running"
+	headerLeaving    = "X-Leaving-Ms"
+	headerRetryAfter = "Retry-After"
 )
 
 // IsForwardableStatus reports whether a response with this HTTP status is the
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
 const (
@@ -39,6 +40,7 @@
 type HTTP struct {
 	pooled   *http.Transport
 	unpooled *http.Transport
+	signals  atomic.Pointer[func(Target, Signals)]
 }
 
 // NewHTTP returns a client. It makes no call.
@@ -75,8 +77,9 @@
 }
 
 // roundTrip sends a request and returns the response. An error carries a verdict
-// on the execution of the request.
-func roundTrip(transport *http.Transport, req *http.Request) (*http.Response, error) {
+// on the execution of the request. What the head of the response says of the upstream is
+// reported.
+func (h *HTTP) roundTrip(transport *http.Transport, req *http.Request, target Target) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
@@ -87,6 +90,7 @@
 		}
 		return nil, judge.Wrap(judge.MayHaveRun, err, "exchange with %s", req.URL.Host)
 	}
+	h.reportSignals(target, resp)
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotRun) != "" {
 		resp.Body.Close()
 		return nil, judge.Errorf(judge.NotRun, "%s refused the request", req.URL.Host)
@@ -94,6 +98,29 @@
 	return resp, nil
 }
 
+// OnSignals sets the function that receives the signals of upstreams.
+func (h *HTTP) OnSignals(handle func(Target, Signals)) { h.signals.Store(&handle) }
+
+// reportSignals reports what the head of a response says of its upstream.
+func (h *HTTP) reportSignals(target Target, resp *http.Response) {
+	handle := h.signals.Load()
+	if handle == nil {
+		return
+	}
+	var s Signals
+	if text := resp.Header.Get(headerLeaving); text != "" {
+		// An invalid time counts as none.
+		ms, _ := strconv.ParseUint(text, 10, 31)
+		s.Leaving, s.ReclaimIn = true, time.Duration(ms)*time.Millisecond
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		s.RetryAfter = router.ParseBackoff(resp.Header.Get(headerRetryAfter))
+	}
+	if s != (Signals{}) {
+		(*handle)(target, s)
+	}
+}
+
 func setAttemptHeaders(req *http.Request, a Attempt) {
 	req.Header.Set(headerRequestID, a.RequestID)
 	req.Header.Set(headerAttempt, strconv.Itoa(a.Number))
@@ -120,7 +147,7 @@
 	if call.NewConnection {
 		transport = h.unpooled
 	}
-	resp, err := roundTrip(transport, req)
+	resp, err := h.roundTrip(transport, req, target)
 	if err != nil {
 		return Response{}, err
 	}
@@ -150,7 +177,7 @@
 	if err != nil {
 		return value, 0, judge.Wrap(judge.NotRun, err, "address a probe")
 	}
-	resp, err := roundTrip(h.unpooled, req)
+	resp, err := h.roundTrip(h.unpooled, req, target)
 	if err != nil {
 		return value, 0, err
 	}
--- a/internal/dispatcher/http_test.go
+++ b/internal/dispatcher/http_test.go
@@ -18,6 +18,7 @@
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
 	"github.com/galenahitch/galenahitch/internal/emulator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
 func target(s *httptest.Server) dispatcher.Target {
@@ -151,3 +152,46 @@
 		server.Close()
 	}
 }
+
+// What an upstream says of itself is reported for each kind of call, refusals included.
+func TestSignalsOfUpstreams(t *testing.T) {
+	for _, test := range []struct {
+		status                      int
+		leaving, retryAfter, notRun string
+		want                        dispatcher.Signals
+	}{
+		{status: 200},
+		{status: 200, leaving: "1500", want: dispatcher.Signals{Leaving: true, ReclaimIn: 1500 * time.Millisecond}},
+		{status: 200, leaving: "soon", want: dispatcher.Signals{Leaving: true}},
+		{status: 503, notRun: "1", retryAfter: "0.5", leaving: "0", want: dispatcher.Signals{Leaving: true, RetryAfter: 500 * time.Millisecond}},
+		{status: 503, retryAfter: "-2", want: dispatcher.Signals{RetryAfter: router.DefaultBackoff}},
+		{status: 429, retryAfter: "3"},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for name, value := range map[string]string{"X-Leaving-Ms": test.leaving, "Retry-After": test.retryAfter, "X-Not-Run": test.notRun} {
+				if value != "" {
+					w.Header().Set(name, value)
+				}
+			}
+			w.WriteHeader(test.status)
+		}))
+		to := target(server)
+		h := dispatcher.NewHTTP(dispatcher.Config{})
+		var got []dispatcher.Signals
+		h.OnSignals(func(from dispatcher.Target, s dispatcher.Signals) {
+			require.Equal(t, to, from)
+			got = append(got, s)
+		})
+		_, _ = h.Generate(t.Context(), to, dispatcher.Attempt{RequestID: "r", Body: []byte("{}")})
+		_, _ = h.Call(t.Context(), to, dispatcher.Call{Method: http.MethodGet})
+		_, _ = h.Load(t.Context(), to)
+		_, _ = h.Progress(t.Context(), to, "r", 1)
+		if test.want == (dispatcher.Signals{}) {
+			require.Empty(t, got)
+		} else {
+			require.Equal(t, []dispatcher.Signals{test.want, test.want, test.want, test.want}, got)
+		}
+		h.Close()
+		server.Close()
+	}
+}
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -52,7 +52,7 @@
 	if a.ResumeKV {
 		req.Header.Set(headerResumeKV, "1")
 	}
-	resp, err := roundTrip(h.pooled, req)
+	resp, err := h.roundTrip(h.pooled, req, target)
 	if err != nil {
 		return nil, err
 	}
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := roundTrip(h.unpooled, req)
+	resp, err := h.roundTrip(h.unpooled, req, from)
 	if err != nil {
 		return err
 	}
@@ -167,7 +167,7 @@
 	if err != nil {
 		return err
 	}
-	putResp, err := roundTrip(h.unpooled, putReq)
+	putResp, err := h.roundTrip(h.unpooled, putReq, to)
 	if err != nil {
 		return err
 	}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -71,6 +71,10 @@
 	// LeavingMS is reported as the time remaining before a reclaim, in
 	// milliseconds.
 	LeavingMS int64 `json:"leaving_ms"`
+	// SayLeaving adds LeavingMS to the head of each response too.
+	SayLeaving bool `json:"say_leaving"`
+	// RetryAfterMS is the time that a refusal asks for, in milliseconds; 0 asks for none.
+	RetryAfterMS int64 `json:"retry_after_ms"`
 }
 
 // Run is a journal record of one attempt that an upstream ran.
@@ -134,7 +138,7 @@
 	mux.HandleFunc("GET /kv/{id}/{attempt}", e.exportKV)
 	mux.HandleFunc("PUT /kv/{id}", e.importKV)
 	e.mount(mux, e.SetFaults)
-	return mux
+	return e.signaling(mux)
 }
 
 // SetFaults replaces the faults.
@@ -198,7 +202,7 @@
 		return
 	}
 	if f.Refuse {
-		writeNotRun(w)
+		writeNotRun(w, f)
 		return
 	}
 	if f.Fail {
@@ -209,8 +213,11 @@
 }
 
 // writeNotRun writes the response that confirms that the request was not run.
-func writeNotRun(w http.ResponseWriter) {
+func writeNotRun(w http.ResponseWriter, f UpstreamFaults) {
 	w.Header().Set("X-Not-Run", "1")
+	if f.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(f.RetryAfterMS)/1000, 'f', 3, 64))
+	}
 	http.Error(w, "not run", http.StatusServiceUnavailable)
 }
 
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -36,7 +36,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/run/", s.run)
 	s.mount(mux, s.SetFaults)
-	return mux
+	return s.signaling(mux)
 }
 
 func (s *Service) run(w http.ResponseWriter, r *http.Request) {
@@ -48,7 +48,7 @@
 	f := s.begin(route)
 	defer s.end()
 	if f.Refuse {
-		writeNotRun(w)
+		writeNotRun(w, f)
 		return
 	}
 	if s.cfg.Crash != nil && strings.Contains(string(body), crashMarker) {
--- a/internal/emulator/upstream.go
+++ b/internal/emulator/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/google/uuid"
@@ -50,6 +51,19 @@
 	u.faults = f
 }
 
+// signaling adds to each response what the faults say that it has to say.
+func (u *upstream) signaling(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u.mu.Lock()
+		f := u.faults
+		u.mu.Unlock()
+		if f.SayLeaving {
+			w.Header().Set("X-Leaving-Ms", strconv.FormatInt(f.LeavingMS, 10))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // mount registers the handlers for the load report, the faults, the request
 // count and the journal.
 func (u *upstream) mount(mux *http.ServeMux, setFaults func(UpstreamFaults)) {
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenahitch/galenahitch/internal/reporter"
 	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
@@ -46,29 +47,7 @@
 // logAvoided logs which upstreams have begun or ceased to be avoided. The lock must be
 // held.
 func (st *state) logAvoided(now time.Time) {
-	for _, change := range st.router.Changes(now) {
-		if before := change.Before; !before.Allowed() {
-			line := st.log.Info().Str("event", "upstream_avoidance_ended").Str("upstream", change.ID).Str("cause", string(before.Cause)).
-				Str("source", string(before.Source)).Str("now", string(change.After.Cause))
-			if !before.Since.IsZero() {
-				line = line.Dur("lasted", now.Sub(before.Since))
-			}
-			line.Send()
-		}
-		after := change.After
-		if after.Allowed() || after.Cause == router.CauseUnlisted {
-			continue
-		}
-		line := st.log.Info().Str("event", "upstream_avoided").Str("upstream", change.ID).Str("cause", string(after.Cause)).
-			Str("source", string(after.Source)).Dur("list_age", now.Sub(st.listUpdatedAt))
-		if !after.Since.IsZero() {
-			line = line.Dur("age", now.Sub(after.Since))
-		}
-		if !after.Until.IsZero() {
-			line = line.Dur("left", after.Until.Sub(now))
-		}
-		line.Send()
-	}
+	reporter.LogAvoided(st.log, now, now.Sub(st.listUpdatedAt), st.router.Changes(now))
 }
 
 // updateDisputedLeavings finds the upstreams that said that they leave, but have been
--- a/internal/server/reclaim.go
+++ b/internal/server/reclaim.go
@@ -102,6 +102,9 @@
 // moveKV chooses the next upstream of a run and moves the run's KV cache there.
 func (s *Server) moveKV(r *request) (dispatcher.Target, string, bool) {
 	from, attempt := r.currentTarget(), r.attemptNumber()
+	if _, waits := s.backoffUntil(s.now(), from.ID); waits {
+		return dispatcher.Target{}, "", false
+	}
 	to, version, ok := s.chooseUpstream(r)
 	if !ok || to.ID == from.ID {
 		return dispatcher.Target{}, "", false
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -48,6 +48,7 @@
 			s.refuseRun(ctx, r, judge.Refuse(judge.CodeCrashesUpstreams, judge.MayHaveRun, "this request crashes the upstreams that run it"))
 			return
 		}
+		next = s.usable(next)
 		target, version, ok := s.nextUpstream(r, next)
 		if !ok {
 			if !s.waitForUpstream(ctx, r) {
@@ -134,6 +135,10 @@
 // returns false.
 func (s *Server) waitForUpstream(ctx context.Context, r *request) bool {
 	r.clearExclusions()
+	if wait, known := s.nextReturn(r.route.Deployment); known && wait > noUpstreamRetryDelay {
+		s.refuseRun(ctx, r, s.refuseNoUpstream(r.route.Deployment))
+		return false
+	}
 	if s.now().Add(noUpstreamRetryDelay).After(r.deadline) || ctx.Err() != nil {
 		s.refuseRun(ctx, r, judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+r.route.Deployment+" takes work"))
 		return false
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 	"google.golang.org/grpc"
 
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
 	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/messenger"
 	"github.com/galenahitch/galenahitch/internal/waiter"
@@ -40,7 +41,7 @@
 func New(cfg Config) *Server {
 	cfg.setDefaults()
 	base, cancel := context.WithCancel(context.Background())
-	return &Server{
+	s := &Server{
 		cfg:           cfg,
 		state:         newState(cfg),
 		runs:          newRegistry(),
@@ -53,6 +54,10 @@
 		baseContext:   base,
 		cancel:        cancel,
 	}
+	if source, ok := cfg.Upstreams.(dispatcher.SignalSource); ok {
+		source.OnSignals(s.recordSignals)
+	}
+	return s
 }
 
 func (s *Server) now() time.Time { return s.cfg.Now() }
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -118,7 +118,7 @@
 	for {
 		target, version, ok := s.chooseCallUpstream(call)
 		if !ok {
-			return dispatcher.Response{}, judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+call.route.Deployment+" takes work").WithRetryAfter(s.jitter(time.Second))
+			return dispatcher.Response{}, s.refuseNoUpstream(call.route.Deployment)
 		}
 		response, err := s.attemptCall(ctx, call, target, version)
 		if err == nil {
@@ -209,6 +209,9 @@
 			return r.response, r.err
 		case <-ticker.C:
 		}
+		if _, waits := s.backoffUntil(s.now(), target.ID); waits {
+			continue
+		}
 		progress, err := s.cfg.Upstreams.Progress(ctx, target, call.requestID, call.attempts)
 		// The next query is a whole interval after the end of this one, so that a
 		// response in transit has that time to arrive.
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -30,6 +30,7 @@
 	encodedConfig     []byte
 	vms               []provider.VM
 	hasVMList         bool
+	vmListAt          time.Time
 	router            *router.Router
 	tracker           *tracker.Tracker
 	isolator          isolator.Isolator
@@ -136,7 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms
-	s.hasVMList = true
+	s.hasVMList, s.vmListAt = true, now
 	var upstreams []router.Upstream
 	var members []tracker.Member
 	for _, vm := range vms {
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/dispatcher"
@@ -127,7 +128,14 @@
 
 // syncLoads queries the load of upstreams, loadQueryWorkers at a time.
 func (s *Server) syncLoads(ctx context.Context) {
-	upstreams := s.upstreamsToQuery(s.now())
+	now := s.now()
+	s.state.mu.Lock()
+	s.logAvoided(now)
+	s.state.mu.Unlock()
+	upstreams := slices.DeleteFunc(s.upstreamsToQuery(now), func(u router.Upstream) bool {
+		_, waits := s.backoffUntil(now, u.ID)
+		return waits
+	})
 	jobs := make(chan router.Upstream)
 	done := make(chan struct{})
 	for range loadQueryWorkers {
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -85,6 +85,10 @@
 	w.mu.Lock()
 	offset := w.offset
 	w.mu.Unlock()
+	if until, waits := w.server.backoffUntil(w.server.now(), w.target.ID); waits {
+		w.postpone(until)
+		return
+	}
 	progress, err := w.server.cfg.Upstreams.Progress(ctx, w.target, w.request.id, w.number)
 	if ctx.Err() != nil {
 		return
@@ -117,6 +121,15 @@
 	w.cancel()
 }
 
+// postpone makes the next query at the given time.
+func (w *watchdog) postpone(until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(until.Sub(w.server.now()))
+	}
+}
+
 // failureCause returns the watchdog's reason if the watchdog ended the attempt,
 // else err. In the first case err is only the cancellation.
 func (w *watchdog) failureCause(err error) error {
@@ -143,7 +156,7 @@
 const (
 	probeHealthy probeResult = iota
 	// probeSilent means that the upstream does not respond but no connection was
-	// refused. The upstream may be frozen or partitioned rather than crashed.
+	// refused, or that it wants no queries. The upstream may be frozen or partitioned rather than crashed.
 	probeSilent
 	// probeCrashed means that the upstream refuses connections or has restarted.
 	probeCrashed
@@ -164,6 +177,9 @@
 func (s *Server) probe(ctx context.Context, target dispatcher.Target, bootID string) probeResult {
 	ctx = context.WithoutCancel(ctx)
 	for range maxProbeTries {
+		if _, waits := s.backoffUntil(s.now(), target.ID); waits {
+			return probeSilent
+		}
 		start := s.now()
 		load, err := s.cfg.Upstreams.Load(ctx, target)
 		switch {
--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -1,6 +1,11 @@
 package router
 
-import "time"
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
 
 // Cause says why an upstream gets no request.
 type Cause string
@@ -153,6 +158,20 @@
 	return b.until.Add((steps + 1) * b.rampStep), true
 }
 
+// ParseBackoff decodes the seconds, with or without fractions, for which an upstream wants
+// no requests; 0 means that text is empty. A text that is no such number is taken for
+// DefaultBackoff, a larger number than MaxBackoff for that.
+func ParseBackoff(text string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return DefaultBackoff
+	}
+	return time.Duration(min(seconds, MaxBackoff.Seconds()) * float64(time.Second))
+}
+
 // Signals are what an upstream says of itself in a response.
 type Signals struct {
 	// Leaving says that the upstream's process is about to end.
@@ -181,9 +200,9 @@
 // replace those of an earlier call.
 func (r *Router) SetUnreachableDomains(domains map[string]bool) { r.unreachableDomains = domains }
 
-// NextReturn returns the earliest time at which an upstream that may get the request
-// then ends a backoff or its time as a suspect. It returns false if one may get the
-// request now, or if no such time is known. Exclude is ignored.
+// NextReturn returns the earliest time at which the backoff of an upstream that may get
+// the request then ends. It returns false if one may get the request now, as the last
+// resort if it is a suspect, or if no such time is known. Exclude is ignored.
 func (r *Router) NextReturn(now time.Time, req Request) (time.Time, bool) {
 	var next time.Time
 	for _, rec := range r.byDeployment[req.Deployment] {
@@ -191,7 +210,7 @@
 			continue
 		}
 		a := r.admission(now, rec)
-		if a.Allowed() {
+		if a.Allowed() || a.Cause == CauseSuspect {
 			return time.Time{}, false
 		}
 		if !a.Until.IsZero() && (next.IsZero() || a.Until.Before(next)) {
