--- a/internal/gateway/term.go
+++ b/internal/gateway/term.go
@@ -17,8 +17,9 @@
 	// lease of its term expires: it may arrive after its sender has given it up.
 	cloudCallTimeout = time.Second
 	arrivalMargin    = 250 * time.Millisecond
-	// termCheckInterval is the time between two looks at the lease during a call.
-	termCheckInterval = 50 * time.Millisecond
+	// unknownHolder stands for the holder of a lease whose row is invalid, which expires as
+	// any other.
+	unknownHolder = "unknown"
 )
 
 // term is a term of this entry as the leader, at one moment.
@@ -58,22 +59,8 @@
 		return t, err
 	}
 	timeout := min(cloudCallTimeout, t.left+leaseMargin-arrivalMargin)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	watched := make(chan struct{})
-	go func() {
-		defer close(watched)
-		// The process may have been paused before the timer of the context was set, and
-		// the timer stands still while the machine is suspended.
-		for waiter.Pause(ctx, termCheckInterval) {
-			if l.g.cfg.LeaseNow().Sub(sentAt) >= timeout {
-				cancel()
-			}
-		}
-	}()
-	defer func() {
-		cancel()
-		<-watched
-	}()
+	ctx, cancel := waiter.WithDeadline(ctx, l.g.cfg.LeaseNow, sentAt.Add(timeout))
+	defer cancel()
 	err = call(provider.WithGuard(ctx, func() error {
 		now, err := l.termAt(l.g.cfg.LeaseNow())
 		if err == nil && now.fence != t.fence {
@@ -113,9 +100,9 @@
 func (l *leader) observeRow(now time.Time, row provider.StoreRow) {
 	var lease leaser.Lease
 	if row.Version != 0 {
-		if err := json.Unmarshal(row.Value, &lease); err != nil {
+		if err := json.Unmarshal(row.Value, &lease); err != nil || lease.Fence == 0 {
 			l.g.cfg.Log.Error().Str("event", "lease_invalid").Uint64("row_version", row.Version.Number()).Err(err).Send()
-			return
+			lease = leaser.Lease{Holder: unknownHolder}
 		}
 	}
 	l.g.state.mu.Lock()
--- a/internal/gateway/term_test.go
+++ b/internal/gateway/term_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/pkg/leaser"
 )
 
@@ -68,3 +69,90 @@
 	})
 	require.NoError(t, err)
 }
+
+// modelInEra returns a model whose store is in its first era and has a copy in which the
+// lease was released by the last of three entries.
+func modelInEra(t *testing.T) (*leaderModel, *clock) {
+	clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+	m := newLeaderModel(t, clock, newTurnCloud(t, clock.read, testGap), 3)
+	m.store.era = 1
+	m.store.takeCopy()
+	for range 2 {
+		m.round(2)
+		clock.advance(testGap + leaseHeadroom)
+	}
+	m.round(2)
+	m.entries[2].leader.release(context.Background())
+	m.store.takeCopy()
+	m.round(0)
+	clock.advance(20 * time.Second)
+	m.round(0)
+	require.True(t, m.entries[0].leader.holdsLease())
+	return m, clock
+}
+
+// The store returned from a copy in which the lease was released. An entry that had not
+// read the lease before took it at once, while the leader of the lost row acted.
+func TestFirstReadOfTheLeaseInALaterEra(t *testing.T) {
+	m, _ := modelInEra(t)
+	m.store.returnTo(1)
+	m.round(1)
+	require.LessOrEqual(t, m.leaders(), 1)
+}
+
+// The store returned from a copy without the lease. An entry that started then took it at
+// once, while the leader of the lost row acted.
+func TestStartInALaterEra(t *testing.T) {
+	m, _ := modelInEra(t)
+	m.store.returnTo(0)
+	m.start(1)
+	m.round(1)
+	require.LessOrEqual(t, m.leaders(), 1)
+}
+
+// The lease of an earlier era was taken over while calls of its last holder could still be
+// under way.
+func TestTakeOverInALaterEraWaitsForCalls(t *testing.T) {
+	m, clock := modelInEra(t)
+	m.entries[1].leader.observeEra(clock.now, 1)
+	renewed := clock.now
+	m.store.returnTo(1)
+	m.clients[0].unreachable = true
+	for !m.entries[1].leader.holdsLease() {
+		m.round(1)
+		clock.advance(10 * time.Millisecond)
+	}
+	lastArrival := testGap + leaseHeadroom - arrivalMargin
+	require.GreaterOrEqual(t, clock.now.Sub(renewed), lastArrival)
+}
+
+// The lease's row was deleted or spoilt: fences began again at 1, a row without a holder
+// was taken for a released lease, and with one that can't be decoded there was no leader
+// any more.
+func TestSpoiltLeaseRows(t *testing.T) {
+	for _, value := range []string{"", "{}", "null", "[", `{"holder":7}`} {
+		clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+		m := newLeaderModel(t, clock, newTurnCloud(t, clock.read, testGap), 2)
+		clock.advance(20 * time.Second)
+		m.round(0)
+		fence := m.entries[0].leader.lease.Fence()
+		m.clients[0].unreachable = true
+		key := "leases/" + leaseKey
+		m.store.number++
+		if value == "" {
+			delete(m.store.rows, key)
+			clock.advance(testGap + leaseHeadroom)
+		} else {
+			m.store.rows[key] = provider.StoreRow{Table: "leases", Key: leaseKey, Value: []byte(value), Version: provider.Version(m.store.number)}
+		}
+		spoiltAt := clock.now
+		for !m.entries[1].leader.holdsLease() {
+			require.Less(t, clock.now.Sub(spoiltAt), 10*time.Second, "%q", value)
+			m.round(0)
+			m.round(1)
+			require.LessOrEqual(t, m.leaders(), 1, "%q", value)
+			clock.advance(250 * time.Millisecond)
+		}
+		require.Greater(t, m.entries[1].leader.lease.Fence(), fence, "%q", value)
+	}
+}
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -10,6 +10,7 @@
 	"github.com/galenahitch/galenahitch/internal/messenger"
 	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/internal/waiter"
+	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/planner"
 	"github.com/galenahitch/galenahitch/pkg/recorder"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -57,7 +58,7 @@
 	rows, err := s.cfg.Table.Scan(ctx, provider.Scan{
 		Prefix: planner.KeyPrefix, After: planner.Key(s.state.generation()), Reverse: true, Limit: 1,
 	})
-	s.countUnreachable("table", err)
+	s.observeCall("table", err)
 	if err != nil || len(rows) == 0 {
 		return
 	}
@@ -78,7 +79,7 @@
 // syncVMs reads the VM list from the platform.
 func (s *Server) syncVMs(ctx context.Context) {
 	vms, err := s.cfg.Cloud.VMs(ctx)
-	s.countUnreachable("vm_list", err)
+	s.observeCall("vm_list", err)
 	if err == nil {
 		s.state.applyVMList(s.now(), vms)
 	}
@@ -87,28 +88,43 @@
 // syncNotices reads the reclaim notices from the platform and drops old ones.
 func (s *Server) syncNotices(ctx context.Context) {
 	notices, err := s.cfg.Cloud.Notices(ctx)
+	s.observeCall("notices", err)
 	if err == nil {
 		s.handleNotices(notices)
 	}
 	s.state.dropOldNotices(s.now())
 }
 
-// syncMoves reads the stored moves. If a stored move is in progress but has ended in
-// this entry's state, for example by a roll-back while the platform was down, it
-// writes the ended move.
+// syncMoves reads the stored moves. If a move has ended in this entry's state, and that
+// end takes precedence over the stored state, it writes the ended move: the row may
+// still be in progress after a roll-back while the platform was down, or hold the end
+// that the leader wrote while this entry rolled the move back.
 func (s *Server) syncMoves(ctx context.Context) {
 	for _, stored := range s.readMoves(ctx) {
 		local := s.move(stored.Deployment)
-		if local.Epoch == stored.Epoch && !local.InProgress() && stored.InProgress() {
+		if local.Epoch == stored.Epoch && !local.InProgress() && !mover.Merge(stored.Move, local).SameState(stored.Move) {
 			s.writeMove(ctx, local, stored.rowVersion)
 		}
 	}
 }
 
-// countUnreachable counts a failed call to the platform.
-func (s *Server) countUnreachable(operation string, err error) {
-	if err != nil {
-		s.metrics.Count("platform_unreachable_" + operation)
+// observeCall counts a call to the platform that failed. It logs the first of consecutive
+// failures of an operation, and their number after the next success.
+func (s *Server) observeCall(operation string, err error) {
+	s.failuresMu.Lock()
+	defer s.failuresMu.Unlock()
+	failures := s.failures[operation]
+	if err == nil {
+		if failures > 0 {
+			delete(s.failures, operation)
+			s.cfg.Log.Info().Str("event", "platform_reachable").Str("operation", operation).Int("failures", failures).Send()
+		}
+		return
+	}
+	s.failures[operation]++
+	s.metrics.Count("platform_unreachable_" + operation)
+	if failures == 0 {
+		s.cfg.Log.Warn().Str("event", "platform_unreachable").Str("operation", operation).Err(err).Send()
 	}
 }
 
@@ -184,7 +200,9 @@
 		value, _ := json.Marshal(record)
 		writes = append(writes, provider.Put{Key: record.Key(), Value: value})
 	}
-	if _, err := s.cfg.Table.Batch(ctx, writes); err != nil {
+	_, err := s.cfg.Table.Batch(ctx, writes)
+	s.observeCall("audit", err)
+	if err != nil {
 		return
 	}
 	now := s.now()
