internal/gateway: signals of a run that the list did not have yet stay in force

An entry whose list was outdated sent a request to an upstream that had said to it that it leaves. The upstream had started again under its id before; what it said was recorded for the earlier run, which the list had. When the row of the later run arrived, that run was new to the entry and got requests. The same went for Retry-After.

The latest signals are remembered by the upstream's name, and recorded again for a listed run that started before they were sent, by the platform's clock and the entries' agreed one. A run that started later, or whose start is not known, is a new one. Leaving is remembered so for a minute.

TestSignalsOfARunThatIsListedLater fails without the repetition.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -95,7 +95,10 @@
 	router.Upstream
 	// Name identifies the upstream in requests to it. Unlike the ID it may stay
 	// the same after a restart.
-	Name        string
+	Name string
+	// StartedAt is when the process started by the platform's clock, zero if that is not
+	// known.
+	StartedAt   time.Time
 	Leaving     bool
 	LeavesIn    time.Duration
 	Reclaimable bool
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -11,6 +11,14 @@
 // not before that is logged.
 const disputeAge = time.Minute
 
+// saidSignalsLifetime is how long after a signal of an upstream the list may still be
+// outdated so far that it has an earlier run.
+const saidSignalsLifetime = time.Minute
+
+// saidSignals are the times, by the agreed clock, at which an upstream last said that it
+// leaves and asked for time, and the end of that time.
+type saidSignals struct{ leavingAt, askedAt, askedUntil time.Time }
+
 // maySend reports whether a request for an upstream may still be sent there. The entry may
 // have learned since it chose the upstream that nothing may.
 func (g *Gateway) maySend(id string) bool {
@@ -34,6 +42,7 @@
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.rememberSignals(g.cfg.Now(), id, info)
 	st.recordSignals(g.cfg.Now(), id, router.Signals{Leaving: info.Leaving, RetryAfter: info.RetryAfter})
 }
 
@@ -44,6 +53,44 @@
 	}
 }
 
+// rememberSignals remembers signals by the upstream's name. The lock must be held.
+func (st *state) rememberSignals(now time.Time, id string, info ResponseInfo) {
+	u, listed := st.upstreamByID[id]
+	if !listed {
+		return
+	}
+	agreed, said := st.agreedTime(now), st.saidSignals[u.Name]
+	if info.Leaving {
+		said.leavingAt = agreed
+	}
+	if info.RetryAfter > 0 {
+		said.askedAt, said.askedUntil = agreed, agreed.Add(info.RetryAfter)
+	}
+	st.saidSignals[u.Name] = said
+}
+
+// repeatSignals records the signals again for the listed upstreams that started before a
+// process with their name sent them. An outdated list may have had an earlier run of that
+// process. The lock must be held.
+func (st *state) repeatSignals(now time.Time) {
+	agreed := st.agreedTime(now)
+	for name, said := range st.saidSignals {
+		if agreed.Sub(said.leavingAt) > saidSignalsLifetime && !agreed.Before(said.askedUntil) {
+			delete(st.saidSignals, name)
+			continue
+		}
+		u, listed := st.upstreams[name]
+		if !listed || u.StartedAt.IsZero() {
+			continue
+		}
+		signals := router.Signals{Leaving: agreed.Sub(said.leavingAt) <= saidSignalsLifetime && !u.StartedAt.After(said.leavingAt)}
+		if !u.StartedAt.After(said.askedAt) {
+			signals.RetryAfter = max(0, said.askedUntil.Sub(agreed))
+		}
+		st.recordSignals(now, u.ID, signals)
+	}
+}
+
 // logAvoided logs which upstreams have begun or ceased to be avoided. The lock must be
 // held.
 func (st *state) logAvoided(now time.Time) {
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -114,3 +114,38 @@
 	require.Contains(t, lines[2], "lasted=5000")
 	require.Contains(t, lines[3], "now=unlisted")
 }
+
+// The list was outdated when an upstream said that it leaves, or asked for time: the list
+// had an earlier run of its process. When the row of the run that had said so arrived, it
+// got requests.
+func TestSignalsOfARunThatIsListedLater(t *testing.T) {
+	g, c, _ := newSignalGateway(t)
+	st := g.state
+	list := func(id string, startedAt time.Time) {
+		u := st.upstreams["u"]
+		u.ID, u.StartedAt = id, startedAt
+		st.upstreams["u"] = u
+		st.updateRouter(c.now)
+		st.repeatSignals(c.now)
+	}
+	list("u.2", c.now.Add(-time.Minute))
+	g.recordSignals("u.2", ResponseInfo{Leaving: true})
+	list("u.3", c.now.Add(-time.Second))
+	require.False(t, g.maySend("u.3"))
+	list("u.4", c.now.Add(time.Millisecond))
+	require.True(t, g.maySend("u.4"), "it started later")
+	list("u.5", time.Time{})
+	require.True(t, g.maySend("u.5"), "its start is not known")
+	c.advance(2 * saidSignalsLifetime)
+	list("u.6", c.now.Add(-2*saidSignalsLifetime))
+	require.True(t, g.maySend("u.6"))
+	g.recordSignals("u.6", ResponseInfo{RetryAfter: 2 * time.Second})
+	list("u.7", c.now.Add(-time.Second))
+	require.Equal(t, router.CauseBackoff, st.router.Admission(c.now, "u.7").Cause)
+	list("u.8", c.now.Add(time.Millisecond))
+	require.True(t, g.maySend("u.8"))
+	list("u.7", c.now.Add(-time.Second))
+	c.advance(3 * time.Second)
+	st.repeatSignals(c.now)
+	require.True(t, g.maySend("u.7"))
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -72,6 +72,8 @@
 	connectFailedAt  map[string]time.Time
 	// unreachableDomains are the failure domains that get no requests for now.
 	unreachableDomains map[string]bool
+	// saidSignals are the latest signals of upstreams, by name.
+	saidSignals map[string]saidSignals
 	// disputedLeavings are the upstreams that have said that they leave while the list
 	// says otherwise, by ID.
 	disputedLeavings map[string]bool
@@ -147,6 +149,7 @@
 		quarantine:         newQuarantine(),
 		connectFailedAt:    map[string]time.Time{},
 		disputedLeavings:   map[string]bool{},
+		saidSignals:        map[string]saidSignals{},
 		unreachableDomains: map[string]bool{},
 		random:             rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
 	}
@@ -245,6 +248,7 @@
 	}
 	st.listUpdatedAt = now
 	st.updateRouter(now)
+	st.repeatSignals(now)
 }
 
 // updateRouter passes the listed upstreams to the router.
