internal/gateway, pkg/mover: the log tells on what the decisions about a move are based

A line a second, entry and move in progress: share, outcomes of both versions, the strongest levels of evidence with the rate that counts as no worse, the number of entries heard and the age of the oldest message. Without it a roll-out that was completed could not be told from one that nobody had evidence against.

--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,6 +50,8 @@
 	// the number of outcomes of the new version among them.
 	comparedCounts map[string]versionCounts
 	newOutcomes    int
+	// loggedAt is when the comparison was last logged.
+	loggedAt time.Time
 }
 
 // versionCounts are the outcomes of both versions on one route.
@@ -284,6 +287,41 @@
 	}
 }
 
+// loggedLevels is the number of the strongest levels of evidence in one log line.
+const loggedLevels = 6
+
+// comparisonLogInterval is the shortest time between two log lines about the
+// comparison of one move.
+const comparisonLogInterval = time.Second
+
+// logComparisons logs what the decisions about the moves in progress are based on.
+func (st *state) logComparisons(now time.Time) {
+	for name, m := range st.moves {
+		if m.state != mover.Moving || now.Sub(m.loggedAt) < comparisonLogInterval {
+			continue
+		}
+		m.loggedAt = now
+		currentCounts, newCounts := m.comparisons.Totals()
+		levels := m.comparisons.Levels()
+		list := make([]string, 0, loggedLevels)
+		for _, l := range levels[:min(loggedLevels, len(levels))] {
+			list = append(list, fmt.Sprintf("%s/%s %.3g above %.3f", l.Route, l.Kind, l.Level, l.NullRate))
+		}
+		oldest := time.Duration(0)
+		entries := 1
+		for _, last := range st.received {
+			if age := now.Sub(last.at); age <= peerTimeout {
+				entries += max(1, last.message.Entries)
+				oldest = max(oldest, age)
+			}
+		}
+		st.log.Info().Str("event", "move_compared").Str("deployment", name).Uint64("epoch", uint64(m.epoch)).Dur("elapsed", now.Sub(m.startedAt)).
+			Float64("share", st.newVersionShare(now, m)).Bool("trusted", mover.Trusted(m.newOutcomes, &m.comparisons)).
+			Float64("request_rate", st.totalDemand(now, name).RequestRate).Int("entries", entries).Dur("oldest_message", oldest).
+			Interface("current", currentCounts).Interface("new", newCounts).Strs("levels", list).Send()
+	}
+}
+
 // outcomesByRoute returns the outcomes of a move over all entries, by route.
 func (st *state) outcomesByRoute(m *move) map[string]versionCounts {
 	prefix := outcomeKey(m, "", "", "")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -284,6 +284,7 @@
 	st.router.SetDomainPenalties(st.domainPenalties(now))
 	st.updatePlan(now)
 	st.compareVersions()
+	st.logComparisons(now)
 	st.rounds++
 	st.memberPeak.update(now, st.memberCount(), st.cfg.Quotas.RetryWindow)
 	own := g.ownMessage(now)
--- a/pkg/mover/comparison.go
+++ b/pkg/mover/comparison.go
@@ -1,8 +1,11 @@
 package mover
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -203,6 +206,39 @@
 	return level
 }
 
+// Level is the evidence against the new version of one test.
+type Level struct {
+	// Route is empty for the test over all routes.
+	Route string
+	// Kind names the outcomes that are tested.
+	Kind string
+	// Level is the evidence, and NullRate the highest rate that counts as no worse
+	// than the current version's.
+	Level, NullRate float64
+}
+
+// Levels returns the evidence of all tests, the strongest first.
+func (c *Comparisons) Levels() []Level {
+	levels := c.all.levels("")
+	for route, comparison := range c.byRoute {
+		levels = append(levels, comparison.levels(route)...)
+	}
+	slices.SortFunc(levels, func(a, b Level) int {
+		return cmp.Or(cmp.Compare(b.Level, a.Level), strings.Compare(a.Route, b.Route), strings.Compare(a.Kind, b.Kind))
+	})
+	return levels
+}
+
+func (c *Comparison) levels(route string) []Level {
+	return []Level{
+		{Route: route, Kind: "failures", Level: c.failures.level(), NullRate: c.failures.nullRate(failureMargin)},
+		{Route: route, Kind: "late first tokens", Level: c.slowness.level(), NullRate: c.slowness.nullRate(slowMargin)},
+	}
+}
+
+// Totals returns the outcomes of both versions on all routes.
+func (c *Comparisons) Totals() (currentCounts, newCounts Counts) { return c.current, c.new }
+
 // HoldStep reports whether any of the comparisons holds the move at its step.
 func (c *Comparisons) HoldStep() bool {
 	for _, comparison := range c.byRoute {
