pkg/mover, internal/gateway: versions are compared by the pauses of their streams

Cause: only the time to the first event was compared, and was counted when the response had ended. It varies by a factor of ten with the prompt and the cache of the engine, and below a quarter of the route's target it never was late, so that a factor of two needed more outcomes than the small shares have.

The lower quartile of the first eight pauses between events is now compared with the current version's, as soon as it is known. First tokens of upstreams with more load than usual say nothing about the version.

Evidence: gateway.TestSlowStreamsAreRolledBackBeforeTheyEnd fails if no pause is long.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/galenahitch/galenahitch/internal/pooler"
 	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/resolver"
 	"github.com/galenahitch/galenahitch/pkg/router"
 	"github.com/galenahitch/galenahitch/pkg/throttler"
@@ -73,6 +74,8 @@
 	// attemptLatency is the time to the first event or the whole response of
 	// the current attempt.
 	attemptLatency time.Duration
+	// pauses are those between the first events of the current attempt.
+	pauses mover.Pauses
 	// framing is that of the current attempt's response, empty without one.
 	// receivedBytes is the size of the part of its body that was received, and
 	// partialEventBytes the size of an incomplete event at the end of that.
@@ -222,6 +225,7 @@
 	now := g.cfg.Now()
 	c.upstream, c.attemptAt, c.attemptLatency = u, now, 0
 	c.framing, c.receivedBytes, c.partialEventBytes = "", 0, 0
+	c.pauses = mover.Pauses{}
 	ctx, silence := g.watchSilence(ctx, c)
 	defer silence.stop()
 	load := float64(c.request.PromptTokens) / promptTokensPerLoad
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -27,6 +27,8 @@
 	countAll       = "a"
 	countFailed    = "f"
 	countSlow      = "s"
+	countPaced     = "p"
+	countLong      = "l"
 	versionNew     = "n"
 	versionCurrent = "p"
 )
@@ -247,23 +249,63 @@
 		threshold = &mover.LatencyThreshold{}
 		st.latencyThresholds[c.route.Name] = threshold
 	}
-	slow := latency > 0 && latency > threshold.Threshold(mover.MinLatencyThreshold(c.route.TargetLatency, false))
+	usualLoad := st.usualLoad(c.deployment)
+	// On an upstream with more load than usual, the time to the first event is that of
+	// its queue.
+	slow := latency > 0 && c.loadAtStart < usualLoad.Value() && latency > threshold.Threshold(mover.MinLatencyThreshold(c.route.TargetLatency, false))
 	if latency > 0 && !isNew {
 		threshold.Observe(latency)
+		usualLoad.Observe(c.loadAtStart + 1)
 	}
 	if !moving || m.state != mover.Moving || c.isSuspect {
 		return
 	}
+	st.countOutcome(m, c, isNew, countAll, true)
+	st.countOutcome(m, c, isNew, countFailed, failed)
+	st.countOutcome(m, c, isNew, countSlow, slow)
+}
+
+// recordPause counts the typical pause of a stream from an upstream. It is counted
+// when the first pauses are known, since the whole stream of a slow upstream takes too
+// long to wait for. The lock must be held.
+func (st *state) recordPause(c *call, u Upstream, pause time.Duration) {
+	m, moving := st.moves[c.deployment]
+	isNew := moving && u.Version == m.order.To
+	threshold, ok := st.pauseThresholds[c.deployment]
+	if !ok {
+		threshold = &mover.PauseThreshold{}
+		st.pauseThresholds[c.deployment] = threshold
+	}
+	long := threshold.IsLong(pause, c.loadAtStart >= st.usualLoad(c.deployment).Value())
+	if !isNew {
+		threshold.Observe(pause)
+	}
+	if !moving || m.state != mover.Moving || c.isSuspect {
+		return
+	}
+	st.countOutcome(m, c, isNew, countPaced, true)
+	st.countOutcome(m, c, isNew, countLong, long)
+}
+
+// usualLoad returns the quantile of the loads that requests met on a deployment's current
+// version, plus one.
+func (st *state) usualLoad(deployment string) *mover.Quantile {
+	usualLoad, ok := st.usualLoads[deployment]
+	if !ok {
+		usualLoad = &mover.Quantile{}
+		st.usualLoads[deployment] = usualLoad
+	}
+	return usualLoad
+}
+
+// countOutcome adds one to an outcome counter if counted is true.
+func (st *state) countOutcome(m *move, c *call, isNew bool, count string, counted bool) {
 	version := versionCurrent
 	if isNew {
 		version = versionNew
 	}
-	st.ownOutcomes[outcomeKey(m, c.route.Name, version, countAll)]++
-	if failed {
-		st.ownOutcomes[outcomeKey(m, c.route.Name, version, countFailed)]++
-	}
-	if slow {
-		st.ownOutcomes[outcomeKey(m, c.route.Name, version, countSlow)]++
+	if counted {
+		st.ownOutcomes[outcomeKey(m, c.route.Name, version, count)]++
 	}
 }
 
@@ -351,6 +393,10 @@
 			selected.Failed = int(total)
 		case countSlow:
 			selected.Slow = int(total)
+		case countPaced:
+			selected.Paced = int(total)
+		case countLong:
+			selected.LongPauses = int(total)
 		}
 		byRoute[name[:slash]] = counts
 	}
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -87,6 +87,37 @@
 	require.Equal(t, mover.RolledBack, started.state.moves["model"].state)
 }
 
+// The new version's streams are twice as slow as those of the current one, and no request
+// fails or begins late. All entries must roll it back before any stream has ended.
+func TestSlowStreamsAreRolledBackBeforeTheyEnd(t *testing.T) {
+	c := newCluster(t, 9)
+	for _, g := range c.entries {
+		listVersions(g, c.clock.now, 18, 18)
+	}
+	c.rounds(6)
+	chatCall := &call{deployment: "model"}
+	chatCall.route.Name = "chat"
+	current, fresh := Upstream{Upstream: router.Upstream{Version: "v1"}}, Upstream{Upstream: router.Upstream{Version: moveToV2.To}}
+	for i, g := range c.entries {
+		for j := range 40 {
+			g.state.recordPause(chatCall, current, time.Duration(20+(i+j)%8)*time.Millisecond)
+		}
+		g.state.startMove(c.clock.now, moveToV2, 77, false)
+	}
+	for range 10 {
+		for i, g := range c.entries {
+			g.state.recordPause(chatCall, current, time.Duration(20+i%8)*time.Millisecond)
+			if g.state.moves["model"].state == mover.Moving {
+				g.state.recordPause(chatCall, fresh, time.Duration(40+2*(i%8))*time.Millisecond)
+			}
+		}
+		c.round()
+	}
+	for i, g := range c.entries {
+		require.Equal(t, mover.RolledBack, g.state.moves["model"].state, "entry %d", i)
+	}
+}
+
 // The first share of a new version goes to so few upstreams that each has the load of
 // one of the current version. Retries go to the current version.
 func TestFirstShareUsesFewUpstreams(t *testing.T) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -202,6 +202,9 @@
 	if len(events) == 0 {
 		return nil
 	}
+	if c.pauses.Observe(g.cfg.Now()) {
+		g.recordPause(c)
+	}
 	if _, err := w.Write(events); err != nil {
 		return g.callerWriteFailed(c, err)
 	}
@@ -237,6 +240,18 @@
 	g.state.demandFor(c.deployment).addFirstEvent(c.request.PromptTokens, c.loadAtStart, latency)
 }
 
+// recordPause records the typical pause of the current attempt's stream, if it has enough
+// pauses.
+func (g *Gateway) recordPause(c *call) {
+	pause, ok := c.pauses.Typical()
+	if !ok {
+		return
+	}
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	g.state.recordPause(c, c.upstream, pause)
+}
+
 // countUsage counts the call in its organisation's usage, once.
 func (g *Gateway) countUsage(c *call, at time.Time) {
 	if c.usageCounted || c.org == nil || g.cfg.UsageWindow <= 0 {
@@ -251,6 +266,9 @@
 // recordResponse records a response that was forwarded completely.
 func (g *Gateway) recordResponse(c *call, status int) {
 	c.runs++
+	if !c.pauses.Complete() {
+		g.recordPause(c)
+	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	g.state.recordCompletion(g.cfg.Now(), c.fingerprint)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -80,10 +80,14 @@
 	// entry as the leader.
 	leaderlessSince time.Time
 	// moves are keyed by deployment. ownOutcomes are the counters of outcomes
-	// that this entry measured. latencyThresholds are keyed by route.
+	// that this entry measured. latencyThresholds are keyed by route,
+	// pauseThresholds and usualLoads by deployment. usualLoads are loads of upstreams of
+	// current versions when a request is sent, plus one.
 	moves             map[string]*move
 	ownOutcomes       aggregator.Totals
 	latencyThresholds map[string]*mover.LatencyThreshold
+	pauseThresholds   map[string]*mover.PauseThreshold
+	usualLoads        map[string]*mover.Quantile
 	// crashes and quarantine find the requests that crash upstreams.
 	crashes    crashDetector
 	quarantine quarantine
@@ -140,6 +144,8 @@
 		moves:              map[string]*move{},
 		ownOutcomes:        aggregator.Totals{},
 		latencyThresholds:  map[string]*mover.LatencyThreshold{},
+		pauseThresholds:    map[string]*mover.PauseThreshold{},
+		usualLoads:         map[string]*mover.Quantile{},
 		crashes:            newCrashDetector(),
 		quarantine:         newQuarantine(),
 		connectFailedAt:    map[string]time.Time{},
--- a/pkg/mover/comparison.go
+++ b/pkg/mover/comparison.go
@@ -21,6 +21,11 @@
 	failureMargin = 0.01
 	// slowMargin is the same for the rate of late first tokens.
 	slowMargin = 0.08
+	// cachedSlowMargin replaces slowMargin where pauses are compared. The first token
+	// also depends on the engine's cache of prompts, which is empty on new upstreams.
+	cachedSlowMargin = 0.35
+	// pauseMargin is the same for the rate of streams with long pauses.
+	pauseMargin = 0.08
 	// baselineFactor multiplies the current version's rate before the margin is
 	// added.
 	baselineFactor = 1.3
@@ -37,26 +42,33 @@
 	// minThresholdShare is the share of a route's target below which a first
 	// token is never late.
 	minThresholdShare = 0.25
-	// quantile is the tracked quantile of first-token times.
-	quantile = 0.90
 )
 
 // Counts are the outcomes of one version on one route. Slow counts late first
-// tokens.
+// tokens. Paced counts streams whose pauses were measured, LongPauses those of
+// them with long pauses.
 type Counts struct {
-	Outcomes int `json:"outcomes"`
-	Failed   int `json:"failed"`
-	Slow     int `json:"slow"`
+	Outcomes   int `json:"outcomes"`
+	Failed     int `json:"failed"`
+	Slow       int `json:"slow"`
+	Paced      int `json:"paced,omitempty"`
+	LongPauses int `json:"long_pauses,omitempty"`
 }
 
 // Sub returns the difference of c and earlier counts.
 func (c Counts) Sub(earlier Counts) Counts {
-	return Counts{Outcomes: c.Outcomes - earlier.Outcomes, Failed: c.Failed - earlier.Failed, Slow: c.Slow - earlier.Slow}
+	return Counts{
+		Outcomes: c.Outcomes - earlier.Outcomes, Failed: c.Failed - earlier.Failed, Slow: c.Slow - earlier.Slow,
+		Paced: c.Paced - earlier.Paced, LongPauses: c.LongPauses - earlier.LongPauses,
+	}
 }
 
 // Add returns the sum of c and other.
 func (c Counts) Add(other Counts) Counts {
-	return Counts{Outcomes: c.Outcomes + other.Outcomes, Failed: c.Failed + other.Failed, Slow: c.Slow + other.Slow}
+	return Counts{
+		Outcomes: c.Outcomes + other.Outcomes, Failed: c.Failed + other.Failed, Slow: c.Slow + other.Slow,
+		Paced: c.Paced + other.Paced, LongPauses: c.LongPauses + other.LongPauses,
+	}
 }
 
 // betFractions are the bets of the test, as fractions of the largest stake that
@@ -114,15 +126,21 @@
 type Comparison struct {
 	failures rateTest
 	slowness rateTest
-	reason   string
+	pauses   rateTest
+	// paced reports that pauses are compared, on any route.
+	paced  bool
+	reason string
 }
 
 // Observe adds outcomes of the current and the new version over the same period.
 func (c *Comparison) Observe(currentCounts, newCounts Counts) {
 	c.failures.addBaseline(float64(currentCounts.Outcomes), float64(currentCounts.Failed))
 	c.slowness.addBaseline(float64(currentCounts.Outcomes), float64(currentCounts.Slow))
+	c.paced = c.paced || currentCounts.Paced > 0
+	c.pauses.addBaseline(float64(currentCounts.Paced), float64(currentCounts.LongPauses))
 	c.failures.observe(newCounts.Outcomes, newCounts.Failed, failureMargin)
-	c.slowness.observe(newCounts.Outcomes, newCounts.Slow, slowMargin)
+	c.slowness.observe(newCounts.Outcomes, newCounts.Slow, c.slowMargin())
+	c.pauses.observe(newCounts.Paced, newCounts.LongPauses, pauseMargin)
 	if c.reason != "" {
 		return
 	}
@@ -130,14 +148,27 @@
 	case c.failures.level() >= rollBackLevel:
 		c.reason = fmt.Sprintf("failures above %.1f%%", 100*c.failures.nullRate(failureMargin))
 	case c.slowness.level() >= rollBackLevel:
-		c.reason = fmt.Sprintf("late first tokens above %.1f%%", 100*c.slowness.nullRate(slowMargin))
+		c.reason = fmt.Sprintf("late first tokens above %.1f%%", 100*c.slowness.nullRate(c.slowMargin()))
+	case c.pauses.level() >= rollBackLevel:
+		c.reason = fmt.Sprintf("streams with long pauses above %.1f%%", 100*c.pauses.nullRate(pauseMargin))
 	}
 }
 
+// slowMargin returns the margin of the rate of late first tokens.
+func (c *Comparison) slowMargin() float64 {
+	if c.paced {
+		return cachedSlowMargin
+	}
+	return slowMargin
+}
+
 // HoldStep reports whether the evidence against the new version is too strong for
 // the next step.
-func (c *Comparison) HoldStep() bool {
-	return c.failures.level() >= holdLevel || c.slowness.level() >= holdLevel
+func (c *Comparison) HoldStep() bool { return c.level() >= holdLevel }
+
+// level returns the strongest evidence of the tests.
+func (c *Comparison) level() float64 {
+	return max(c.failures.level(), c.slowness.level(), c.pauses.level())
 }
 
 // RollBackReason returns why the new version has to be rolled back, or an empty
@@ -165,8 +196,9 @@
 		comparison = &Comparison{}
 		c.byRoute[route] = comparison
 	}
-	comparison.Observe(currentCounts, newCounts)
 	c.all.Observe(currentCounts, newCounts)
+	comparison.paced = c.all.paced
+	comparison.Observe(currentCounts, newCounts)
 	c.current, c.new = c.current.Add(currentCounts), c.new.Add(newCounts)
 }
 
@@ -189,7 +221,7 @@
 func (c *Comparisons) worstRoute() string {
 	name, strongest := "", -1.0
 	for route, comparison := range c.byRoute {
-		level := max(comparison.failures.level(), comparison.slowness.level())
+		level := comparison.level()
 		if level > strongest || level == strongest && route < name {
 			name, strongest = route, level
 		}
@@ -199,9 +231,9 @@
 
 // maxLevel returns the highest evidence level of all comparisons.
 func (c *Comparisons) maxLevel() float64 {
-	level := max(c.all.failures.level(), c.all.slowness.level())
+	level := c.all.level()
 	for _, comparison := range c.byRoute {
-		level = max(level, comparison.failures.level(), comparison.slowness.level())
+		level = max(level, comparison.level())
 	}
 	return level
 }
@@ -232,7 +264,8 @@
 func (c *Comparison) levels(route string) []Level {
 	return []Level{
 		{Route: route, Kind: "failures", Level: c.failures.level(), NullRate: c.failures.nullRate(failureMargin)},
-		{Route: route, Kind: "late first tokens", Level: c.slowness.level(), NullRate: c.slowness.nullRate(slowMargin)},
+		{Route: route, Kind: "late first tokens", Level: c.slowness.level(), NullRate: c.slowness.nullRate(c.slowMargin())},
+		{Route: route, Kind: "long pauses", Level: c.pauses.level(), NullRate: c.pauses.nullRate(pauseMargin)},
 	}
 }
 
@@ -250,32 +283,16 @@
 }
 
 // LatencyThreshold tracks the first-token time above which a response is late: a
-// factor times the current version's 90th percentile, which is estimated by
-// stochastic approximation. The zero value is ready to use.
-type LatencyThreshold struct {
-	estimate float64
-	count    int
-}
+// factor times the current version's 90th percentile. The zero value is ready to
+// use.
+type LatencyThreshold struct{ quantile Quantile }
 
 // Observe adds a first-token time of the current version.
-func (l *LatencyThreshold) Observe(d time.Duration) {
-	l.count++
-	observed := float64(d)
-	if l.count == 1 {
-		l.estimate = observed
-		return
-	}
-	step := l.estimate * math.Max(0.01, 0.5/float64(l.count))
-	if observed > l.estimate {
-		l.estimate += step * quantile
-	} else {
-		l.estimate -= step * (1 - quantile)
-	}
-}
+func (l *LatencyThreshold) Observe(d time.Duration) { l.quantile.Observe(float64(d)) }
 
 // Threshold returns the time above which a first token is late, at least floor.
 func (l *LatencyThreshold) Threshold(floor time.Duration) time.Duration {
-	return max(floor, time.Duration(l.estimate*thresholdFactor))
+	return max(floor, time.Duration(l.quantile.Value()*thresholdFactor))
 }
 
 // MinLatencyThreshold returns the lower bound of the latency threshold on a route
--- a/pkg/mover/schedule.go
+++ b/pkg/mover/schedule.go
@@ -71,6 +71,9 @@
 	// maxRateExcess is how far the new version's rate of failed or slow requests
 	// may be above the current version's for it to be trusted.
 	maxRateExcess = 0.2
+	// maxCachedSlowExcess replaces maxRateExcess for late first tokens where pauses
+	// are compared, for the reason of cachedSlowMargin.
+	maxCachedSlowExcess = 0.45
 	// minTrustedOutcomes is the number of outcomes that a new version needs to be
 	// trusted.
 	minTrustedOutcomes = 20
@@ -118,12 +121,17 @@
 }
 
 // worse reports whether the new version fails or is slow more often than the
-// current one by more than maxRateExcess. Both rates are smoothed by adding one
-// bad outcome of two, which raises the rate of a version with few outcomes.
+// current one by more than is allowed. The rates are smoothed by adding one bad
+// outcome of two, which raises the rate of a version with few outcomes.
 func (c *Comparisons) worse() bool {
 	rate := func(bad, all int) float64 { return (float64(bad) + 1) / (float64(all) + 2) }
+	slowExcess := maxRateExcess
+	if c.current.Paced > 0 {
+		slowExcess = maxCachedSlowExcess
+	}
 	return rate(c.new.Failed, c.new.Outcomes) > rate(c.current.Failed, c.current.Outcomes)+maxRateExcess ||
-		rate(c.new.Slow, c.new.Outcomes) > rate(c.current.Slow, c.current.Outcomes)+maxRateExcess
+		rate(c.new.Slow, c.new.Outcomes) > rate(c.current.Slow, c.current.Outcomes)+slowExcess ||
+		c.new.Paced >= minTrustedOutcomes && rate(c.new.LongPauses, c.new.Paced) > rate(c.current.LongPauses, c.current.Paced)+maxRateExcess
 }
 
 // UpstreamsForShare returns how many of a version's upstreams serve its share, so
