pkg/mover, internal/gateway: a small share loads few upstreams before all traffic moves

What callers saw: a version that fails only on loaded upstreams was completed, or was rolled back after it had got up to four times the requests that the exposure allows.

The fault shows at loads that upstreams reach later. Trust looked only at a failure rate 20 points above the current version's.

A third of the time now fills one upstream to nine tenths of its slots before it uses another, and a trusted version may fail at most 3 points more often, or 4 times. One that is not trusted keeps a packed share until more outcomes decide. The two stages before use several upstreams, since upstreams differ in speed.

--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -221,8 +221,9 @@
 	}
 }
 
-// unusedUpstreams returns the upstreams of the new version that serve no requests at
-// its current share. Entries with the same list of upstreams choose the same ones.
+// unusedUpstreams returns the upstreams of the new version that don't serve the next
+// request at its current share. Entries with the same list of upstreams choose the same
+// ones.
 func (st *state) unusedUpstreams(now time.Time, m *move, share float64) []string {
 	eligible := st.router.Eligible(now, router.Request{Deployment: m.order.Deployment, Version: m.order.To})
 	slices.SortFunc(eligible, func(a, b router.Upstream) int {
@@ -232,6 +233,17 @@
 		return 1
 	})
 	var unused []string
+	if st.moveSchedule(now, m).Packed(now.Sub(m.startedAt), mover.Trusted(m.newOutcomes, &m.comparisons)) && len(eligible) > 0 {
+		occupancies := make([]mover.Occupancy, len(eligible))
+		for i, u := range eligible {
+			occupancies[i] = mover.Occupancy{Load: st.router.EstimatedLoad(now, u.ID), Slots: float64(max(1, u.Slots))}
+		}
+		used := mover.NextPacked(occupancies)
+		for _, u := range slices.Delete(eligible, used, used+1) {
+			unused = append(unused, u.ID)
+		}
+		return unused
+	}
 	for _, u := range eligible[mover.UpstreamsForShare(share, len(eligible)):] {
 		unused = append(unused, u.ID)
 	}
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -118,6 +118,32 @@
 	}
 }
 
+// A packed share fills one upstream of the new version before it uses another, so that a
+// fault of loaded upstreams shows while the share is small.
+func TestPackedShareLoadsOneUpstream(t *testing.T) {
+	g, c := newGateway(t, nil)
+	g.state.cfg.Moves = MoveLimits{ExposureShare: 0.1}
+	listVersions(g, c.now, 18, 18)
+	g.state.startMove(c.now, moveToV2, 5, false)
+	c.advance(moveToV2.FinishWithin / 2)
+	listVersions(g, c.now, 18, 18)
+	loads := map[string]int{}
+	for i := range 4000 {
+		u, ok := g.chooseUpstream(&call{deployment: "model", request: Request{ID: fmt.Sprint(i)}})
+		require.True(t, ok)
+		if u.Version == moveToV2.To && len(loads) < 2 {
+			loads[u.ID]++
+			g.state.router.Begin(u.ID)
+		}
+	}
+	require.Len(t, loads, 2)
+	most := 0
+	for _, load := range loads {
+		most = max(most, load)
+	}
+	require.Equal(t, 29, most, "nine tenths of the slots")
+}
+
 // The first share of a new version goes to so few upstreams that each has the load of
 // one of the current version. Retries go to the current version.
 func TestFirstShareUsesFewUpstreams(t *testing.T) {
--- a/pkg/mover/schedule.go
+++ b/pkg/mover/schedule.go
@@ -44,16 +44,20 @@
 	exposureShare float64
 	// fixedShare is the traffic share itself. It needs a trusted version.
 	fixedShare float64
+	// packed reports that the share goes to as few upstreams as have slots for it.
+	packed bool
 }
 
-// The first two stages take over half of the time at a small share, since some
-// faults appear late. The third is short, so that a fault that appears only
-// under load is seen before the exposure is used up. Requests of the old version
-// end during the last stage.
+// The first two stages use several upstreams, since upstreams differ in speed. The
+// third loads few upstreams as much as callers may load any of them later: some faults
+// appear only under load, and a share of all traffic that would load all upstreams is
+// beyond the exposure. The fourth waits for the outcomes of the third. Requests of the
+// old version end during the last stage.
 var stages = []stage{
-	{end: 0.12, exposureShare: 0.3},
-	{end: 0.56, exposureShare: 0.6},
-	{end: 0.64, fixedShare: 0.2},
+	{end: 0.10, exposureShare: 0.3},
+	{end: 0.26, exposureShare: 0.6},
+	{end: 0.58, exposureShare: 1.5, packed: true},
+	{end: 0.66, exposureShare: 0.3},
 	{end: 1, fixedShare: 1},
 }
 
@@ -68,38 +72,85 @@
 	// trusted. It is above holdLevel, since a schedule has no time to wait until
 	// a random increase has fallen again.
 	maxTrustedLevel = 100.0
-	// maxRateExcess is how far the new version's rate of failed or slow requests
-	// may be above the current version's for it to be trusted.
-	maxRateExcess = 0.2
+	// maxRateExcess is how far the new version's rate of slow requests may be above
+	// the current version's for it to be trusted, maxFailureExcess the same for the
+	// rate of failed ones.
+	maxRateExcess    = 0.2
+	maxFailureExcess = 0.03
 	// maxCachedSlowExcess replaces maxRateExcess for late first tokens where pauses
 	// are compared, for the reason of cachedSlowMargin.
 	maxCachedSlowExcess = 0.45
+	// minFailureExcess is the number of failures beyond the current version's rate
+	// that a version with few outcomes may have.
+	minFailureExcess = 4.0
 	// minTrustedOutcomes is the number of outcomes that a new version needs to be
 	// trusted.
 	minTrustedOutcomes = 20
 )
 
+// untrustedShare is the traffic share of a version that is not trusted, in stages with a
+// fixed share, as a fraction of MaxExposure.
+const untrustedShare = 0.6
+
+// stageAt returns the stage at a time since the order.
+func (s Schedule) stageAt(elapsed time.Duration) stage {
+	fraction := float64(elapsed) / float64(s.Duration)
+	for _, stage := range stages {
+		if fraction < stage.end {
+			return stage
+		}
+	}
+	return stages[len(stages)-1]
+}
+
 // Share returns the new version's share of requests at a time since the order.
-// A version that is not trusted keeps the small share of the first stage instead
-// of a fixed share.
+// A version that is not trusted gets a small share instead of a fixed share, so that
+// more outcomes decide.
 func (s Schedule) Share(elapsed time.Duration, trusted bool) float64 {
 	if s.Duration <= 0 {
 		return 0
 	}
-	fraction := float64(elapsed) / float64(s.Duration)
-	for i, stage := range stages {
-		if fraction >= stage.end && i < len(stages)-1 {
-			continue
-		}
-		if stage.fixedShare > 0 && trusted {
-			return stage.fixedShare
+	current := s.stageAt(elapsed)
+	switch {
+	case current.fixedShare > 0 && trusted:
+		return current.fixedShare
+	case current.fixedShare > 0:
+		return untrustedShare * s.MaxExposure
+	default:
+		return current.exposureShare * s.MaxExposure
+	}
+}
+
+// Packed reports whether the share goes to the upstream that NextPacked returns.
+func (s Schedule) Packed(elapsed time.Duration, trusted bool) bool {
+	if s.Duration <= 0 {
+		return false
+	}
+	current := s.stageAt(elapsed)
+	return current.packed || current.fixedShare > 0 && !trusted
+}
+
+// packedLoad is the part of an upstream's slots that a packed share fills before it
+// uses another upstream.
+const packedLoad = 0.9
+
+// Occupancy is the load of an upstream in requests, and the number that it runs at
+// once.
+type Occupancy struct{ Load, Slots float64 }
+
+// NextPacked returns the index of the upstream that gets the next request of a packed
+// share: the first one that is not filled yet, or the least loaded one.
+func NextPacked(upstreams []Occupancy) int {
+	least := 0
+	for i, u := range upstreams {
+		if u.Load < packedLoad*u.Slots {
+			return i
 		}
-		if stage.fixedShare > 0 {
-			return stages[0].exposureShare * s.MaxExposure
+		if u.Load*upstreams[least].Slots < upstreams[least].Load*u.Slots {
+			least = i
 		}
-		return stage.exposureShare * s.MaxExposure
 	}
-	return 0
+	return least
 }
 
 // Settled reports whether the version is good: trusted at the end of a schedule
@@ -129,7 +180,8 @@
 	if c.current.Paced > 0 {
 		slowExcess = maxCachedSlowExcess
 	}
-	return rate(c.new.Failed, c.new.Outcomes) > rate(c.current.Failed, c.current.Outcomes)+maxRateExcess ||
+	failureExcess := max(maxFailureExcess, minFailureExcess/float64(max(1, c.new.Outcomes)))
+	return rate(c.new.Failed, c.new.Outcomes) > rate(c.current.Failed, c.current.Outcomes)+failureExcess ||
 		rate(c.new.Slow, c.new.Outcomes) > rate(c.current.Slow, c.current.Outcomes)+slowExcess ||
 		c.new.Paced >= minTrustedOutcomes && rate(c.new.LongPauses, c.new.Paced) > rate(c.current.LongPauses, c.current.Paced)+maxRateExcess
 }
