--- a/internal/server/moves.go
+++ b/internal/server/moves.go
@@ -104,6 +104,8 @@
 	version    string
 	failed     bool
 	firstToken time.Duration
+	// pauses are those between the first parts of the response.
+	pauses mover.Pauses
 	// firstTokenTarget is the route's target latency for the first token.
 	firstTokenTarget time.Duration
 }
@@ -122,6 +124,10 @@
 	baking := ok && m.move.State == mover.Baking
 	slow := !o.failed && o.firstToken > threshold.Threshold(mover.MinLatencyThreshold(o.firstTokenTarget, baking))
 	counts := mover.Counts{Outcomes: 1, Failed: boolToInt(o.failed), Slow: boolToInt(slow)}
+	isNew := ok && m.move.InProgress() && o.version == m.move.To
+	if long, paced := s.recordPause(o, isNew); paced && !baking {
+		counts.Paced, counts.LongPauses = 1, boolToInt(long)
+	}
 	if !ok || !m.move.InProgress() {
 		if !o.failed {
 			threshold.Observe(o.firstToken)
@@ -130,7 +136,7 @@
 	}
 	total := m.totals[outcomeKey{entryID: s.self.ID, route: o.route}]
 	total.EntryID, total.MoveID, total.Route = s.self.ID, m.move.ID, o.route
-	if o.version == m.move.To {
+	if isNew {
 		total.New = total.New.Add(counts)
 	} else {
 		total.Current = total.Current.Add(counts)
@@ -141,6 +147,25 @@
 	return s.compareVersions(now, m, total)
 }
 
+// recordPause reports whether a response has long pauses, and whether that can be told.
+// Pauses of the new version don't change the threshold. The lock must be held.
+func (s *state) recordPause(o attemptOutcome, isNew bool) (long, paced bool) {
+	pause, paced := o.pauses.Typical()
+	if !paced || o.failed {
+		return false, false
+	}
+	threshold, known := s.pauseThresholds[o.deployment]
+	if !known {
+		threshold = &mover.PauseThreshold{}
+		s.pauseThresholds[o.deployment] = threshold
+	}
+	long = threshold.IsLong(pause, false)
+	if !isNew {
+		threshold.Observe(pause)
+	}
+	return long, true
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -9,6 +9,7 @@
 	"github.com/galenahitch/galenahitch/internal/replayer"
 	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/reclaimer"
 	"github.com/galenahitch/galenahitch/pkg/retrier"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -181,15 +182,16 @@
 		RequestID: r.id, Number: number, Route: r.route.Name, Body: r.body, ResumeFrom: from, ResumeText: sentText, ResumeKV: resumeKV,
 	})
 	if err != nil {
-		s.recordOutcome(parent, r, version, err, 0)
+		s.recordOutcome(parent, r, version, err, 0, mover.Pauses{})
 		return w.failureCause(err)
 	}
 	defer stream.Close()
 	s.recordLoad(target, stream.Running())
 	firstToken := time.Duration(0)
+	var pauses mover.Pauses
 	for part, err := range stream.Parts() {
 		if err != nil {
-			s.recordOutcome(parent, r, version, err, firstToken)
+			s.recordOutcome(parent, r, version, err, firstToken, pauses)
 			return w.failureCause(err)
 		}
 		now := s.now()
@@ -197,6 +199,7 @@
 			firstToken = now.Sub(start)
 			s.metrics.Observe("first_token_us", firstToken.Microseconds())
 		}
+		pauses.Observe(now)
 		w.progress(now, part.Offset+1)
 		r.transition("part")
 		r.buffer.Append(part.Text)
@@ -207,7 +210,7 @@
 			break
 		}
 	}
-	s.recordOutcome(parent, r, version, nil, firstToken)
+	s.recordOutcome(parent, r, version, nil, firstToken, pauses)
 	return nil
 }
 
@@ -249,7 +252,7 @@
 // recordOutcome adds an attempt's outcome to the comparison of versions. It leaves
 // out failures that this entry or the caller caused and failures on an upstream
 // that is being reclaimed.
-func (s *Server) recordOutcome(ctx context.Context, r *request, version string, err error, firstToken time.Duration) {
+func (s *Server) recordOutcome(ctx context.Context, r *request, version string, err error, firstToken time.Duration, pauses mover.Pauses) {
 	if err != nil && (r.interrupted() || canceled(ctx)) {
 		return
 	}
@@ -259,7 +262,7 @@
 	}
 	move, rolledBack := s.state.recordOutcome(now, attemptOutcome{
 		deployment: r.route.Deployment, route: r.route.Name, version: version,
-		failed: err != nil, firstToken: firstToken, firstTokenTarget: r.route.AnswerWithin(),
+		failed: err != nil, firstToken: firstToken, pauses: pauses, firstTokenTarget: r.route.AnswerWithin(),
 	})
 	if rolledBack {
 		s.publishRollBack(move)
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -40,6 +40,7 @@
 	bootIDs           map[string]string
 	moves             map[string]*moveState
 	latencyThresholds map[string]*mover.LatencyThreshold
+	pauseThresholds   map[string]*mover.PauseThreshold
 	// crashes maps an upstream's ID to the time when its crash was detected.
 	crashes map[string]time.Time
 	// suspects holds the running attempts of suspect requests by upstream ID.
@@ -70,6 +71,7 @@
 		bootIDs:           map[string]string{},
 		moves:             map[string]*moveState{},
 		latencyThresholds: map[string]*mover.LatencyThreshold{},
+		pauseThresholds:   map[string]*mover.PauseThreshold{},
 		suspects:          map[string][]suspectRun{},
 		crashes:           map[string]time.Time{},
 		random:            rand.New(rand.NewPCG(seed, seed)),
