--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -95,7 +95,10 @@
 	router.Upstream
 	// Name identifies the upstream in requests to it. Unlike the ID it may stay
 	// the same after a restart.
-	Name        string
+	Name string
+	// StartedAt is when the process started by the platform's clock, zero if that is not
+	// known.
+	StartedAt   time.Time
 	Leaving     bool
 	LeavesIn    time.Duration
 	Reclaimable bool
@@ -225,7 +228,8 @@
 	MaxUsageDelay time.Duration
 	// OrdersVMs enables fleet orders.
 	OrdersVMs bool
-	// MinLeaderGap is the shortest time between the terms of two leaders.
+	// MinLeaderGap is the shortest time between calls of one leader before and after calls
+	// of another one.
 	MinLeaderGap time.Duration
 	// StopGrace is the time from the cancellation of Run's context to the end of
 	// the process.
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,6 +27,8 @@
 	countAll       = "a"
 	countFailed    = "f"
 	countSlow      = "s"
+	countPaced     = "p"
+	countLong      = "l"
 	versionNew     = "n"
 	versionCurrent = "p"
 )
@@ -49,6 +52,8 @@
 	// the number of outcomes of the new version among them.
 	comparedCounts map[string]versionCounts
 	newOutcomes    int
+	// loggedAt is when the comparison was last logged.
+	loggedAt time.Time
 }
 
 // versionCounts are the outcomes of both versions on one route.
@@ -231,8 +236,9 @@
 	}
 }
 
-// unusedUpstreams returns the upstreams of the new version that serve no requests at
-// its current share. Entries with the same list of upstreams choose the same ones.
+// unusedUpstreams returns the upstreams of the new version that don't serve the next
+// request at its current share. Entries with the same list of upstreams choose the same
+// ones.
 func (st *state) unusedUpstreams(now time.Time, m *move, share float64) []string {
 	eligible := st.router.Eligible(now, router.Request{Deployment: m.order.Deployment, Version: m.order.To})
 	slices.SortFunc(eligible, func(a, b router.Upstream) int {
@@ -242,6 +248,17 @@
 		return 1
 	})
 	var unused []string
+	if st.moveSchedule(now, m).Packed(now.Sub(m.startedAt), mover.Trusted(m.newOutcomes, &m.comparisons)) && len(eligible) > 0 {
+		occupancies := make([]mover.Occupancy, len(eligible))
+		for i, u := range eligible {
+			occupancies[i] = mover.Occupancy{Load: st.router.EstimatedLoad(now, u.ID), Slots: float64(max(1, u.Slots))}
+		}
+		used := mover.NextPacked(occupancies)
+		for _, u := range slices.Delete(eligible, used, used+1) {
+			unused = append(unused, u.ID)
+		}
+		return unused
+	}
 	for _, u := range eligible[mover.UpstreamsForShare(share, len(eligible)):] {
 		unused = append(unused, u.ID)
 	}
@@ -259,23 +276,63 @@
 		threshold = &mover.LatencyThreshold{}
 		st.latencyThresholds[c.route.Name] = threshold
 	}
-	slow := latency > 0 && latency > threshold.Threshold(mover.MinLatencyThreshold(c.route.TargetLatency, false))
+	usualLoad := st.usualLoad(c.deployment)
+	// On an upstream with more load than usual, the time to the first event is that of
+	// its queue.
+	slow := latency > 0 && c.loadAtStart < usualLoad.Value() && latency > threshold.Threshold(mover.MinLatencyThreshold(c.route.TargetLatency, false))
 	if latency > 0 && !isNew {
 		threshold.Observe(latency)
+		usualLoad.Observe(c.loadAtStart + 1)
+	}
+	if !moving || m.state != mover.Moving || c.isSuspect {
+		return
+	}
+	st.countOutcome(m, c, isNew, countAll, true)
+	st.countOutcome(m, c, isNew, countFailed, failed)
+	st.countOutcome(m, c, isNew, countSlow, slow)
+}
+
+// recordPause counts the typical pause of a stream from an upstream. It is counted
+// when the first pauses are known, since the whole stream of a slow upstream takes too
+// long to wait for. The lock must be held.
+func (st *state) recordPause(c *call, u Upstream, pause time.Duration) {
+	m, moving := st.moves[c.deployment]
+	isNew := moving && u.Version == m.order.To
+	threshold, ok := st.pauseThresholds[c.deployment]
+	if !ok {
+		threshold = &mover.PauseThreshold{}
+		st.pauseThresholds[c.deployment] = threshold
+	}
+	long := threshold.IsLong(pause, c.loadAtStart >= st.usualLoad(c.deployment).Value())
+	if !isNew {
+		threshold.Observe(pause)
 	}
 	if !moving || m.state != mover.Moving || c.isSuspect {
 		return
 	}
+	st.countOutcome(m, c, isNew, countPaced, true)
+	st.countOutcome(m, c, isNew, countLong, long)
+}
+
+// usualLoad returns the quantile of the loads that requests met on a deployment's current
+// version, plus one.
+func (st *state) usualLoad(deployment string) *mover.Quantile {
+	usualLoad, ok := st.usualLoads[deployment]
+	if !ok {
+		usualLoad = &mover.Quantile{}
+		st.usualLoads[deployment] = usualLoad
+	}
+	return usualLoad
+}
+
+// countOutcome adds one to an outcome counter if counted is true.
+func (st *state) countOutcome(m *move, c *call, isNew bool, count string, counted bool) {
 	version := versionCurrent
 	if isNew {
 		version = versionNew
 	}
-	st.ownOutcomes[outcomeKey(m, c.route.Name, version, countAll)]++
-	if failed {
-		st.ownOutcomes[outcomeKey(m, c.route.Name, version, countFailed)]++
-	}
-	if slow {
-		st.ownOutcomes[outcomeKey(m, c.route.Name, version, countSlow)]++
+	if counted {
+		st.ownOutcomes[outcomeKey(m, c.route.Name, version, count)]++
 	}
 }
 
@@ -299,6 +356,41 @@
 	}
 }
 
+// loggedLevels is the number of the strongest levels of evidence in one log line.
+const loggedLevels = 6
+
+// comparisonLogInterval is the shortest time between two log lines about the
+// comparison of one move.
+const comparisonLogInterval = time.Second
+
+// logComparisons logs what the decisions about the moves in progress are based on.
+func (st *state) logComparisons(now time.Time) {
+	for name, m := range st.moves {
+		if m.state != mover.Moving || now.Sub(m.loggedAt) < comparisonLogInterval {
+			continue
+		}
+		m.loggedAt = now
+		currentCounts, newCounts := m.comparisons.Totals()
+		levels := m.comparisons.Levels()
+		list := make([]string, 0, loggedLevels)
+		for _, l := range levels[:min(loggedLevels, len(levels))] {
+			list = append(list, fmt.Sprintf("%s/%s %.3g above %.3f", l.Route, l.Kind, l.Level, l.NullRate))
+		}
+		oldest := time.Duration(0)
+		entries := 1
+		for _, last := range st.received {
+			if age := now.Sub(last.at); age <= peerTimeout {
+				entries += max(1, last.message.Entries)
+				oldest = max(oldest, age)
+			}
+		}
+		st.log.Info().Str("event", "move_compared").Str("deployment", name).Uint64("epoch", uint64(m.epoch)).Dur("elapsed", now.Sub(m.startedAt)).
+			Float64("share", st.newVersionShare(now, m)).Bool("trusted", mover.Trusted(m.newOutcomes, &m.comparisons)).
+			Float64("request_rate", st.totalDemand(now, name).RequestRate).Int("entries", entries).Dur("oldest_message", oldest).
+			Interface("current", currentCounts).Interface("new", newCounts).Strs("levels", list).Send()
+	}
+}
+
 // outcomesByRoute returns the outcomes of a move over all entries, by route.
 func (st *state) outcomesByRoute(m *move) map[string]versionCounts {
 	prefix := outcomeKey(m, "", "", "")
@@ -328,6 +420,10 @@
 			selected.Failed = int(total)
 		case countSlow:
 			selected.Slow = int(total)
+		case countPaced:
+			selected.Paced = int(total)
+		case countLong:
+			selected.LongPauses = int(total)
 		}
 		byRoute[name[:slash]] = counts
 	}
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -87,6 +87,63 @@
 	require.Equal(t, mover.RolledBack, started.state.moves["model"].state)
 }
 
+// The new version's streams are twice as slow as those of the current one, and no request
+// fails or begins late. All entries must roll it back before any stream has ended.
+func TestSlowStreamsAreRolledBackBeforeTheyEnd(t *testing.T) {
+	c := newCluster(t, 9)
+	for _, g := range c.entries {
+		listVersions(g, c.clock.now, 18, 18)
+	}
+	c.rounds(6)
+	chatCall := &call{deployment: "model"}
+	chatCall.route.Name = "chat"
+	current, fresh := Upstream{Upstream: router.Upstream{Version: "v1"}}, Upstream{Upstream: router.Upstream{Version: moveToV2.To}}
+	for i, g := range c.entries {
+		for j := range 40 {
+			g.state.recordPause(chatCall, current, time.Duration(20+(i+j)%8)*time.Millisecond)
+		}
+		g.state.startMove(c.clock.now, moveToV2, 77, false)
+	}
+	for range 10 {
+		for i, g := range c.entries {
+			g.state.recordPause(chatCall, current, time.Duration(20+i%8)*time.Millisecond)
+			if g.state.moves["model"].state == mover.Moving {
+				g.state.recordPause(chatCall, fresh, time.Duration(40+2*(i%8))*time.Millisecond)
+			}
+		}
+		c.round()
+	}
+	for i, g := range c.entries {
+		require.Equal(t, mover.RolledBack, g.state.moves["model"].state, "entry %d", i)
+	}
+}
+
+// A packed share fills one upstream of the new version before it uses another, so that a
+// fault of loaded upstreams shows while the share is small.
+func TestPackedShareLoadsOneUpstream(t *testing.T) {
+	g, c := newGateway(t, nil)
+	g.state.cfg.Moves = MoveLimits{ExposureShare: 0.1}
+	listVersions(g, c.now, 18, 18)
+	g.state.startMove(c.now, moveToV2, 5, false)
+	c.advance(moveToV2.FinishWithin / 2)
+	listVersions(g, c.now, 18, 18)
+	loads := map[string]int{}
+	for i := range 4000 {
+		u, ok := g.chooseUpstream(&call{deployment: "model", request: Request{ID: fmt.Sprint(i)}})
+		require.True(t, ok)
+		if u.Version == moveToV2.To && len(loads) < 2 {
+			loads[u.ID]++
+			g.state.router.Begin(u.ID)
+		}
+	}
+	require.Len(t, loads, 2)
+	most := 0
+	for _, load := range loads {
+		most = max(most, load)
+	}
+	require.Equal(t, 29, most, "nine tenths of the slots")
+}
+
 // The first share of a new version goes to so few upstreams that each has the load of
 // one of the current version. Retries go to the current version.
 func TestFirstShareUsesFewUpstreams(t *testing.T) {
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenahitch/galenahitch/internal/reporter"
 	"github.com/galenahitch/galenahitch/pkg/router"
 )
 
@@ -10,6 +11,14 @@
 // not before that is logged.
 const disputeAge = time.Minute
 
+// saidSignalsLifetime is how long after a signal of an upstream the list may still be
+// outdated so far that it has an earlier run.
+const saidSignalsLifetime = time.Minute
+
+// saidSignals are the times, by the agreed clock, at which an upstream last said that it
+// leaves and asked for time, and the end of that time.
+type saidSignals struct{ leavingAt, askedAt, askedUntil time.Time }
+
 // maySend reports whether a request for an upstream may still be sent there. The entry may
 // have learned since it chose the upstream that nothing may.
 func (g *Gateway) maySend(id string) bool {
@@ -33,6 +42,7 @@
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.rememberSignals(g.cfg.Now(), id, info)
 	st.recordSignals(g.cfg.Now(), id, router.Signals{Leaving: info.Leaving, RetryAfter: info.RetryAfter})
 }
 
@@ -43,34 +53,50 @@
 	}
 }
 
-// logAvoided logs which upstreams have begun or ceased to be avoided. The lock must be
-// held.
-func (st *state) logAvoided(now time.Time) {
-	for _, change := range st.router.Changes(now) {
-		if before := change.Before; !before.Allowed() {
-			line := st.log.Info().Str("event", "upstream_avoidance_ended").Str("upstream", change.ID).Str("cause", string(before.Cause)).
-				Str("source", string(before.Source)).Str("now", string(change.After.Cause))
-			if !before.Since.IsZero() {
-				line = line.Dur("lasted", now.Sub(before.Since))
-			}
-			line.Send()
-		}
-		after := change.After
-		if after.Allowed() || after.Cause == router.CauseUnlisted {
+// rememberSignals remembers signals by the upstream's name. The lock must be held.
+func (st *state) rememberSignals(now time.Time, id string, info ResponseInfo) {
+	u, listed := st.upstreamByID[id]
+	if !listed {
+		return
+	}
+	agreed, said := st.agreedTime(now), st.saidSignals[u.Name]
+	if info.Leaving {
+		said.leavingAt = agreed
+	}
+	if info.RetryAfter > 0 {
+		said.askedAt, said.askedUntil = agreed, agreed.Add(info.RetryAfter)
+	}
+	st.saidSignals[u.Name] = said
+}
+
+// repeatSignals records the signals again for the listed upstreams that started before a
+// process with their name sent them. An outdated list may have had an earlier run of that
+// process. The lock must be held.
+func (st *state) repeatSignals(now time.Time) {
+	agreed := st.agreedTime(now)
+	for name, said := range st.saidSignals {
+		if agreed.Sub(said.leavingAt) > saidSignalsLifetime && !agreed.Before(said.askedUntil) {
+			delete(st.saidSignals, name)
 			continue
 		}
-		line := st.log.Info().Str("event", "upstream_avoided").Str("upstream", change.ID).Str("cause", string(after.Cause)).
-			Str("source", string(after.Source)).Dur("list_age", now.Sub(st.listUpdatedAt))
-		if !after.Since.IsZero() {
-			line = line.Dur("age", now.Sub(after.Since))
+		u, listed := st.upstreams[name]
+		if !listed || u.StartedAt.IsZero() {
+			continue
 		}
-		if !after.Until.IsZero() {
-			line = line.Dur("left", after.Until.Sub(now))
+		signals := router.Signals{Leaving: agreed.Sub(said.leavingAt) <= saidSignalsLifetime && !u.StartedAt.After(said.leavingAt)}
+		if !u.StartedAt.After(said.askedAt) {
+			signals.RetryAfter = max(0, said.askedUntil.Sub(agreed))
 		}
-		line.Send()
+		st.recordSignals(now, u.ID, signals)
 	}
 }
 
+// logAvoided logs which upstreams have begun or ceased to be avoided. The lock must be
+// held.
+func (st *state) logAvoided(now time.Time) {
+	reporter.LogAvoided(st.log, now, now.Sub(st.listUpdatedAt), st.router.Changes(now))
+}
+
 // updateDisputedLeavings finds the upstreams that said that they leave, but have been
 // listed as ones that do not for disputeAge since. They get no requests before they start
 // again.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -72,6 +72,8 @@
 	connectFailedAt  map[string]time.Time
 	// unreachableDomains are the failure domains that get no requests for now.
 	unreachableDomains map[string]bool
+	// saidSignals are the latest signals of upstreams, by name.
+	saidSignals map[string]saidSignals
 	// disputedLeavings are the upstreams that have said that they leave while the list
 	// says otherwise, by ID.
 	disputedLeavings map[string]bool
@@ -83,10 +85,14 @@
 	// entry as the leader.
 	leaderlessSince time.Time
 	// moves are keyed by deployment. ownOutcomes are the counters of outcomes
-	// that this entry measured. latencyThresholds are keyed by route.
+	// that this entry measured. latencyThresholds are keyed by route,
+	// pauseThresholds and usualLoads by deployment. usualLoads are loads of upstreams of
+	// current versions when a request is sent, plus one.
 	moves             map[string]*move
 	ownOutcomes       aggregator.Totals
 	latencyThresholds map[string]*mover.LatencyThreshold
+	pauseThresholds   map[string]*mover.PauseThreshold
+	usualLoads        map[string]*mover.Quantile
 	// crashes and quarantine find the requests that crash upstreams.
 	crashes    crashDetector
 	quarantine quarantine
@@ -143,10 +149,13 @@
 		moves:              map[string]*move{},
 		ownOutcomes:        aggregator.Totals{},
 		latencyThresholds:  map[string]*mover.LatencyThreshold{},
+		pauseThresholds:    map[string]*mover.PauseThreshold{},
+		usualLoads:         map[string]*mover.Quantile{},
 		crashes:            newCrashDetector(),
 		quarantine:         newQuarantine(),
 		connectFailedAt:    map[string]time.Time{},
 		disputedLeavings:   map[string]bool{},
+		saidSignals:        map[string]saidSignals{},
 		unreachableDomains: map[string]bool{},
 		random:             rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
 	}
@@ -245,6 +254,7 @@
 	}
 	st.listUpdatedAt = now
 	st.updateRouter(now)
+	st.repeatSignals(now)
 }
 
 // updateRouter passes the listed upstreams to the router.
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -9,6 +9,7 @@
 	"github.com/galenahitch/galenahitch/internal/replayer"
 	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
+	"github.com/galenahitch/galenahitch/pkg/mover"
 	"github.com/galenahitch/galenahitch/pkg/reclaimer"
 	"github.com/galenahitch/galenahitch/pkg/retrier"
 	"github.com/galenahitch/galenahitch/pkg/router"
@@ -48,6 +49,7 @@
 			s.refuseRun(ctx, r, judge.Refuse(judge.CodeCrashesUpstreams, judge.MayHaveRun, "this request crashes the upstreams that run it"))
 			return
 		}
+		next = s.usable(next)
 		target, version, ok := s.nextUpstream(r, next)
 		if !ok {
 			if !s.waitForUpstream(ctx, r) {
@@ -134,6 +136,10 @@
 // returns false.
 func (s *Server) waitForUpstream(ctx context.Context, r *request) bool {
 	r.clearExclusions()
+	if wait, known := s.nextReturn(r.route.Deployment); known && wait > noUpstreamRetryDelay {
+		s.refuseRun(ctx, r, s.refuseNoUpstream(r.route.Deployment))
+		return false
+	}
 	if s.now().Add(noUpstreamRetryDelay).After(r.deadline) || ctx.Err() != nil {
 		s.refuseRun(ctx, r, judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+r.route.Deployment+" takes work"))
 		return false
@@ -181,15 +187,16 @@
 		RequestID: r.id, Number: number, Route: r.route.Name, Body: r.body, ResumeFrom: from, ResumeText: sentText, ResumeKV: resumeKV,
 	})
 	if err != nil {
-		s.recordOutcome(parent, r, version, err, 0)
+		s.recordOutcome(parent, r, version, err, 0, mover.Pauses{})
 		return w.failureCause(err)
 	}
 	defer stream.Close()
 	s.recordLoad(target, stream.Running())
 	firstToken := time.Duration(0)
+	var pauses mover.Pauses
 	for part, err := range stream.Parts() {
 		if err != nil {
-			s.recordOutcome(parent, r, version, err, firstToken)
+			s.recordOutcome(parent, r, version, err, firstToken, pauses)
 			return w.failureCause(err)
 		}
 		now := s.now()
@@ -197,6 +204,7 @@
 			firstToken = now.Sub(start)
 			s.metrics.Observe("first_token_us", firstToken.Microseconds())
 		}
+		pauses.Observe(now)
 		w.progress(now, part.Offset+1)
 		r.transition("part")
 		r.buffer.Append(part.Text)
@@ -207,7 +215,7 @@
 			break
 		}
 	}
-	s.recordOutcome(parent, r, version, nil, firstToken)
+	s.recordOutcome(parent, r, version, nil, firstToken, pauses)
 	return nil
 }
 
@@ -249,7 +257,7 @@
 // recordOutcome adds an attempt's outcome to the comparison of versions. It leaves
 // out failures that this entry or the caller caused and failures on an upstream
 // that is being reclaimed.
-func (s *Server) recordOutcome(ctx context.Context, r *request, version string, err error, firstToken time.Duration) {
+func (s *Server) recordOutcome(ctx context.Context, r *request, version string, err error, firstToken time.Duration, pauses mover.Pauses) {
 	if err != nil && (r.interrupted() || canceled(ctx)) {
 		return
 	}
@@ -259,7 +267,7 @@
 	}
 	move, rolledBack := s.state.recordOutcome(now, attemptOutcome{
 		deployment: r.route.Deployment, route: r.route.Name, version: version,
-		failed: err != nil, firstToken: firstToken, firstTokenTarget: r.route.AnswerWithin(),
+		failed: err != nil, firstToken: firstToken, pauses: pauses, firstTokenTarget: r.route.AnswerWithin(),
 	})
 	if rolledBack {
 		s.publishRollBack(move)
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -30,6 +30,7 @@
 	encodedConfig     []byte
 	vms               []provider.VM
 	hasVMList         bool
+	vmListAt          time.Time
 	router            *router.Router
 	tracker           *tracker.Tracker
 	isolator          isolator.Isolator
@@ -40,6 +41,7 @@
 	bootIDs           map[string]string
 	moves             map[string]*moveState
 	latencyThresholds map[string]*mover.LatencyThreshold
+	pauseThresholds   map[string]*mover.PauseThreshold
 	// crashes maps an upstream's ID to the time when its crash was detected.
 	crashes map[string]time.Time
 	// suspects holds the running attempts of suspect requests by upstream ID.
@@ -70,6 +72,7 @@
 		bootIDs:           map[string]string{},
 		moves:             map[string]*moveState{},
 		latencyThresholds: map[string]*mover.LatencyThreshold{},
+		pauseThresholds:   map[string]*mover.PauseThreshold{},
 		suspects:          map[string][]suspectRun{},
 		crashes:           map[string]time.Time{},
 		random:            rand.New(rand.NewPCG(seed, seed)),
@@ -136,7 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms
-	s.hasVMList = true
+	s.hasVMList, s.vmListAt = true, now
 	var upstreams []router.Upstream
 	var members []tracker.Member
 	for _, vm := range vms {
