--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -211,8 +211,7 @@
 	if !ok {
 		picked, ok = st.router.Pick(now, query)
 	}
-	if !ok || st.unreachableDomains[picked.FailureDomain] {
-		// The router picks an unreachable domain only if there is no other.
+	if !ok {
 		return Upstream{}, false
 	}
 	u, ok := st.upstreamByID[picked.ID]
@@ -252,12 +251,14 @@
 	g.cfg.Codec.SetAttempt(header, attempt)
 	response, err := g.pool.Do(ctx, u.Address, pooler.Request{
 		ID: c.request.ID, Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header, Body: c.body,
+		MaySend: func() bool { return g.maySend(u.ID) },
+		OnHead:  func(status int, header http.Header) { g.recordSignals(u.ID, g.cfg.Codec.Response(status, header)) },
 	})
 	if err != nil {
 		verdict := judge.VerdictOf(err)
 		return &failure{
 			verdict: verdict, unsent: verdict == judge.NotRun, connectionBroke: verdict != judge.NotRun && ctx.Err() == nil,
-			retryCharged: silence.retryCharged.Load(), busy: pooler.IsFull(err), cause: err,
+			retryCharged: silence.retryCharged.Load(), busy: pooler.IsFull(err) || pooler.IsWithdrawn(err), cause: err,
 		}
 	}
 	defer response.Close()
@@ -334,7 +335,7 @@
 	st.mu.Lock()
 	switch {
 	case f.misdirected:
-		st.router.MarkLeaving(now, u.ID, 0)
+		st.recordSignals(now, u.ID, router.Signals{Leaving: true})
 	case c.disconnected || f.busy || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		// Neither a disconnected caller nor a full queue is the upstream's fault.
 	case f.unsent:
@@ -375,7 +376,7 @@
 	if c.runs > 0 {
 		return judge.Refuse(judge.CodeUpstreamFailed, judge.MayHaveRun, "no other upstream takes it")
 	}
-	return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+c.deployment+" takes work").WithRetryAfter(g.state.jitter(retryDelay))
+	return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, "no upstream of "+c.deployment+" takes work").WithRetryAfter(g.retryAfter(c))
 }
 
 // refuseEnded returns the refusal of a call that ended early: its deadline
@@ -396,7 +397,7 @@
 // refuseFailed returns the refusal of a call whose last attempt failed.
 func (g *Gateway) refuseFailed(c *call, f *failure) *judge.Refusal {
 	if c.runs == 0 {
-		return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, f.cause.Error()).WithRetryAfter(g.state.jitter(retryDelay))
+		return judge.Refuse(judge.CodeNoUpstream, judge.NotRun, f.cause.Error()).WithRetryAfter(g.retryAfter(c))
 	}
 	return judge.Refuse(judge.CodeUpstreamFailed, judge.MayHaveRun, f.cause.Error())
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -72,8 +72,13 @@
 	connectFailedAt  map[string]time.Time
 	// unreachableDomains are the failure domains that get no requests for now.
 	unreachableDomains map[string]bool
-	promptHistory      promptHistory
-	startedAt          time.Time
+	// saidSignals are the latest signals of upstreams, by name.
+	saidSignals map[string]saidSignals
+	// disputedLeavings are the upstreams that have said that they leave while the list
+	// says otherwise, by ID.
+	disputedLeavings map[string]bool
+	promptHistory    promptHistory
+	startedAt        time.Time
 	// canServeSince is when the configuration and the list of upstreams were known.
 	canServeSince time.Time
 	// leaderlessSince is the time since which no message has named another
@@ -149,6 +154,8 @@
 		crashes:            newCrashDetector(),
 		quarantine:         newQuarantine(),
 		connectFailedAt:    map[string]time.Time{},
+		disputedLeavings:   map[string]bool{},
+		saidSignals:        map[string]saidSignals{},
 		unreachableDomains: map[string]bool{},
 		random:             rand.New(rand.NewPCG(boot, uint64(len(cfg.ID)))),
 	}
@@ -247,6 +254,7 @@
 	}
 	st.listUpdatedAt = now
 	st.updateRouter(now)
+	st.repeatSignals(now)
 }
 
 // updateRouter passes the listed upstreams to the router.
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
 
 	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/pkg/planner"
@@ -35,6 +37,8 @@
 type fleetManager struct {
 	leader       *leader
 	nextDecision time.Time
+	// fence is the fence of the term that provisioners and demandPeaks are from.
+	fence uint64
 	// provisioners and demandPeaks, in VMs, are by deployment.
 	provisioners map[string]*provisioner.Provisioner
 	demandPeaks  map[string]float64
@@ -60,6 +64,16 @@
 	}
 }
 
+// observeTerm drops what was observed in an earlier term: a surplus must have lasted
+// without a gap.
+func (f *fleetManager) observeTerm() {
+	if fence := f.leader.leaser.Fence(); fence != f.fence {
+		f.fence = fence
+		clear(f.provisioners)
+		clear(f.demandPeaks)
+	}
+}
+
 // reconcileFleet orders and drains VMs as the provisioners decide, if the
 // configuration allows it.
 func (s *Server) reconcileFleet(ctx context.Context) {
@@ -70,9 +84,11 @@
 	}
 	s.fleet.nextDecision = now.Add(fleetInterval)
 	offers, err := s.cfg.Cloud.Offers(ctx)
+	s.observeCall("offers", err)
 	if err != nil {
 		return
 	}
+	s.fleet.observeTerm()
 	s.stopDrained(ctx, now)
 	for _, d := range cfg.Deployments {
 		if s.move(d.Name).InProgress() {
@@ -177,28 +193,25 @@
 	return pools
 }
 
-// startVMs orders VMs one by one and stops at the first refusal. Each order is
-// sent only while this entry holds the lease, and carries its fencing token.
+// startVMs orders VMs one by one and stops at the first refusal.
 func (s *Server) startVMs(ctx context.Context, now time.Time, prov *provisioner.Provisioner, d planner.Deployment, o provisioner.Order) {
 	for range o.Change {
-		if !s.fleet.leader.leaser.Holds(s.now()) {
-			return
-		}
 		order := provider.StartOrder{
-			Token: uuid.NewString(), Fence: s.fleet.leader.leaser.Fence(), Deployment: d.Name, Version: s.currentVersion(d),
+			Token: uuid.NewString(), Holder: s.cfg.Self.ID, Fence: s.fleet.leader.leaser.Fence(), Deployment: d.Name, Version: s.currentVersion(d),
 			FailureDomain: o.FailureDomain, Reclaimable: o.Reclaimable,
 		}
-		reply, err := s.cfg.Cloud.Start(ctx, order)
+		reply, err := s.sendStart(ctx, order)
 		if err != nil {
 			// The token makes the second order idempotent: its reply says whether
 			// the first one took effect.
-			reply, err = s.cfg.Cloud.Start(ctx, order)
+			reply, err = s.sendStart(ctx, order)
+		}
+		if errorx.IsOfType(err, provider.GuardFailed) {
+			return
 		}
 		if err != nil || reply.Refused {
 			prov.RecordRefusal(now, o.FailureDomain, o.Reclaimable)
 			s.metrics.Count("starts_refused")
-			s.cfg.Log.Info().Str("event", "start_refused").Str("deployment", d.Name).Str("failure_domain", o.FailureDomain).
-				Bool("reclaimable", o.Reclaimable).Str("why", reply.Reason).Err(err).Send()
 			return
 		}
 		prov.RecordStart(o.FailureDomain, o.Reclaimable)
@@ -210,6 +223,39 @@
 	}
 }
 
+// sendStart sends one order for a VM, if this entry is the leader, and logs it.
+func (s *Server) sendStart(ctx context.Context, order provider.StartOrder) (provider.OrderReply, error) {
+	sentAt := s.leaseNow()
+	ctx, cancel, err := s.leaderContext(ctx, sentAt, s.fleet.leader)
+	if err != nil {
+		return provider.OrderReply{}, err
+	}
+	defer cancel()
+	reply, err := s.cfg.Cloud.Start(ctx, order)
+	s.logOrder("vm_start", order.Fence, sentAt).Str("deployment", order.Deployment).Str("failure_domain", order.FailureDomain).
+		Bool("reclaimable", order.Reclaimable).Str("vm", reply.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
+	return reply, err
+}
+
+// sendStop sends one order to stop a VM, if this entry is the leader, and logs it.
+func (s *Server) sendStop(ctx context.Context, order provider.StopOrder) (provider.OrderReply, error) {
+	sentAt := s.leaseNow()
+	ctx, cancel, err := s.leaderContext(ctx, sentAt, s.fleet.leader)
+	if err != nil {
+		return provider.OrderReply{}, err
+	}
+	defer cancel()
+	reply, err := s.cfg.Cloud.Stop(ctx, order)
+	s.logOrder("vm_stop", order.Fence, sentAt).Str("vm", order.VMID).Bool("refused", reply.Refused).Str("reason", reply.Reason).Err(err).Send()
+	return reply, err
+}
+
+// logOrder begins a line about an order with its fence, the time that was left of the
+// lease when it was sent, and its duration.
+func (s *Server) logOrder(event string, fence uint64, sentAt time.Time) *zerolog.Event {
+	return s.cfg.Log.Info().Str("event", event).Uint64("fence", fence).Dur("lease_left", s.fleet.leader.leaser.Left(sentAt)).Dur("took", s.leaseNow().Sub(sentAt))
+}
+
 // currentVersion returns the version that new VMs of a deployment start with.
 func (s *Server) currentVersion(d planner.Deployment) string {
 	if m := s.move(d.Name); m.ID != "" {
@@ -218,30 +264,45 @@
 	return d.Version
 }
 
-// drainVMs drains surplus VMs: this entry issues a notice for each, as for a
-// reclaim.
+// drainVMs drains surplus VMs: this entry, if it is the leader, issues a notice for
+// each, as for a reclaim.
 func (s *Server) drainVMs(now time.Time, o provisioner.Order, vms []provider.VM) {
 	remaining := -o.Change
 	for _, vm := range vms {
+		if !s.fleet.leader.leaser.Holds(s.leaseNow()) {
+			return
+		}
 		_, draining := s.fleet.drainEnds[vm.ID]
 		if remaining == 0 || draining || vm.FailureDomain != o.FailureDomain || vm.Reclaimable != o.Reclaimable {
 			continue
 		}
 		remaining--
-		s.fleet.drainEnds[vm.ID] = now.Add(drainTime)
 		s.audit("system", "vm_drained", vm.ID, "no longer wanted in "+vm.FailureDomain)
-		s.handleNotices([]provider.Notice{{VMID: vm.ID, RemainingMS: drainTime.Milliseconds()}})
+		s.announceDrain(now, vm.ID)
 	}
 }
 
+// announceDrain sends entries a notice of a VM that will be stopped after drainTime.
+func (s *Server) announceDrain(now time.Time, id string) {
+	s.fleet.drainEnds[id] = now.Add(drainTime)
+	s.handleNotices([]provider.Notice{{VMID: id, RemainingMS: drainTime.Milliseconds()}})
+}
+
 // stopDrained stops the VMs whose drain time has passed. A stop that fails is
-// tried again in the next round.
+// tried again in the next round. If it could not be stopped for so long that the notice
+// is not sent to peers any more, entries that started since may use the VM, and it is
+// announced again.
 func (s *Server) stopDrained(ctx context.Context, now time.Time) {
 	for id, end := range s.fleet.drainEnds {
-		if now.Before(end) || !s.fleet.leader.leaser.Holds(s.now()) {
+		if now.Before(end) {
+			continue
+		}
+		if now.Sub(end) >= noticeRetention {
+			s.state.forgetNotice(id)
+			s.announceDrain(now, id)
 			continue
 		}
-		reply, err := s.cfg.Cloud.Stop(ctx, provider.StopOrder{VMID: id, Fence: s.fleet.leader.leaser.Fence()})
+		reply, err := s.sendStop(ctx, provider.StopOrder{VMID: id, Holder: s.cfg.Self.ID, Fence: s.fleet.leader.leaser.Fence()})
 		if err != nil || reply.Refused {
 			continue
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 	"google.golang.org/grpc"
 
+	"github.com/galenahitch/galenahitch/internal/dispatcher"
 	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/messenger"
 	"github.com/galenahitch/galenahitch/internal/waiter"
@@ -32,6 +33,10 @@
 	exchangesMu   sync.Mutex
 	openExchanges map[string]bool
 
+	failuresMu sync.Mutex
+	// failures counts the consecutive failures of each kind of call to the platform.
+	failures map[string]int
+
 	baseContext context.Context
 	cancel      context.CancelFunc
 }
@@ -40,7 +45,7 @@
 func New(cfg Config) *Server {
 	cfg.setDefaults()
 	base, cancel := context.WithCancel(context.Background())
-	return &Server{
+	s := &Server{
 		cfg:           cfg,
 		state:         newState(cfg),
 		runs:          newRegistry(),
@@ -50,13 +55,21 @@
 		gossipNow:     make(chan struct{}, 1),
 		outcomes:      newOutcomeQueue(),
 		openExchanges: map[string]bool{},
+		failures:      map[string]int{},
 		baseContext:   base,
 		cancel:        cancel,
 	}
+	if source, ok := cfg.Upstreams.(dispatcher.SignalSource); ok {
+		source.OnSignals(s.recordSignals)
+	}
+	return s
 }
 
 func (s *Server) now() time.Time { return s.cfg.Now() }
 
+// leaseNow returns the time by which leases are counted.
+func (s *Server) leaseNow() time.Time { return s.cfg.LeaseNow() }
+
 // listeners are an entry's listeners on its three addresses.
 type listeners struct {
 	callers net.Listener
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -30,6 +30,7 @@
 	encodedConfig     []byte
 	vms               []provider.VM
 	hasVMList         bool
+	vmListAt          time.Time
 	router            *router.Router
 	tracker           *tracker.Tracker
 	isolator          isolator.Isolator
@@ -138,7 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms
-	s.hasVMList = true
+	s.hasVMList, s.vmListAt = true, now
 	var upstreams []router.Upstream
 	var members []tracker.Member
 	for _, vm := range vms {
@@ -183,6 +184,13 @@
 	return true
 }
 
+// forgetNotice deletes a VM's notice, so that another one can be recorded.
+func (s *state) forgetNotice(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.reclaimTimes, id)
+}
+
 // recentNotices returns the notices to send to peers. The lock must be held.
 func (s *state) recentNotices(now time.Time) []provider.Notice {
 	var notices []provider.Notice
