internal/follower, gateway: the log tells a late configuration's causes apart

Now: config_ignored, with both versions and that of the row; row_version and era of what is adopted; took and failures of store_lost and store_back; and config_age in each request's line.

The test of updates counted the readings of the clock to find its moment; it now hooks into the call during which the updates arrive. Its checks are as they were.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -68,6 +68,8 @@
 	version        provider.Version
 	lastResponseAt time.Time
 	failedSince    time.Time
+	// failures is the number of failed calls since failedSince.
+	failures int
 	// missing holds the ends of the grace periods of missing rows, by key. lost are
 	// those that a copy lacked to which the store returned.
 	missing map[string]time.Time
@@ -101,6 +103,7 @@
 	backoff := minBackoff
 	loaded := false
 	for ctx.Err() == nil {
+		start := f.cfg.Now()
 		page, err := f.poll(ctx, loaded)
 		now := f.cfg.Now()
 		if ctx.Err() != nil {
@@ -112,7 +115,7 @@
 				loaded, backoff = false, minBackoff
 				f.cfg.Log.Info().Str("event", "store_history_lost").Str("table", f.cfg.Table).Uint64("version", f.Version().Number()).Uint64("era", f.Version().Era()).Send()
 			} else {
-				f.recordFailure(now, err)
+				f.recordFailure(now, now.Sub(start), err)
 			}
 			if !waiter.Pause(ctx, backoff/2+rand.N(backoff)) {
 				break
@@ -212,12 +215,14 @@
 	}
 }
 
-func (f *Follower) recordFailure(now time.Time, err error) {
+// recordFailure records a call that failed after the given time.
+func (f *Follower) recordFailure(now time.Time, took time.Duration, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failures++
 	if f.failedSince.IsZero() {
 		f.failedSince = now
-		f.cfg.Log.Warn().Str("event", "store_lost").Str("table", f.cfg.Table).Uint64("version", f.version.Number()).Uint64("era", f.version.Era()).Err(err).Send()
+		f.cfg.Log.Warn().Str("event", "store_lost").Str("table", f.cfg.Table).Uint64("version", f.version.Number()).Uint64("era", f.version.Era()).Dur("took", took).Err(err).Send()
 	}
 }
 
@@ -302,11 +307,11 @@
 	if f.failedSince.IsZero() {
 		return
 	}
-	f.cfg.Log.Info().Str("event", "store_back").Str("table", f.cfg.Table).Dur("away", now.Sub(f.failedSince)).Send()
+	f.cfg.Log.Info().Str("event", "store_back").Str("table", f.cfg.Table).Dur("away", now.Sub(f.failedSince)).Int("failures", f.failures).Send()
 	if now.Sub(f.failedSince) >= minOutage {
 		f.graceEnd = now.Add(f.cfg.GracePeriod)
 	}
-	f.failedSince = time.Time{}
+	f.failedSince, f.failures = time.Time{}, 0
 }
 
 // removeRow removes a row or, during the grace period, marks it as missing.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -24,6 +24,8 @@
 	// wantRead and wantTimeout describe the expected call.
 	wantRead    bool
 	wantTimeout time.Duration
+	// during, if set, is called before the response.
+	during func()
 }
 
 // scriptedStore returns a list of responses and advances the clock.
@@ -50,6 +52,9 @@
 	require.Equal(s.t, current.wantRead, read, "%d steps left", len(s.steps))
 	require.Equal(s.t, current.wantTimeout, wait, "%d steps left", len(s.steps))
 	s.now = s.now.Add(current.elapsed)
+	if current.during != nil {
+		current.during()
+	}
 	return current.page, current.err
 }
 
@@ -191,20 +196,16 @@
 	s.steps = []step{
 		fullTable(5, row("a", 3), row("b", 5), row("c", 4)),
 		changes(5),
-		{wantRead: false, wantTimeout: pollTimeout, page: provider.Page{Version: 7, Rows: []provider.StoreRow{row("a", 6), row("e", 7)}}},
+		{
+			wantTimeout: pollTimeout, page: provider.Page{Version: 7, Rows: []provider.StoreRow{row("a", 6), row("e", 7)}},
+			during: func() { update(row("a", 4), deletedRow("b", 5), deletedRow("c", 6), row("d", 9), deletedRow("x", 9), row("a", 6)) },
+		},
 		{wantRead: false, wantTimeout: pollTimeout, err: provider.Compacted.New("gone")},
 		fullTable(8, row("a", 6), row("b", 5)),
 	}
-	rounds := 0
 	s.done = cancel
 	f = follower.New(follower.Config{
-		Store: s, Table: "servers", PollTimeout: pollTimeout, GracePeriod: gracePeriod, Apply: s.apply, Log: zerolog.Nop(),
-		Now: func() time.Time {
-			if rounds++; rounds == 2 {
-				update(row("a", 4), deletedRow("b", 5), deletedRow("c", 6), row("d", 9), deletedRow("x", 9), row("a", 6))
-			}
-			return s.clock()
-		},
+		Store: s, Table: "servers", PollTimeout: pollTimeout, GracePeriod: gracePeriod, Apply: s.apply, Now: s.clock, Log: zerolog.Nop(),
 	})
 	update(row("z", 1))
 	require.NoError(t, f.Run(ctx))
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -63,7 +63,7 @@
 	for _, d := range domains {
 		prices[d] = 1
 	}
-	g.state.applyConfig(c.now, resolver.Config{
+	g.state.applyConfig(c.now, 1, resolver.Config{
 		Version: 1,
 		Routes: []resolver.Route{{
 			Name: "chat", Host: "h", Prefix: "/", Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2,
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -223,6 +223,9 @@
 	}
 	if c.resolver != nil {
 		line = line.Uint64("config", c.resolver.Version())
+		if age, known := g.configFollower.Age(now); known {
+			line = line.Dur("config_age", age)
+		}
 	}
 	if c.upstream.ID != "" {
 		line = line.Str("upstream", c.upstream.ID).Int("status", c.status).Str("fingerprint", c.fingerprint.String()).
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -176,7 +176,7 @@
 			st.log.Error().Str("event", "config_invalid").Uint64("row_version", row.Version.Number()).Err(err).Send()
 			continue
 		}
-		st.applyConfig(now, cfg)
+		st.applyConfig(now, row.Version, cfg)
 	}
 }
 
@@ -198,16 +198,18 @@
 // reads may be older than the process.
 const firstReadPeriod = 3 * time.Second
 
-// applyConfig puts a configuration in force if it is newer than the current
-// one.
-func (st *state) applyConfig(now time.Time, cfg resolver.Config) {
+// applyConfig puts the configuration of a row in force if it is newer than the
+// current one.
+func (st *state) applyConfig(now time.Time, rowVersion provider.Version, cfg resolver.Config) {
 	current := st.resolver.Load()
 	if current != nil && cfg.Version <= current.Version() {
+		st.log.Info().Str("event", "config_ignored").Uint64("version", cfg.Version).Uint64("in_force", current.Version()).
+			Uint64("row_version", rowVersion.Number()).Uint64("era", rowVersion.Era()).Send()
 		return
 	}
 	next, err := resolver.New(cfg)
 	if err != nil {
-		st.log.Error().Str("event", "config_invalid").Uint64("version", cfg.Version).Err(err).Send()
+		st.log.Error().Str("event", "config_invalid").Uint64("version", cfg.Version).Uint64("row_version", rowVersion.Number()).Err(err).Send()
 		return
 	}
 	st.mu.Lock()
@@ -215,8 +217,8 @@
 	st.resolver.Store(next)
 	st.configAt = now
 	st.configureRetryBudgets(next)
-	st.log.Info().Str("event", "config_adopted").Uint64("version", cfg.Version).Int("routes", len(cfg.Routes)).
-		Int("organisations", len(cfg.Organisations)).Send()
+	st.log.Info().Str("event", "config_adopted").Uint64("version", cfg.Version).Uint64("row_version", rowVersion.Number()).Uint64("era", rowVersion.Era()).
+		Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Send()
 }
 
 // applyUpstreamRows applies changed rows of the table of upstreams.
