--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenahitch/galenahitch/internal/emulator"
 	"github.com/galenahitch/galenahitch/internal/messenger"
 )
 
@@ -53,13 +54,19 @@
 }
 
 func serve(t *testing.T, security messenger.Security) string {
+	return serveSilently(t, security).Addr().String()
+}
+
+// serveSilently returns the server's listener, whose connections can go silent.
+func serveSilently(t *testing.T, security messenger.Security) *emulator.Listener {
 	server, err := messenger.NewServer(echo{}, security)
 	require.NoError(t, err)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	listener := emulator.NewListener(inner)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
-	return listener.Addr().String()
+	return listener
 }
 
 func client(t *testing.T, security messenger.Security) *messenger.Client {
@@ -173,3 +180,19 @@
 		require.NoError(b, err)
 	}
 }
+
+// The connection to a peer goes silent while new ones work. Every call used it again, so
+// the peer could not be called until the kernel gave the connection up.
+func TestCallsToPeersOverASilentConnection(t *testing.T) {
+	listener, c := serveSilently(t, messenger.Security{}), client(t, messenger.Security{})
+	exchange := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, err := c.Exchange(ctx, listener.Addr().String(), &messenger.Exchange{})
+		return err
+	}
+	require.NoError(t, exchange())
+	listener.Silence()
+	require.Error(t, exchange())
+	require.NoError(t, exchange())
+}
