--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -198,7 +198,9 @@
 		changes(5),
 		{
 			wantTimeout: pollTimeout, page: provider.Page{Version: 7, Rows: []provider.StoreRow{row("a", 6), row("e", 7)}},
-			during: func() { update(row("a", 4), deletedRow("b", 5), deletedRow("c", 6), row("d", 9), deletedRow("x", 9), row("a", 6)) },
+			during: func() {
+				update(row("a", 4), deletedRow("b", 5), deletedRow("c", 6), row("d", 9), deletedRow("x", 9), row("a", 6))
+			},
 		},
 		{wantRead: false, wantTimeout: pollTimeout, err: provider.Compacted.New("gone")},
 		fullTable(8, row("a", 6), row("b", 5)),
--- a/internal/provider/http.go
+++ b/internal/provider/http.go
@@ -117,6 +117,7 @@
 	httpReq.Header.Set("Content-Type", "application/json")
 	httpResp, err := h.client.Do(httpReq)
 	if err != nil {
+		CloseSilent(h.client, err)
 		return resp, CallError(err, path)
 	}
 	defer httpResp.Body.Close()
@@ -124,6 +125,7 @@
 		return resp, Unreachable.New("call %s: status %d", path, httpResp.StatusCode)
 	}
 	if err := json.NewDecoder(io.LimitReader(httpResp.Body, maxResponseBytes)).Decode(&resp); err != nil {
+		CloseSilent(h.client, err)
 		return resp, Unreachable.Wrap(err, "decode %s", path)
 	}
 	return resp, nil
