internal/messenger: a connection without an answer gets no more calls

What would be seen: on the product's own interface the connection between two entries goes silent, and each of the two takes the other for dead until the kernel gives the connection up, after some 15 minutes: gRPC keeps one connection to a peer and opens another only when the first one fails.

TestCallsToPeersOverASilentConnection failed before: every further call reached its deadline. A call that reaches its deadline now takes the connection out of use; it is closed after the last of its other calls, which may be streams that still arrive.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -14,8 +14,10 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 )
 
 const (
@@ -144,11 +146,20 @@
 	Security Security
 }
 
-// Client calls peers by address. It keeps one connection to each.
+// Client calls peers by address. It keeps one connection to each, and opens another one
+// after a call without an answer, as the connection may be silent for good.
 type Client struct {
 	options []grpc.DialOption
 	mu      sync.Mutex
-	conns   map[string]*grpc.ClientConn
+	conns   map[string]*peerConn
+}
+
+// peerConn is a connection to a peer. A discarded one is closed after the last of its
+// calls.
+type peerConn struct {
+	*grpc.ClientConn
+	calls     int
+	discarded bool
 }
 
 // NewClient returns a client without connections.
@@ -168,7 +179,7 @@
 	connectBackoff := backoff.DefaultConfig
 	connectBackoff.MaxDelay = maxConnectBackoff
 	return &Client{
-		conns: map[string]*grpc.ClientConn{},
+		conns: map[string]*peerConn{},
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(creds),
 			grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxMessageBytes)),
@@ -183,20 +194,38 @@
 	}, nil
 }
 
-func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+// beginCall returns the connection for a call to a peer, which ends with endCall.
+func (c *Client) beginCall(address string) (*peerConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := c.conns[address]; ok {
-		return conn, nil
-	}
-	conn, err := grpc.NewClient("passthrough:///"+address, c.options...)
-	if err != nil {
-		return nil, err
+	conn, ok := c.conns[address]
+	if !ok {
+		inner, err := grpc.NewClient("passthrough:///"+address, c.options...)
+		if err != nil {
+			return nil, err
+		}
+		conn = &peerConn{ClientConn: inner}
+		c.conns[address] = conn
 	}
-	c.conns[address] = conn
+	conn.calls++
 	return conn, nil
 }
 
+// endCall ends a call with its error. If there was no answer the connection gets no more
+// calls.
+func (c *Client) endCall(address string, conn *peerConn, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.calls--
+	if status.Code(err) == codes.DeadlineExceeded && c.conns[address] == conn {
+		conn.discarded = true
+		delete(c.conns, address)
+	}
+	if conn.discarded && conn.calls == 0 {
+		_ = conn.Close()
+	}
+}
+
 // CloseExcept closes the connections to all peers except those with the given
 // addresses.
 func (c *Client) CloseExcept(addresses []string) {
@@ -224,16 +253,18 @@
 	for _, conn := range c.conns {
 		_ = conn.Close()
 	}
-	c.conns = map[string]*grpc.ClientConn{}
+	c.conns = map[string]*peerConn{}
 }
 
 func invoke[Resp, Req any](ctx context.Context, c *Client, address, method string, in *Req) (*Resp, error) {
-	conn, err := c.conn(address)
+	conn, err := c.beginCall(address)
 	if err != nil {
 		return nil, err
 	}
 	out := new(Resp)
-	if err := conn.Invoke(ctx, "/"+serviceName+"/"+method, in, out); err != nil {
+	err = conn.Invoke(ctx, "/"+serviceName+"/"+method, in, out)
+	c.endCall(address, conn, err)
+	if err != nil {
 		return nil, err
 	}
 	return out, nil
@@ -261,11 +292,12 @@
 
 // Join receives the parts of a request from a peer and calls receive with each, until
 // the request ends or receive returns an error.
-func (c *Client) Join(ctx context.Context, address string, in *JoinRequest, receive func(*JoinPart) error) error {
-	conn, err := c.conn(address)
+func (c *Client) Join(ctx context.Context, address string, in *JoinRequest, receive func(*JoinPart) error) (err error) {
+	conn, err := c.beginCall(address)
 	if err != nil {
 		return err
 	}
+	defer func() { c.endCall(address, conn, err) }()
 	stream, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, "/"+serviceName+"/"+methodJoin)
 	if err != nil {
 		return err
