internal/follower, gateway: copies of tables are checked beside their polls

Cause: all that an entry believes of a table comes over the one connection of a long poll. If that goes silent while new ones work, the entry learns nothing for up to 6.5 s (26.5 s for quarantined requests), and no other call and no other entry tells it that it is behind.

A follower now knows until when its copy was confirmed, by the store or by another entry, and asks the store over another connection if that is too long ago. Messages carry the newest change of each table and the age of its confirmation, so that one or two entries ask for all, and one that lacks a change asks at once. What the entries confirm to each other can't stay young in circles: relays send only what the store has told them (TestConfirmationsReachAllEntries fails otherwise).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -52,8 +52,15 @@
 	Apply func(now time.Time, changed []provider.StoreRow)
 	// OnNewEra, if set, is called when the table has been read in a new era.
 	OnNewEra func()
-	Now      func() time.Time
-	Log      zerolog.Logger
+	// FreshFor, if set, returns for how long the copy counts as up to date after it was
+	// confirmed, by the store or by a peer. After that a call of its own asks the store
+	// for changes, for at most CheckTimeout. Zero means not to ask.
+	FreshFor     func() time.Duration
+	CheckTimeout time.Duration
+	Now          func() time.Time
+	// SteadyNow is a clock that goes on while the machine is suspended. Nil means Now.
+	SteadyNow func() time.Time
+	Log       zerolog.Logger
 }
 
 // Follower is a local copy of one table.
@@ -76,11 +83,25 @@
 	lost    map[string]bool
 	// graceEnd is the end of the grace period after the last outage.
 	graceEnd time.Time
+
+	// loaded reports whether the table was read and changes can be asked for.
+	loaded    bool
+	freshness freshness
+	// poll is the call that waits for changes, nil between two of them.
+	poll *poll
+	// checkAgain wakes keepFresh.
+	checkAgain chan struct{}
 }
 
 // New returns a follower with an empty copy.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, rows: map[string]provider.StoreRow{}, missing: map[string]time.Time{}, lost: map[string]bool{}}
+	if cfg.SteadyNow == nil {
+		cfg.SteadyNow = cfg.Now
+	}
+	return &Follower{
+		cfg: cfg, rows: map[string]provider.StoreRow{}, missing: map[string]time.Time{}, lost: map[string]bool{},
+		checkAgain: make(chan struct{}, 1),
+	}
 }
 
 // Age returns the time since the last response of the store, and whether there
@@ -98,24 +119,42 @@
 	return f.version
 }
 
-// Run polls the store until ctx ends.
+// Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	var checks sync.WaitGroup
+	if f.cfg.FreshFor != nil {
+		checks.Go(func() { f.keepFresh(ctx) })
+	}
+	f.pollStore(ctx)
+	checks.Wait()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil
+	}
+	return ctx.Err()
+}
+
+// pollStore reads the table and waits for its changes until ctx ends.
+func (f *Follower) pollStore(ctx context.Context) {
 	backoff := minBackoff
-	loaded := false
 	for ctx.Err() == nil {
-		start := f.cfg.Now()
-		page, err := f.poll(ctx, loaded)
+		p := f.beginPoll(ctx)
+		page, err := p.call()
 		now := f.cfg.Now()
+		cause := f.endPoll(p)
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(cause, errOvertaken) {
+			continue
+		}
 		if err != nil {
 			if errorx.IsOfType(err, provider.Compacted) {
 				// The store responds, so a backoff from failures before does not apply.
-				loaded, backoff = false, minBackoff
+				backoff = minBackoff
+				f.setLoaded(false)
 				f.cfg.Log.Info().Str("event", "store_history_lost").Str("table", f.cfg.Table).Uint64("version", f.Version().Number()).Uint64("era", f.Version().Era()).Send()
-			} else {
-				f.recordFailure(now, now.Sub(start), err)
+			} else if !errors.Is(cause, errUnconfirmed) {
+				f.recordFailure(now, f.cfg.SteadyNow().Sub(p.start), err)
 			}
 			if !waiter.Pause(ctx, backoff/2+rand.N(backoff)) {
 				break
@@ -124,15 +163,11 @@
 			continue
 		}
 		backoff = minBackoff
-		loaded = f.applyPage(now, page, !loaded) && page.Version > 0
+		f.setLoaded(f.applyPage(now, page, p.after, p.confirms(page, f.cfg.SteadyNow())) && page.Version > 0)
 		if !f.waitForNextPoll(ctx) {
 			break
 		}
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return nil
-	}
-	return ctx.Err()
 }
 
 // peerUpdatesCheckInterval is the time between two calls of PeersSendUpdates.
@@ -184,16 +219,10 @@
 		}
 		changed = append(changed, row)
 	}
+	f.freshness.addChanges(changed)
 	return changed
 }
 
-func (f *Follower) poll(ctx context.Context, loaded bool) (provider.Page, error) {
-	if !loaded {
-		return f.cfg.Store.Read(ctx, f.cfg.Table)
-	}
-	return f.cfg.Store.Watch(ctx, f.cfg.Table, f.Version(), f.pollTimeout())
-}
-
 // pollTimeout returns how long the next call waits for changes: zero after a
 // failure, so that the recovery of the store is detected at once.
 func (f *Follower) pollTimeout() time.Duration {
@@ -226,28 +255,36 @@
 	}
 }
 
-// applyPage merges a page and applies the changes. If whole is true the page is
-// the content of the table, otherwise it lists changes. It returns false for a
-// page that is older than the copy; such a page changes nothing.
-func (f *Follower) applyPage(now time.Time, page provider.Page, whole bool) bool {
+// applyPage merges a page that confirms the copy as of a time of the steady clock, and
+// applies the changes. The page lists the changes after a version, or is the content of the
+// table if that is zero. It returns false for a page that is older than the copy; such a
+// page changes nothing.
+func (f *Follower) applyPage(now time.Time, page provider.Page, after provider.Version, confirmed time.Time) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	changed, ok := f.mergePage(now, page, whole)
+	changed, ok := f.mergePage(now, page, after, confirmed)
 	if len(changed) > 0 {
 		f.cfg.Apply(now, changed)
 	}
 	return ok
 }
 
-func (f *Follower) mergePage(now time.Time, page provider.Page, whole bool) ([]provider.StoreRow, bool) {
+func (f *Follower) mergePage(now time.Time, page provider.Page, after provider.Version, confirmed time.Time) ([]provider.StoreRow, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordRecovery(now)
 	f.lastResponseAt = now
+	whole := after == 0
 	if page.Version < f.version {
+		if !whole && page.Version >= after {
+			// Another call has returned later changes in the meantime.
+			return nil, true
+		}
 		f.cfg.Log.Warn().Str("event", "store_answer_stale").Str("table", f.cfg.Table).Uint64("version", page.Version.Number()).Uint64("era", page.Version.Era()).Uint64("known", f.version.Number()).Uint64("known_era", f.version.Era()).Send()
 		return nil, false
 	}
+	f.freshness.confirm(confirmed, page.Version)
+	f.freshness.addChanges(page.Rows)
 	newEra := f.version > 0 && page.Version.Era() > f.version.Era()
 	if newEra {
 		f.graceEnd = now.Add(f.cfg.GracePeriod)
--- /dev/null
+++ b/internal/follower/freshness.go
@@ -0,0 +1,280 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/galenahitch/galenahitch/internal/provider"
+)
+
+const (
+	// checkTries is the number of calls of a check: after the first one without an answer
+	// the second one opens a new connection.
+	checkTries = 2
+	// behindGrace is how long a change that a peer knows may take to arrive here as well,
+	// beside the interval between two polls.
+	behindGrace = 150 * time.Millisecond
+	// idleCheckInterval is the time after which FreshFor is called again if no check is
+	// needed.
+	idleCheckInterval = 500 * time.Millisecond
+)
+
+// The causes with which a check ends a poll: it has returned changes that the poll has not,
+// or it got no answer.
+var (
+	errOvertaken   = errors.New("a check has returned newer changes")
+	errUnconfirmed = errors.New("a check got no answer")
+)
+
+// Status says how up to date a copy of the table is.
+type Status struct {
+	// Newest is the version of the newest change that the copy has.
+	Newest provider.Version
+	// Age is the time since the copy was confirmed.
+	Age time.Duration
+}
+
+// freshness is what a follower knows of how up to date its copy is. Times are of the
+// steady clock.
+type freshness struct {
+	newest provider.Version
+	// confirmedAt is a time at which the store had no change that the copy lacks, as the
+	// store has answered here or to a peer. ownConfirmedAt leaves peers out.
+	confirmedAt, ownConfirmedAt time.Time
+	// A peer has changes up to peerVersion, which the copy has lacked since behindSince.
+	behindSince time.Time
+	peerVersion provider.Version
+	// checkNotBefore delays checks after one that failed or brought less than a peer has.
+	checkNotBefore time.Time
+	backoff        time.Duration
+}
+
+// confirm records that the copy was confirmed as of a time and has all changes up to a
+// version.
+func (s *freshness) confirm(at time.Time, version provider.Version) {
+	s.ownConfirmedAt = later(s.ownConfirmedAt, at)
+	s.confirmedAt = later(s.confirmedAt, at)
+	if version >= s.peerVersion {
+		s.behindSince = time.Time{}
+	}
+}
+
+// addChanges records the versions of changes that the copy has.
+func (s *freshness) addChanges(rows []provider.StoreRow) {
+	for _, row := range rows {
+		s.newest = max(s.newest, row.Version)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// delayChecks delays the next check, longer each time.
+func (s *freshness) delayChecks(now time.Time) {
+	s.backoff = min(maxBackoff, max(minBackoff, 2*s.backoff))
+	s.checkNotBefore = now.Add(s.backoff)
+}
+
+// poll is one call of pollStore. The table is read if after is zero.
+type poll struct {
+	start   time.Time
+	after   provider.Version
+	timeout time.Duration
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	call    func() (provider.Page, error)
+}
+
+// confirms returns a time at which the copy with the poll's page is up to date. If there
+// were changes, the page may have waited anywhere since the start of the poll.
+func (p *poll) confirms(page provider.Page, now time.Time) time.Time {
+	if p.after == 0 || len(page.Rows) > 0 {
+		return p.start
+	}
+	if waited := p.start.Add(p.timeout); waited.Before(now) {
+		return waited
+	}
+	return now
+}
+
+func (f *Follower) beginPoll(ctx context.Context) *poll {
+	p := &poll{start: f.cfg.SteadyNow()}
+	p.ctx, p.cancel = context.WithCancelCause(ctx)
+	p.call = func() (provider.Page, error) { return f.cfg.Store.Read(p.ctx, f.cfg.Table) }
+	timeout := f.pollTimeout()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.loaded {
+		p.after, p.timeout = f.version, timeout
+		p.call = func() (provider.Page, error) { return f.cfg.Store.Watch(p.ctx, f.cfg.Table, p.after, p.timeout) }
+		f.poll = p
+	}
+	return p
+}
+
+// endPoll returns the cause with which a check has ended the poll, if any.
+func (f *Follower) endPoll(p *poll) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poll = nil
+	cause := context.Cause(p.ctx)
+	p.cancel(nil)
+	return cause
+}
+
+// interruptPoll ends the poll that is under way, if it waits for changes after a version
+// that is below the given one. It returns how long the poll has waited.
+func (f *Follower) interruptPoll(now time.Time, version provider.Version, cause error) (waited time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.poll == nil || f.poll.after >= version {
+		return 0, false
+	}
+	f.poll.cancel(cause)
+	return now.Sub(f.poll.start), true
+}
+
+func (f *Follower) setLoaded(loaded bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loaded = loaded
+}
+
+// Status returns how up to date the copy is, by the answers of the store to this follower
+// and, unless own is set, to peers. It returns false if the table was never read. now is a
+// time of the steady clock.
+func (f *Follower) Status(now time.Time, own bool) (Status, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	confirmedAt := f.freshness.confirmedAt
+	if own {
+		confirmedAt = f.freshness.ownConfirmedAt
+	}
+	return Status{Newest: f.freshness.newest, Age: now.Sub(confirmedAt)}, !confirmedAt.IsZero()
+}
+
+// Observe records how up to date a peer's copy is. If the peer has a change that this copy
+// lacks, the store is asked for it soon. now is a time of the steady clock.
+func (f *Follower) Observe(now time.Time, peer Status) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := &f.freshness
+	switch {
+	case s.confirmedAt.IsZero():
+	case peer.Newest <= max(f.version, s.newest):
+		s.confirmedAt = later(s.confirmedAt, now.Add(-peer.Age))
+	case peer.Newest > s.peerVersion:
+		s.peerVersion, s.behindSince = peer.Newest, now
+		select {
+		case f.checkAgain <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// keepFresh checks the copy whenever it has not been confirmed for too long, until ctx
+// ends.
+func (f *Follower) keepFresh(ctx context.Context) {
+	for ctx.Err() == nil {
+		delay := f.checkDelay(f.cfg.SteadyNow())
+		if delay <= 0 {
+			f.check(ctx)
+			continue
+		}
+		timer := time.NewTimer(delay)
+		select {
+		case <-timer.C:
+		case <-f.checkAgain:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// checkDelay returns the time until the next check.
+func (f *Follower) checkDelay(now time.Time) time.Duration {
+	freshFor := f.cfg.FreshFor()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := &f.freshness
+	if !f.loaded || !f.failedSince.IsZero() {
+		// The poll detects the end of an outage.
+		return idleCheckInterval
+	}
+	delay := idleCheckInterval
+	if freshFor > 0 {
+		delay = s.confirmedAt.Add(freshFor).Sub(now)
+	}
+	if !s.behindSince.IsZero() {
+		delay = min(delay, s.behindSince.Add(f.cfg.PollInterval+behindGrace).Sub(now))
+	}
+	return max(delay, s.checkNotBefore.Sub(now))
+}
+
+// check asks the store for changes by a call of its own. A poll that has not returned
+// them, or whose store does not answer, is ended: its connection may be silent.
+func (f *Follower) check(ctx context.Context) {
+	start := f.cfg.SteadyNow()
+	after := f.Version()
+	page, err := f.ask(ctx, after)
+	now := f.cfg.SteadyNow()
+	switch {
+	case ctx.Err() != nil:
+	case err == nil:
+		f.applyPage(f.cfg.Now(), page, after, start)
+		f.endCheck(now, page)
+	case errorx.IsOfType(err, provider.Compacted):
+		f.setLoaded(false)
+		f.interruptPoll(now, after+1, errOvertaken)
+	case errorx.IsOfType(err, provider.Refused):
+		f.delayNextCheck(now)
+	default:
+		f.recordFailure(f.cfg.Now(), now.Sub(start), err)
+		f.interruptPoll(now, after+1, errUnconfirmed)
+	}
+}
+
+// ask returns the changes after a version. It calls a second time if there is no answer.
+func (f *Follower) ask(ctx context.Context, after provider.Version) (page provider.Page, err error) {
+	for range checkTries {
+		callCtx, cancel := context.WithTimeout(ctx, f.cfg.CheckTimeout)
+		page, err = f.cfg.Store.Watch(callCtx, f.cfg.Table, after, 0)
+		cancel()
+		if err == nil || ctx.Err() != nil || !errorx.IsOfType(err, provider.Unreachable) {
+			break
+		}
+	}
+	return page, err
+}
+
+// endCheck ends a check that has returned a page.
+func (f *Follower) endCheck(now time.Time, page provider.Page) {
+	if len(page.Rows) > 0 {
+		if waited, ok := f.interruptPoll(now, page.Rows[len(page.Rows)-1].Version, errOvertaken); ok {
+			f.cfg.Log.Info().Str("event", "poll_overtaken").Str("table", f.cfg.Table).Uint64("version", page.Version.Number()).Uint64("era", page.Version.Era()).
+				Int("rows", len(page.Rows)).Dur("waited", waited).Send()
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := &f.freshness
+	if s.behindSince.IsZero() {
+		s.backoff, s.checkNotBefore = 0, time.Time{}
+		return
+	}
+	// The answer lacks changes that a peer has.
+	s.delayChecks(now)
+}
+
+func (f *Follower) delayNextCheck(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freshness.delayChecks(now)
+}
--- /dev/null
+++ b/internal/follower/freshness_test.go
@@ -0,0 +1,206 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/follower"
+	"github.com/galenahitch/galenahitch/internal/provider"
+)
+
+const (
+	// freshFor and checkTimeout are those of a follower that must be right maxStaleness
+	// after a silence began, and has maxDelay for a change at other times.
+	freshFor     = 1200 * time.Millisecond
+	checkTimeout = 750 * time.Millisecond
+	maxStaleness = 3 * time.Second
+	maxDelay     = 2 * time.Second
+	// answerTimeout is how long the store's client waits for an answer.
+	answerTimeout = 1500 * time.Millisecond
+)
+
+// silentStore is a store with one row whose calls can stay without an answer.
+type silentStore struct {
+	mu      sync.Mutex
+	version provider.Version
+	changed chan struct{}
+	// silenced is closed when the connections of the calls under way go silent, kept the
+	// number of kept connections that are silent as well.
+	silenced chan struct{}
+	kept     int
+	calls    int
+}
+
+func newSilentStore() *silentStore {
+	return &silentStore{version: 1, changed: make(chan struct{}), silenced: make(chan struct{})}
+}
+
+func (s *silentStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// silence makes the calls that are under way, and the next ones over kept connections, stay
+// without an answer.
+func (s *silentStore) silence(kept int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = kept
+	close(s.silenced)
+	s.silenced = make(chan struct{})
+}
+
+func (s *silentStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// begin returns the state of a call at its start, and whether its connection is silent.
+func (s *silentStore) begin() (silenced chan struct{}, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	silent = s.kept > 0
+	if silent {
+		s.kept--
+	}
+	return s.silenced, silent
+}
+
+func (s *silentStore) page() (provider.Page, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return provider.Page{Version: s.version, Rows: []provider.StoreRow{row("a", s.version)}}, s.changed
+}
+
+func (s *silentStore) Read(ctx context.Context, _ string) (provider.Page, error) {
+	if _, silent := s.begin(); silent {
+		<-ctx.Done()
+	}
+	page, _ := s.page()
+	return page, ctx.Err()
+}
+
+func (s *silentStore) Era() uint64 { return 0 }
+
+func (s *silentStore) Commit(context.Context, provider.Commit) (provider.CommitResult, error) {
+	return provider.CommitResult{}, errDown
+}
+
+func (s *silentStore) Watch(ctx context.Context, _ string, after provider.Version, wait time.Duration) (provider.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	defer cancel()
+	silenced, silent := s.begin()
+	waited := time.NewTimer(wait)
+	defer waited.Stop()
+	for !silent {
+		page, changed := s.page()
+		if page.Version > after {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-waited.C:
+			return provider.Page{Version: page.Version}, nil
+		case <-silenced:
+			silent = true
+		case <-ctx.Done():
+			silent = true
+		}
+	}
+	<-ctx.Done()
+	return provider.Page{}, provider.Unreachable.Wrap(ctx.Err(), "no answer")
+}
+
+// follow runs a follower of a store in a synctest bubble, until the returned function is
+// called.
+func follow(t *testing.T, s *silentStore) (*follower.Follower, func()) {
+	f := follower.New(follower.Config{
+		Store: s, Table: "op", PollTimeout: pollTimeout, FreshFor: func() time.Duration { return freshFor }, CheckTimeout: checkTimeout,
+		Apply: func(time.Time, []provider.StoreRow) {}, Now: time.Now, Log: zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { require.NoError(t, f.Run(ctx)) })
+	synctest.Wait()
+	return f, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// The connection of a poll goes silent, and the table changes some time later. The copy
+// was out of date until the poll had ended, up to 6.5 s.
+func TestCopyIsRightSoonAfterASilence(t *testing.T) {
+	for _, phase := range []time.Duration{0, 500 * time.Millisecond, 1900 * time.Millisecond, 4900 * time.Millisecond} {
+		for _, delay := range []time.Duration{0, 300 * time.Millisecond, time.Second, 2 * time.Second, 2900 * time.Millisecond, 5 * time.Second} {
+			for kept := range 2 {
+				t.Run(fmt.Sprint(phase, " after ", delay, " with ", kept), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						s := newSilentStore()
+						f, stop := follow(t, s)
+						defer stop()
+						time.Sleep(phase)
+						s.silence(kept)
+						time.Sleep(delay)
+						s.change()
+						time.Sleep(max(maxStaleness-delay, maxDelay))
+						synctest.Wait()
+						require.EqualValues(t, 2, f.Version())
+					})
+				})
+			}
+		}
+	}
+}
+
+// Peers that confirm the copy save its checks, and one that has a newer row makes the
+// follower ask for it at once although its poll is silent.
+func TestPeersConfirmTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentStore()
+		f, stop := follow(t, s)
+		defer stop()
+		calls := s.callCount()
+		for range 40 {
+			f.Observe(time.Now(), follower.Status{Newest: 1, Age: freshFor / 2})
+			time.Sleep(100 * time.Millisecond)
+		}
+		synctest.Wait()
+		require.Equal(t, calls, s.callCount())
+		own, _ := f.Status(time.Now(), true)
+		require.Equal(t, 4*time.Second, own.Age, "what peers have confirmed is not its own")
+		s.silence(0)
+		s.change()
+		f.Observe(time.Now(), follower.Status{Newest: 2})
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		require.EqualValues(t, 2, f.Version())
+	})
+}
+
+// A peer claims a version that the store does not have. The checks that this causes become
+// rare.
+func TestWrongVersionsOfPeersCauseFewChecks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentStore()
+		f, stop := follow(t, s)
+		defer stop()
+		for range 100 {
+			f.Observe(time.Now(), follower.Status{Newest: 1 << 30})
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Less(t, s.callCount(), 25)
+	})
+}
--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -16,7 +16,7 @@
 		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Domain: g.cfg.FailureDomain, Capacity: g.cfg.Capacity,
 		Stopping: g.stopping.Load(), Kind: kindMember, Group: st.plan.Group, Entries: 1, ClockMS: now.UnixMilli(),
 		Totals: aggregator.Totals{}, Load: map[uint32]uint32{}, Demand: st.ownDemand(now),
-		Moves: st.moveUpdates(now),
+		Moves: st.moveUpdates(now), Tables: g.tableStatuses(false),
 	}
 	for org, spent := range st.throttler.LocalSpending() {
 		message.Totals[spentPrefix+org] = spent
@@ -47,6 +47,8 @@
 	// listVersion the store version that its list reflects.
 	listAge     time.Duration
 	listVersion provider.Version
+	// tables are the statuses of tables for the members.
+	tables map[sharedTable]tableStatus
 }
 
 // aggregate is the sum of messages over several entries.
@@ -126,6 +128,7 @@
 	for name, memberTotal := range st.memberTotals[id] {
 		message.Totals[name] -= memberTotal
 	}
+	message.Tables = a.tables
 	message.LastChange, message.ListAgeMS, message.ListVersion = st.lastChange, a.listAge.Milliseconds(), a.listVersion
 	for domain := range a.all.domains {
 		message.Domains = append(message.Domains, domain)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -237,6 +237,9 @@
 	// MaxLeavingDelay is the time within which the entry must detect that an
 	// upstream is leaving.
 	MaxLeavingDelay time.Duration
+	// MaxStaleness is the time after the end of a disturbance within which the entry's
+	// copies of the store's tables must be up to date.
+	MaxStaleness time.Duration
 
 	Log zerolog.Logger
 	Now func() time.Time
--- /dev/null
+++ b/internal/gateway/freshness.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/follower"
+	"github.com/galenahitch/galenahitch/internal/provider"
+)
+
+// An entry must be up to date Config.MaxStaleness after a disturbance. These are the
+// shares of that time after which it asks the store itself whether its copy of a table is
+// up to date, unless the store or another entry has confirmed it. The first relay asks
+// before the others, who hear of the answer, and relays before members.
+const (
+	firstFreshShare  = 0.3
+	relayFreshShare  = 0.4
+	memberFreshShare = 0.55
+	// checkTimeoutShare is the share of one call without an answer, after which a second
+	// call opens a new connection.
+	checkTimeoutShare = 0.25
+	// unconfirmedAge is the age of a copy whose confirmation must not be passed on.
+	unconfirmedAge = time.Hour
+)
+
+// sharedTable names a table in messages.
+type sharedTable uint8
+
+const (
+	operatorTable sharedTable = iota
+	upstreamTable
+	quarantineTable
+)
+
+// tableStatus is a follower.Status in a message.
+type tableStatus struct {
+	_      struct{} `cbor:",toarray"`
+	Newest provider.Version
+	AgeMS  int64
+}
+
+func (s tableStatus) decode() follower.Status {
+	return follower.Status{Newest: s.Newest, Age: time.Duration(s.AgeMS) * time.Millisecond}
+}
+
+// sharedFollowers returns the followers of the tables whose status entries exchange.
+func (g *Gateway) sharedFollowers() map[sharedTable]*follower.Follower {
+	return map[sharedTable]*follower.Follower{operatorTable: g.configFollower, upstreamTable: g.upstreamFollower, quarantineTable: g.quarantineFollower}
+}
+
+// freshFor returns for how long a copy of a table counts as up to date.
+func (g *Gateway) freshFor() time.Duration {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	share := relayFreshShare
+	switch {
+	case !g.state.plan.IsRelay:
+		share = memberFreshShare
+	case g.state.isFirstRelay(g.cfg.Now()):
+		share = firstFreshShare
+	}
+	return time.Duration(share * float64(g.cfg.MaxStaleness))
+}
+
+// listFreshFor is freshFor for the list of upstreams, of which members hear from relays.
+func (g *Gateway) listFreshFor() time.Duration {
+	if g.relaysSendList(g.cfg.Now()) {
+		return 0
+	}
+	return g.freshFor()
+}
+
+// isFirstRelay reports whether no other relay that sends messages has a lower ID. The lock
+// must be held.
+func (st *state) isFirstRelay(now time.Time) bool {
+	isEarlier := func(id string) bool {
+		p, known := st.peers[id]
+		return known && id < st.cfg.ID && !p.stopping && now.Sub(p.detector.LastReceived()) <= peerTimeout
+	}
+	if slices.ContainsFunc(st.plan.Relays, isEarlier) {
+		return false
+	}
+	for _, relays := range st.plan.RemoteRelays {
+		if slices.ContainsFunc(relays, isEarlier) {
+			return false
+		}
+	}
+	return true
+}
+
+// tableStatuses returns the status of the tables for a message. For a relay it is that by
+// the store's answers to this entry: what others have confirmed would come back to them
+// ever younger, as the time of a message is not known. The lock must be held.
+func (g *Gateway) tableStatuses(toMember bool) map[sharedTable]tableStatus {
+	st := g.state
+	now := g.cfg.LeaseNow()
+	statuses := map[sharedTable]tableStatus{}
+	for table, f := range g.sharedFollowers() {
+		status, known := f.Status(now, !toMember)
+		if !known || table == upstreamTable && (toMember || !st.plan.IsRelay) {
+			continue
+		}
+		if table == upstreamTable {
+			// Most rows of the list change in ways that do not matter to others.
+			status.Newest = st.maxChangeVersion
+		}
+		statuses[table] = tableStatus{Newest: status.Newest, AgeMS: status.Age.Milliseconds() + 1}
+	}
+	return statuses
+}
+
+// observeTables compares the copies of tables with those of the sender of a message.
+func (g *Gateway) observeTables(message peerMessage) {
+	g.state.mu.Lock()
+	plan := g.state.plan
+	g.state.mu.Unlock()
+	now := g.cfg.LeaseNow()
+	fromRelay := message.Kind == kindGroup || message.Kind == kindOthers || slices.Contains(plan.Relays, message.ID)
+	for table, f := range g.sharedFollowers() {
+		status, sent := message.Tables[table]
+		if !sent || table == upstreamTable && !plan.IsRelay {
+			continue
+		}
+		decoded := status.decode()
+		if !fromRelay {
+			decoded.Age = unconfirmedAge
+		}
+		f.Observe(now, decoded)
+	}
+}
--- /dev/null
+++ b/internal/gateway/freshness_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/follower"
+	"github.com/galenahitch/galenahitch/internal/provider"
+)
+
+// steadyClock is a clock that goes on with each reading, as messages take time.
+type steadyClock struct {
+	*clock
+	readings time.Duration
+}
+
+const timePerReading = time.Millisecond
+
+func (c *steadyClock) read() time.Time {
+	c.readings += timePerReading
+	return c.now.Add(c.readings)
+}
+
+// confirm makes an entry read the operator's table.
+func confirm(t *testing.T, g *Gateway, steady *steadyClock) {
+	apply := func(time.Time, []provider.StoreRow) {}
+	g.cfg.LeaseNow = steady.read
+	readTable(t, &g.configFollower, g, follower.Config{Table: "operator", Apply: apply}, provider.Page{
+		Version: 5, Rows: []provider.StoreRow{{Key: "config", Version: 5}},
+	})
+}
+
+func configAge(g *Gateway, steady *steadyClock) time.Duration {
+	status, _ := g.configFollower.Status(steady.read(), false)
+	return status.Age
+}
+
+// One entry asks the store whether the configuration is up to date, and all others hear of
+// the answer. What nobody confirms any more must not stay young by being passed on.
+func TestConfirmationsReachAllEntries(t *testing.T) {
+	for _, n := range []int{6, 81} {
+		c := newCluster(t, n)
+		c.rounds(4)
+		steady := &steadyClock{clock: c.clock}
+		for _, g := range c.entries {
+			confirm(t, g, steady)
+		}
+		confirmed := steady.read()
+		c.rounds(30)
+		for i, g := range c.entries {
+			require.Greater(t, configAge(g, steady), steady.read().Sub(confirmed)*95/100, "entry %d of %d", i, n)
+		}
+		var first *Gateway
+		for i, g := range c.entries {
+			if g.state.plan.IsRelay && g.freshFor() < time.Duration(relayFreshShare*float64(g.cfg.MaxStaleness)) {
+				require.Nil(t, first, "entry %d asks first as well", i)
+				first = g
+			}
+		}
+		require.NotNil(t, first, "nobody asks first")
+		confirmed = steady.read()
+		confirm(t, first, steady)
+		c.rounds(4)
+		for i, g := range c.entries {
+			require.LessOrEqual(t, configAge(g, steady), steady.read().Sub(confirmed), "entry %d of %d", i, n)
+		}
+	}
+}
+
+// The times that pass after a silence until an entry is up to date stay within
+// MaxStaleness: the age at which it asks, and a call without an answer before one with a
+// new connection.
+func TestChecksEndWithinTheMaxStaleness(t *testing.T) {
+	require.Less(t, memberFreshShare+checkTimeoutShare, 0.9)
+	// A copy that the first relay confirms becomes no older at members, three rounds away.
+	shortest := 3 * time.Second
+	require.Less(t, firstFreshShare*float64(shortest)+3*float64(gossipInterval), relayFreshShare*float64(shortest)+float64(gossipInterval))
+	require.Less(t, relayFreshShare*float64(shortest)+3*float64(gossipInterval), memberFreshShare*float64(shortest))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,16 +82,16 @@
 		IDHeader: cfg.IDHeader, LocalIP: cfg.LocalIP, Now: cfg.Now,
 		OnOpen: func() { g.metrics.Count("connections_opened") },
 	})
-	g.configFollower = g.newFollower(follower.Config{Table: cfg.Tables.Operator, PollTimeout: configPollTimeout, Apply: g.state.applyOperatorRows})
+	g.configFollower = g.newFollower(follower.Config{Table: cfg.Tables.Operator, PollTimeout: configPollTimeout, FreshFor: g.freshFor, Apply: g.state.applyOperatorRows})
 	g.upstreamFollower = g.newFollower(follower.Config{
 		Table: cfg.Tables.Upstreams, PollTimeout: upstreamPollTimeout, PollInterval: cfg.MaxLeavingDelay / 4, PeersSendUpdates: g.relaysSendList, SlowPollInterval: slowUpstreamPollInterval,
-		MaxPollTimeout: g.listPollTimeout,
-		Apply:          g.state.applyUpstreamRows,
+		MaxPollTimeout: g.listPollTimeout, FreshFor: g.listFreshFor,
+		Apply: g.state.applyUpstreamRows,
 	})
 	g.entryFollower = g.newFollower(follower.Config{
 		Table: cfg.Tables.Entries, GracePeriod: memberRowGrace, PollTimeout: memberPollInterval, PollInterval: memberPollInterval, PeersSendUpdates: g.slowMemberPolls, SlowPollInterval: slowMemberPollInterval, Apply: g.applyMemberRows,
 	})
-	g.quarantineFollower = g.newFollower(follower.Config{Table: cfg.Tables.Quarantine, PollTimeout: quarantinePollTimeout, Apply: g.state.applyQuarantineRows})
+	g.quarantineFollower = g.newFollower(follower.Config{Table: cfg.Tables.Quarantine, PollTimeout: quarantinePollTimeout, FreshFor: g.freshFor, Apply: g.state.applyQuarantineRows})
 	g.leader = newLeader(g)
 	gossip, err := gossiper.Listen(gossiper.Config[peerMessage]{
 		Address: cfg.PeerListen, Interval: gossipInterval, Compose: g.roundMessages, Handle: g.receive, Now: cfg.Now, Log: cfg.Log,
@@ -102,7 +102,8 @@
 
 // newFollower returns a follower of a table of the store.
 func (g *Gateway) newFollower(cfg follower.Config) *follower.Follower {
-	cfg.Store, cfg.Now, cfg.Log = g.cfg.Store, g.cfg.Now, g.cfg.Log
+	cfg.Store, cfg.Now, cfg.SteadyNow, cfg.Log = g.cfg.Store, g.cfg.Now, g.cfg.LeaseNow, g.cfg.Log
+	cfg.CheckTimeout = time.Duration(checkTimeoutShare * float64(g.cfg.MaxStaleness))
 	cfg.OnNewEra = func() { g.metrics.Count("store_era_tables") }
 	if cfg.GracePeriod == 0 {
 		cfg.GracePeriod = missingRowGrace
@@ -240,6 +241,9 @@
 		if age, known := f.Age(now); known {
 			g.metrics.Gauge("store_age_ms_"+name, age.Milliseconds())
 		}
+		if status, known := f.Status(g.cfg.LeaseNow(), false); known {
+			g.metrics.Gauge("confirmed_age_ms_"+name, status.Age.Milliseconds())
+		}
 	}
 	st := g.state
 	if r := st.resolver.Load(); r != nil {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -223,8 +223,8 @@
 	}
 	if c.resolver != nil {
 		line = line.Uint64("config", c.resolver.Version())
-		if age, known := g.configFollower.Age(now); known {
-			line = line.Dur("config_age", age)
+		if status, known := g.configFollower.Status(g.cfg.LeaseNow(), false); known {
+			line = line.Dur("config_age", status.Age)
 		}
 	}
 	if c.upstream.ID != "" {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -69,6 +69,8 @@
 	Moves map[string]moveUpdate `cbor:"20,keyasint,omitempty"`
 	// CrashRecords are new crash records of this entry and of others.
 	CrashRecords []isolator.CrashRecord `cbor:"23,keyasint,omitempty"`
+	// Tables says how up to date the sender's copies of tables are.
+	Tables map[sharedTable]tableStatus `cbor:"24,keyasint,omitempty"`
 }
 
 // listRow is a row of the list of upstreams as read from the store.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,6 +64,7 @@
 		g.applyMessage(now, message)
 	}
 	g.receiveList(now, message)
+	g.observeTables(message)
 }
 
 func (g *Gateway) applyMessage(now time.Time, message peerMessage) {
@@ -301,6 +302,9 @@
 		age = time.Hour
 	}
 	aggregated.listAge, aggregated.listVersion = age, max(g.upstreamFollower.Version(), st.maxChangeVersion)
+	if len(st.plan.Members) > 0 {
+		aggregated.tables = g.tableStatuses(true)
+	}
 	var relays []string
 	for _, ids := range st.plan.RemoteRelays {
 		relays = append(relays, ids...)
