internal/gateway: a lost quarantine is written again by any entry

Callers would see: after the store's return from an older copy, a request that crashes upstreams stays out of the store for more than 6 s, in which all entries that start know nothing of it.

Cause: a lost row was written again only by entries that had seen a crash and by the leader. The former may all have started again, and a new era has no leader for 4 s and more: the row came back 6.5 s after the return. What is still lost after 1 s is now written by every entry, under the condition that there is no row; TestLostQuarantineIsWrittenAgain failed before.

--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -281,6 +281,8 @@
 	st.applyQuarantineRows(c.now, []provider.StoreRow{lost})
 	require.NotNil(t, g.refuseQuarantined(&call{fingerprint: poison}))
 	require.Empty(t, st.quarantineChange(c.now, false).Put)
+	// Those who saw the crashes had ended, and the new era had no leader for 4 s.
+	require.Len(t, st.quarantineChange(c.now.Add(lostRowDelay), false).Put, 1)
 	change := st.quarantineChange(c.now, true)
 	require.Len(t, change.Put, 1)
 	require.Zero(t, change.Expect[0].Version)
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -17,6 +17,8 @@
 	maxQuarantineChanges = 50
 	// maxQuarantineRows bounds the table of quarantined requests.
 	maxQuarantineRows = 1024
+	// lostRowDelay is the time in which a lost row is left to its usual writers.
+	lostRowDelay = time.Second
 	// quarantinePollTimeout limits one long poll of the table of quarantined requests,
 	// of which entries also learn by messages.
 	quarantinePollTimeout = 25 * time.Second
@@ -32,6 +34,8 @@
 
 	version provider.Version
 	expires time.Time
+	// lostAt is when the row was found missing after the store's return from an older copy.
+	lostAt time.Time
 }
 
 // applyQuarantineRows applies changed rows of the table of quarantined requests.
@@ -49,6 +53,7 @@
 			old := q.rows[f]
 			delete(q.rows, f)
 			if old.version.Era() < row.Version.Era() {
+				old.lostAt = now
 				q.lost[f] = old
 				st.log.Info().Str("event", "quarantine_lost").Str("fingerprint", row.Key).Uint64("era", row.Version.Era()).Uint64("previous", old.version.Era()).Send()
 				continue
@@ -126,7 +131,7 @@
 		switch {
 		case st.crashStatus(now, f) != isolator.Confirmed:
 			delete(q.lost, f)
-		case (leader || q.observed[f]) && len(change.Put) < maxQuarantineChanges:
+		case (leader || q.observed[f] || now.Sub(row.lostAt) >= lostRowDelay) && len(change.Put) < maxQuarantineChanges:
 			st.putQuarantined(change, f, row)
 		}
 	}
