internal/gateway, follower: longer polls of the configuration, shorter pauses

A follower pauses at most 0.8 s between two failed calls, before 1.2 s: together with a call under way (1.5 s) the entry is up to date 2.3 s after the path to the store is back, before 2.7 s of the 3 s that there are.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -156,7 +156,7 @@
 			} else if !errors.Is(cause, errUnconfirmed) {
 				f.recordFailure(now, f.cfg.SteadyNow().Sub(p.start), err)
 			}
-			if !waiter.Pause(ctx, backoff/2+rand.N(backoff)) {
+			if !waiter.Pause(ctx, backoff/2+rand.N(backoff/2)) {
 				break
 			}
 			backoff = min(maxBackoff, 2*backoff)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,8 +28,8 @@
 	// than callers keep idle connections for reuse.
 	idleTimeout = 60 * time.Second
 	// configPollTimeout and upstreamPollTimeout limit one long poll of the
-	// store.
-	configPollTimeout   = 5 * time.Second
+	// store. Checks find one whose connection is silent.
+	configPollTimeout   = 10 * time.Second
 	upstreamPollTimeout = 5 * time.Second
 	// missingRowGrace is how long upstreams without a row are kept after the
 	// store was unreachable. Running upstreams write their rows again within two
