--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -57,7 +57,10 @@
 	// for changes, for at most CheckTimeout. Zero means not to ask.
 	FreshFor     func() time.Duration
 	CheckTimeout time.Duration
-	Now          func() time.Time
+	// PeerLead returns how long a change that a peer has may take to arrive here as well,
+	// beside PollInterval. It is required if FreshFor is set.
+	PeerLead func() time.Duration
+	Now      func() time.Time
 	// SteadyNow is a clock that goes on while the machine is suspended. Nil means Now.
 	SteadyNow func() time.Time
 	Log       zerolog.Logger
--- a/internal/follower/freshness.go
+++ b/internal/follower/freshness.go
@@ -14,9 +14,6 @@
 	// checkTries is the number of calls of a check: after the first one without an answer
 	// the second one opens a new connection.
 	checkTries = 2
-	// behindGrace is how long a change that a peer knows may take to arrive here as well,
-	// beside the interval between two polls.
-	behindGrace = 150 * time.Millisecond
 	// idleCheckInterval is the time after which FreshFor is called again if no check is
 	// needed.
 	idleCheckInterval = 500 * time.Millisecond
@@ -200,7 +197,7 @@
 
 // checkDelay returns the time until the next check.
 func (f *Follower) checkDelay(now time.Time) time.Duration {
-	freshFor := f.cfg.FreshFor()
+	freshFor, peerLead := f.cfg.FreshFor(), f.cfg.PeerLead()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.freshness
@@ -213,7 +210,7 @@
 		delay = s.confirmedAt.Add(freshFor).Sub(now)
 	}
 	if !s.behindSince.IsZero() {
-		delay = min(delay, s.behindSince.Add(f.cfg.PollInterval+behindGrace).Sub(now))
+		delay = min(delay, s.behindSince.Add(f.cfg.PollInterval+peerLead).Sub(now))
 	}
 	return max(delay, s.checkNotBefore.Sub(now))
 }
--- a/internal/follower/freshness_test.go
+++ b/internal/follower/freshness_test.go
@@ -128,7 +128,8 @@
 func follow(t *testing.T, s *silentStore) (*follower.Follower, func()) {
 	f := follower.New(follower.Config{
 		Store: s, Table: "op", PollTimeout: pollTimeout, FreshFor: func() time.Duration { return freshFor }, CheckTimeout: checkTimeout,
-		Apply: func(time.Time, []provider.StoreRow) {}, Now: time.Now, Log: zerolog.Nop(),
+		PeerLead: func() time.Duration { return checkTimeout / 5 },
+		Apply:    func(time.Time, []provider.StoreRow) {}, Now: time.Now, Log: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -19,6 +19,11 @@
 	// checkTimeoutShare is the share of one call without an answer, after which a second
 	// call opens a new connection.
 	checkTimeoutShare = 0.25
+	// minPeerLead and memberPeerLead are how long a change may take to arrive at one entry
+	// later than at another: the time of a message, and that of the store's answers to all
+	// others.
+	minPeerLead    = 150 * time.Millisecond
+	memberPeerLead = 500 * time.Microsecond
 	// unconfirmedAge is the age of a copy whose confirmation must not be passed on.
 	unconfirmedAge = time.Hour
 )
@@ -62,6 +67,13 @@
 	return time.Duration(share * float64(g.cfg.MaxStaleness))
 }
 
+// peerLead returns how long a change that another entry has may take to arrive.
+func (g *Gateway) peerLead() time.Duration {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	return minPeerLead + time.Duration(g.state.memberCount())*memberPeerLead
+}
+
 // listFreshFor is freshFor for the list of upstreams, of which members hear from relays.
 func (g *Gateway) listFreshFor() time.Duration {
 	if g.relaysSendList(g.cfg.Now()) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 // newFollower returns a follower of a table of the store.
 func (g *Gateway) newFollower(cfg follower.Config) *follower.Follower {
 	cfg.Store, cfg.Now, cfg.SteadyNow, cfg.Log = g.cfg.Store, g.cfg.Now, g.cfg.LeaseNow, g.cfg.Log
+	cfg.PeerLead = g.peerLead
 	cfg.CheckTimeout = time.Duration(checkTimeoutShare * float64(g.cfg.MaxStaleness))
 	cfg.OnNewEra = func() { g.metrics.Count("store_era_tables") }
 	if cfg.GracePeriod == 0 {
