--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -17,10 +17,9 @@
 )
 
 const (
-	// minBackoff and maxBackoff limit the delay after a failed call. maxBackoff
-	// leaves half of the time within which a change has to take effect.
+	// minBackoff and MaxBackoff limit the delay after a failed call.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	MaxBackoff = 800 * time.Millisecond
 	// minOutage is the shortest time of failed calls that counts as an outage of
 	// the store.
 	minOutage = time.Second
@@ -162,7 +161,7 @@
 			if !waiter.Pause(ctx, backoff/2+rand.N(backoff/2)) {
 				break
 			}
-			backoff = min(maxBackoff, 2*backoff)
+			backoff = min(MaxBackoff, 2*backoff)
 			continue
 		}
 		backoff = minBackoff
--- a/internal/follower/freshness.go
+++ b/internal/follower/freshness.go
@@ -75,7 +75,7 @@
 
 // delayChecks delays the next check, longer each time.
 func (s *freshness) delayChecks(now time.Time) {
-	s.backoff = min(maxBackoff, max(minBackoff, 2*s.backoff))
+	s.backoff = min(MaxBackoff, max(minBackoff, 2*s.backoff))
 	s.checkNotBefore = now.Add(s.backoff)
 }
 
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -28,6 +28,13 @@
 	unconfirmedAge = time.Hour
 )
 
+// MaxUnconfirmed returns the longest time for which an entry that reaches the store acts on
+// a copy of a table that the store has not confirmed, if entries have to be up to date
+// maxStaleness after a disturbance.
+func MaxUnconfirmed(maxStaleness time.Duration) time.Duration {
+	return time.Duration((memberFreshShare + checkTimeoutShare) * float64(maxStaleness))
+}
+
 // sharedTable names a table in messages.
 type sharedTable uint8
 
