internal/gateway: relays do not rely on what other relays have heard

What would be seen, in fleets of more than 16 entries: two relays of a group send each other, as to members, what they have heard of a table's confirmation. The time that a message takes is not known, so each takes it for younger than it is, and passes it on: on slow machines a confirmation stayed young for good, no relay asked the store, and a silent poll went unnoticed. Found by reading the change again. TestConfirmationsAgeAlthoughMessagesAreSlow failed before (81 entries, messages of a round: the age was below half of the real one); the test of before had messages without delay. Relays rely on other relays' own statements only, members on what relays have heard.

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -134,14 +134,19 @@
 	plan := g.state.plan
 	g.state.mu.Unlock()
 	now := g.cfg.LeaseNow()
-	fromRelay := message.Kind == kindGroup || message.Kind == kindOthers || slices.Contains(plan.Relays, message.ID)
+	// Relays state what the store has told them, and only members may rely on what relays
+	// have heard.
+	confirms := message.Kind == kindGroup || slices.Contains(plan.Relays, message.ID)
+	if message.Kind == kindOthers {
+		confirms = !plan.IsRelay
+	}
 	for table, f := range g.sharedFollowers() {
 		status, sent := message.Tables[table]
 		if !sent || table == upstreamTable && !plan.IsRelay {
 			continue
 		}
 		decoded := status.decode()
-		if !fromRelay {
+		if !confirms {
 			decoded.Age = unconfirmedAge
 		}
 		f.Observe(now, decoded)
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -76,3 +77,34 @@
 	require.Less(t, firstFreshShare*float64(shortest)+3*float64(gossipInterval), relayFreshShare*float64(shortest)+float64(gossipInterval))
 	require.Less(t, relayFreshShare*float64(shortest)+3*float64(gossipInterval), memberFreshShare*float64(shortest))
 }
+
+// Two relays of a group passed on to each other what they had heard, and each took it for
+// young, since the time of a message is not known. Messages here take a whole round.
+func TestConfirmationsAgeAlthoughMessagesAreSlow(t *testing.T) {
+	for _, n := range []int{6, 81} {
+		c := newCluster(t, n)
+		c.rounds(4)
+		steady := &steadyClock{clock: c.clock}
+		for _, g := range c.entries {
+			confirm(t, g, steady)
+		}
+		confirmed := steady.read()
+		for range 30 {
+			var deliver []func()
+			for _, g := range c.entries {
+				for _, envelope := range g.roundMessages(c.clock.now) {
+					for _, to := range envelope.Receivers {
+						deliver = append(deliver, func() { c.entries[c.byAddress[to]].receive(c.clock.now, netip.AddrPort{}, envelope.Message) })
+					}
+				}
+			}
+			c.clock.advance(gossipInterval)
+			for _, f := range deliver {
+				f()
+			}
+		}
+		for i, g := range c.entries {
+			require.Greater(t, configAge(g, steady), (steady.read().Sub(confirmed))/2, "entry %d of %d", i, n)
+		}
+	}
+}
