internal/follower: checks of a store that answers with old content become rare

A check whose answer is older than the copy confirms nothing, so the next check was due at once: 2,802 calls in 4 s, at a store that takes 1 ms (TestOutdatedAnswersCauseFewChecks, failed before). They are delayed now, as those that are refused. Found by reading the change again.

--- a/internal/follower/freshness.go
+++ b/internal/follower/freshness.go
@@ -224,8 +224,9 @@
 	now := f.cfg.SteadyNow()
 	switch {
 	case ctx.Err() != nil:
+	case err == nil && !f.applyPage(f.cfg.Now(), page, after, start):
+		f.delayNextCheck(now)
 	case err == nil:
-		f.applyPage(f.cfg.Now(), page, after, start)
 		f.endCheck(now, page)
 	case errorx.IsOfType(err, provider.Compacted):
 		f.setLoaded(false)
--- a/internal/follower/freshness_test.go
+++ b/internal/follower/freshness_test.go
@@ -112,6 +112,8 @@
 		select {
 		case <-changed:
 		case <-waited.C:
+			// A call takes some time.
+			time.Sleep(time.Millisecond)
 			return provider.Page{Version: page.Version}, nil
 		case <-silenced:
 			silent = true
@@ -205,3 +207,20 @@
 		require.Less(t, s.callCount(), 25)
 	})
 }
+
+// A store that answers checks with content that is older than the copy was asked again at
+// once, without end.
+func TestOutdatedAnswersCauseFewChecks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentStore()
+		s.version = 9
+		f, stop := follow(t, s)
+		defer stop()
+		s.mu.Lock()
+		s.version = 5
+		s.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		require.Less(t, s.callCount(), 20)
+		require.EqualValues(t, 9, f.Version())
+	})
+}
