internal/gateway, follower: the log tells how old a configuration was when it decided

config_age was the age when the request's line was written, seconds later for a stream; it is now that on arrival, when the configuration is chosen. poll_overtaken says how long the copy had not been confirmed and whether another entry had the change.

--- a/internal/follower/freshness.go
+++ b/internal/follower/freshness.go
@@ -220,6 +220,7 @@
 func (f *Follower) check(ctx context.Context) {
 	start := f.cfg.SteadyNow()
 	after := f.Version()
+	before := f.freshnessNow()
 	page, err := f.ask(ctx, after)
 	now := f.cfg.SteadyNow()
 	switch {
@@ -227,7 +228,7 @@
 	case err == nil && !f.applyPage(f.cfg.Now(), page, after, start):
 		f.delayNextCheck(now)
 	case err == nil:
-		f.endCheck(now, page)
+		f.endCheck(now, page, before)
 	case errorx.IsOfType(err, provider.Compacted):
 		f.setLoaded(false)
 		f.interruptPoll(now, after+1, errOvertaken)
@@ -252,12 +253,19 @@
 	return page, err
 }
 
-// endCheck ends a check that has returned a page.
-func (f *Follower) endCheck(now time.Time, page provider.Page) {
+func (f *Follower) freshnessNow() freshness {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.freshness
+}
+
+// endCheck ends a check that has returned a page. before is what was known when it began.
+func (f *Follower) endCheck(now time.Time, page provider.Page, before freshness) {
 	if len(page.Rows) > 0 {
 		if waited, ok := f.interruptPoll(now, page.Rows[len(page.Rows)-1].Version, errOvertaken); ok {
 			f.cfg.Log.Info().Str("event", "poll_overtaken").Str("table", f.cfg.Table).Uint64("version", page.Version.Number()).Uint64("era", page.Version.Era()).
-				Int("rows", len(page.Rows)).Dur("waited", waited).Send()
+				Int("rows", len(page.Rows)).Dur("waited", waited).
+				Dur("confirmed_age", now.Sub(before.confirmedAt)).Bool("peer_has_it", !before.behindSince.IsZero()).Send()
 		}
 	}
 	f.mu.Lock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,8 +48,10 @@
 	route       resolver.Route
 	org         *resolver.Organisation
 	resolver    *resolver.Resolver
-	arrived     time.Time
-	deadline    time.Time
+	// configAge is the time since the configuration was confirmed when the call arrived.
+	configAge time.Duration
+	arrived   time.Time
+	deadline  time.Time
 
 	deployment string
 	// prefix is the hash of the prompt part that the request shares with
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -86,6 +86,9 @@
 		return c, judge.Refuse(judge.CodeNotConfigured, judge.NotRun, "no configuration is known yet").WithRetryAfter(g.state.jitter(retryDelay))
 	}
 	c.resolver = config
+	if status, known := g.configFollower.Status(g.cfg.LeaseNow(), false); known {
+		c.configAge = status.Age
+	}
 	request, err := g.cfg.Codec.Request(r)
 	c.request = request
 	if err != nil {
@@ -223,9 +226,7 @@
 	}
 	if c.resolver != nil {
 		line = line.Uint64("config", c.resolver.Version())
-		if status, known := g.configFollower.Status(g.cfg.LeaseNow(), false); known {
-			line = line.Dur("config_age", status.Age)
-		}
+		line = line.Dur("config_age", c.configAge)
 	}
 	if c.upstream.ID != "" {
 		line = line.Str("upstream", c.upstream.ID).Int("status", c.status).Str("fingerprint", c.fingerprint.String()).
