pkg/throttler: what others spent during a cut is not charged twice

Cause: while a group of entries is separated it refills its bucket with its share of the quota only, which is right, but when the others are back in reach all that they had spent of their own share was charged to this bucket too. The debt had to refill before anything was admitted.

Change: a bucket also keeps what the part of the entries out of reach would have left. When they are reachable again their part joins the balance, at most a burst of it beyond what they have spent. When they fall out of reach, the balance is divided by the shares instead of being kept whole on both sides.

--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -65,42 +65,9 @@
 	// lastReachable is the number of reachable entries as of reachableAt.
 	lastReachable int
 	reachableAt   time.Time
-}
-
-type bucket struct {
-	balance   float64
-	updatedAt time.Time
-	// roundBudget is what this entry may spend in the round that began at roundAt,
-	// roundSpending what it has spent in it. A round is one ReportInterval.
-	roundBudget   float64
-	roundSpending float64
-	roundAt       time.Time
-	// refusedCost is the decayed cost of recent refusals as of refusedAt.
-	refusedCost float64
-	refusedAt   time.Time
-}
-
-const (
-	// retryDecay is the time constant with which the expected retries of refused
-	// requests decay.
-	retryDecay = time.Second
-	// maxRetrySpread bounds RetrySpread.
-	maxRetrySpread = 2 * time.Second
-)
-
-// addRefused records a refused request.
-func (b *bucket) addRefused(now time.Time, cost float64) {
-	b.refusedCost = b.expectedRetries(now) + cost
-	b.refusedAt = now
-}
-
-// expectedRetries returns the cost of refused requests that are expected to be
-// retried.
-func (b *bucket) expectedRetries(now time.Time) float64 {
-	if b.refusedCost == 0 {
-		return 0
-	}
-	return b.refusedCost * math.Exp(-now.Sub(b.refusedAt).Seconds()/retryDecay.Seconds())
+	// lateSpending is what other entries have spent, as received since the last call of
+	// SetReachableEntries.
+	lateSpending map[string]float64
 }
 
 // RetrySpread returns the time in which an organisation's quota admits all
@@ -111,13 +78,12 @@
 	if !ok || limit.Rate <= 0 {
 		return 0
 	}
-	share := min(1, float64(t.reachableEntries(now))/float64(t.knownEntries))
-	return min(maxRetrySpread, time.Duration(b.expectedRetries(now)/(limit.Rate*share)*float64(time.Second)))
+	return min(maxRetrySpread, time.Duration(b.expectedRetries(now)/(limit.Rate*t.share(now))*float64(time.Second)))
 }
 
 // New returns a throttler without spending.
 func New(cfg Config) *Throttler {
-	return &Throttler{cfg: cfg, knownEntries: 1, buckets: map[string]*bucket{}, spending: map[string]float64{}, lastReachable: 1}
+	return &Throttler{cfg: cfg, knownEntries: 1, buckets: map[string]*bucket{}, spending: map[string]float64{}, lastReachable: 1, lateSpending: map[string]float64{}}
 }
 
 // SetKnownEntries sets the number of entries that may be serving, reachable or
@@ -133,15 +99,35 @@
 	for org, cost := range spending {
 		if b, ok := t.buckets[org]; ok {
 			b.balance -= cost
+			t.lateSpending[org] += cost
 		}
 	}
 }
 
-// SetReachableEntries sets the number of reachable entries, this one included.
+// SetReachableEntries sets the number of reachable entries, this one included. It is
+// called after AddRemoteSpending has charged what newly reachable entries have spent.
 func (t *Throttler) SetReachableEntries(now time.Time, entries int) {
+	before := t.share(now)
 	t.lastReachable, t.reachableAt = entries, now
+	if after := t.share(now); after > before {
+		for org, b := range t.buckets {
+			b.setShare(now, t.settled(), before, 0)
+			b.setShare(now, t.settled(), after, t.lateSpending[org])
+		}
+	}
+	clear(t.lateSpending)
 }
 
+// share returns the share of the entries that are reachable. Their part of a quota is
+// this entry's to spend.
+func (t *Throttler) share(now time.Time) float64 {
+	return min(1, float64(t.reachableEntries(now))/float64(t.knownEntries))
+}
+
+// settled returns when an entry that started with this process is known to be out of
+// reach.
+func (t *Throttler) settled() time.Time { return t.cfg.Start.Add(t.cfg.PeerTimeout) }
+
 // reachableEntries returns the number of reachable entries, this one included.
 func (t *Throttler) reachableEntries(now time.Time) int {
 	if now.Sub(t.reachableAt) > t.cfg.PeerTimeout {
@@ -159,17 +145,15 @@
 		return true, 0
 	}
 	reachable := t.reachableEntries(now)
-	share := min(1, float64(reachable)/float64(t.knownEntries))
+	share := t.share(now)
 	full, debt := limit.Burst*share, t.cfg.MaxDebt*share
 	b, ok := t.buckets[org]
 	if !ok {
-		b = &bucket{updatedAt: t.cfg.Start}
+		b = &bucket{updatedAt: t.cfg.Start, share: share}
 		t.buckets[org] = b
 	}
-	if elapsed := now.Sub(b.updatedAt); elapsed > 0 {
-		b.balance = math.Min(full, b.balance+elapsed.Seconds()*limit.Rate*share)
-		b.updatedAt = now
-	}
+	b.limit = limit
+	b.setShare(now, t.settled(), share, 0)
 	if b.roundAt.IsZero() || now.Sub(b.roundAt) >= t.cfg.ReportInterval {
 		b.roundAt, b.roundSpending = now, 0
 		b.roundBudget = roundBudgetFactor * (b.balance + debt) / float64(reachable)
--- a/pkg/throttler/throttler_test.go
+++ b/pkg/throttler/throttler_test.go
@@ -246,3 +246,42 @@
 	require.Equal(t, 2*time.Second, th.RetrySpread(start, org, limit))
 	require.Less(t, th.RetrySpread(start.Add(20*time.Second), org, limit), time.Millisecond)
 }
+
+// A failure domain with a third of the callers is cut off for six seconds, while an
+// organisation needs a fifth less than its quota. What the other side has spent of its own
+// part of the quota must not be charged again to the part of this side: no request is
+// refused once the sides reach each other.
+func TestNothingWithinTheQuotaIsRefusedAfterACut(t *testing.T) {
+	const (
+		rate    = 100_000.0
+		entries = 6
+		cost    = 400.0
+		tick    = 20 * time.Millisecond
+	)
+	for _, cutOff := range []int{1, 2, 3} {
+		g := newGroup(start, entries)
+		now := start
+		cutStart, cutEnd := start.Add(5*time.Second), start.Add(11*time.Second)
+		refused := 0
+		for now.Before(start.Add(16 * time.Second)) {
+			now = now.Add(tick)
+			cut := now.After(cutStart) && now.Before(cutEnd)
+			if now.Sub(start)%(200*time.Millisecond) == 0 {
+				g.exchange(now, func(from, to int) bool { return !cut || (from < cutOff) == (to < cutOff) })
+			}
+			if now.Sub(start) < 2*time.Second {
+				continue
+			}
+			perEntry := 0.8 * rate * tick.Seconds() / entries / cost
+			for i, th := range g.entries {
+				count := int(perEntry*float64(now.Sub(start)/tick)+float64(i)/entries) - int(perEntry*float64(now.Sub(start)/tick-1)+float64(i)/entries)
+				for range count {
+					if ok, _ := th.Allow(now, org, throttler.Limit{Rate: rate, Burst: rate}, throttler.Request{Cost: cost}); !ok && now.After(cutEnd) {
+						refused++
+					}
+				}
+			}
+		}
+		require.Zero(t, refused, "%d of %d entries were cut off", cutOff, entries)
+	}
+}
