pkg/leaser, internal/gateway: a successor waits from the leader's last renewal

Cause: candidates read the row of the lease only once nobody names a leader, and a row counts as new when it is first read, so that its lifetime of 4 s started anew there.

Change: messages between entries tell the version and the age of the lease's last renewal. A row that is read with this version is as old as the renewal. The age can only be told too low on the way, so a successor waits too long rather than too short; a row that was renewed since has another version.

--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -16,7 +16,7 @@
 		ID: g.cfg.ID, Boot: g.boot, Address: g.cfg.PeerListen, Domain: g.cfg.FailureDomain, Capacity: g.cfg.Capacity,
 		Stopping: g.stopping.Load(), Kind: kindMember, Group: st.plan.Group, Entries: 1, ClockMS: now.UnixMilli(),
 		Totals: aggregator.Totals{}, Load: map[uint32]uint32{}, Demand: st.ownDemand(now),
-		Moves: st.moveUpdates(now), Tables: g.tableStatuses(false),
+		Moves: st.moveUpdates(now), Tables: g.tableStatuses(false), Renewal: g.leader.renewalMessage(g.cfg.LeaseNow()),
 	}
 	for org, spent := range st.throttler.LocalSpending() {
 		message.Totals[spentPrefix+org] = spent
--- a/internal/gateway/leader_test.go
+++ b/internal/gateway/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -47,8 +48,8 @@
 	return c.strictCloud.Order(ctx, o)
 }
 
-// leaderModel is a number of entries, without messages between them, that compete for
-// the lease of a store.
+// leaderModel is a number of entries that compete for the lease of a store. They get no
+// messages of each other but by tell.
 type leaderModel struct {
 	t       *testing.T
 	store   *eraStore
@@ -96,6 +97,15 @@
 	}
 }
 
+// tell delivers a message of one entry to another one.
+func (m *leaderModel) tell(from, to int) {
+	g := m.entries[from]
+	g.state.mu.Lock()
+	message := g.ownMessage(m.clock.now)
+	g.state.mu.Unlock()
+	m.entries[to].receive(m.clock.now, netip.AddrPort{}, message)
+}
+
 // target returns the leader if i is not the number of an entry and there is a leader.
 func (m *leaderModel) target(i int) int {
 	if i < len(m.entries) {
@@ -166,6 +176,29 @@
 	}
 }
 
+// The leader was killed. Its successor read the lease only then, and waited for the whole
+// lifetime from there: reclaimed VMs were not replaced for more than five seconds.
+func TestSuccessorWaitsFromTheLastRenewal(t *testing.T) {
+	clock := &clock{now: time.UnixMilli(1_700_000_000_000)}
+	m := newLeaderModel(t, clock, newTurnCloud(t, clock.read, 3*time.Second), 2)
+	renewedAt := clock.now
+	for range 60 {
+		m.round(0)
+		renewedAt = m.entries[0].leader.lease.Renewal().At
+		m.tell(0, 1)
+		m.round(1)
+		clock.advance(gossipInterval)
+	}
+	require.True(t, m.entries[0].leader.holdsLease())
+	for !m.entries[1].leader.holdsLease() {
+		m.round(1)
+		clock.advance(gossipInterval)
+	}
+	lifetime := 3*time.Second + leaseHeadroom
+	require.Less(t, clock.now.Sub(renewedAt), lifetime+2*gossipInterval)
+	require.GreaterOrEqual(t, clock.now.Sub(renewedAt), lifetime)
+}
+
 // A leader that was suspended went on with the lease of before, as the monotonic clock
 // had stood still.
 func TestSuspendedLeaderDoesNotAct(t *testing.T) {
@@ -246,6 +279,7 @@
 		m := newLeaderModel(t, clock, newTurnCloud(rt, clock.read, 3*time.Second), 3)
 		for range rapid.IntRange(10, 80).Draw(rt, "steps") {
 			i := m.target(rapid.IntRange(0, 2*len(m.entries)).Draw(rt, "entry"))
+			m.tell(rapid.IntRange(0, len(m.entries)-1).Draw(rt, "from"), rapid.IntRange(0, len(m.entries)-1).Draw(rt, "to"))
 			switch rapid.IntRange(0, 11).Draw(rt, "action") {
 			case 0:
 				m.clients[i].losesAnswer = true
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -71,6 +71,15 @@
 	CrashRecords []isolator.CrashRecord `cbor:"23,keyasint,omitempty"`
 	// Tables says how up to date the sender's copies of tables are.
 	Tables map[sharedTable]tableStatus `cbor:"24,keyasint,omitempty"`
+	// Renewal is the last renewal of the leader's lease that the sender knows of.
+	Renewal *leaseRenewal `cbor:"25,keyasint,omitempty"`
+}
+
+// leaseRenewal is a leaser.Renewal in a message. The renewal is at least AgeMS old.
+type leaseRenewal struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	AgeMS   int64
 }
 
 // listRow is a row of the list of upstreams as read from the store.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -78,6 +78,7 @@
 	st.mergeUsage(now, message)
 	st.mergeMoves(now, message.Moves)
 	st.mergeRecords(now, message.CrashRecords)
+	g.leader.recordRenewal(g.cfg.LeaseNow(), message.Renewal)
 	if message.Stopping && !known {
 		// The entry finishes its accepted requests and is no longer a member.
 		st.aggregateMessage(now, message)
--- a/internal/gateway/term.go
+++ b/internal/gateway/term.go
@@ -109,3 +109,21 @@
 	defer l.g.state.mu.Unlock()
 	l.lease.Observe(now, uint64(row.Version), lease)
 }
+
+// renewalMessage returns the last known renewal of the lease for a message, nil if there
+// is none. The state's lock must be held.
+func (l *leader) renewalMessage(now time.Time) *leaseRenewal {
+	r := l.lease.Renewal()
+	if r.Version == 0 {
+		return nil
+	}
+	return &leaseRenewal{Version: r.Version, AgeMS: now.Sub(r.At).Milliseconds()}
+}
+
+// recordRenewal records a renewal of which another entry has told. The state's lock must be
+// held.
+func (l *leader) recordRenewal(now time.Time, r *leaseRenewal) {
+	if r != nil {
+		l.lease.RecordRenewal(leaser.Renewal{Version: r.Version, At: now.Add(-time.Duration(r.AgeMS) * time.Millisecond)})
+	}
+}
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -54,6 +54,15 @@
 	// actedUntil is when this node, or an earlier process on its VM, stopped acting.
 	actedUntil time.Time
 	minFence   uint64
+	renewal    Renewal
+}
+
+// Renewal is a write of a lease's row by its holder, as the holder has told others.
+type Renewal struct {
+	// Version is the version of the row that was written, 0 if there is none.
+	Version uint64
+	// At is a time at or after the one at which the write was sent.
+	At time.Time
 }
 
 // New returns a Leaser that does not hold the lease. StartedAt is the time at which the
@@ -77,6 +86,25 @@
 	l.version = version
 	l.lease = lease
 	l.observedAt = now
+	l.applyRenewal()
+}
+
+// RecordRenewal records what the holder has told of its last write. A row of that version
+// is as old as the write, also if it is first read long after it.
+func (l *Leaser) RecordRenewal(r Renewal) {
+	if r.Version > l.renewal.Version || r.Version == l.renewal.Version && r.At.Before(l.renewal.At) {
+		l.renewal = r
+		l.applyRenewal()
+	}
+}
+
+// Renewal returns the newest write that is known to be the holder's.
+func (l *Leaser) Renewal() Renewal { return l.renewal }
+
+func (l *Leaser) applyRenewal() {
+	if l.observed && l.version != 0 && l.version == l.renewal.Version && l.renewal.At.Before(l.observedAt) {
+		l.observedAt = l.renewal.At
+	}
 }
 
 // ProposeWrite returns the row that this node should try to write now, if any: a
@@ -137,6 +165,7 @@
 	l.version = version
 	l.lease = lease
 	l.observedAt = sentAt
+	l.renewal = Renewal{Version: version, At: sentAt}
 	l.heldUntil = sentAt.Add(l.cfg.Lifetime - l.cfg.Margin)
 	l.actedUntil = l.heldUntil
 }
--- a/pkg/leaser/leaser_test.go
+++ b/pkg/leaser/leaser_test.go
@@ -25,6 +25,12 @@
 	sentAt time.Time
 }
 
+// message tells of a renewal, and how long ago it was when the message was sent.
+type message struct {
+	version uint64
+	age     time.Duration
+}
+
 const (
 	modelLifetime = 3 * time.Second
 	modelMargin   = time.Second
@@ -46,7 +52,8 @@
 
 // At most one node holds the lease at any time, the fencing token rises with each
 // change of holder, and no two nodes act in turn within a lifetime, while nodes with
-// different clocks read, write, release, restart, pause and lose responses in any order.
+// different clocks read, write, release, restart, pause, lose responses and tell each other
+// of renewals, in messages that take any time, in any order.
 func TestOneHolderAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var row leaser.Lease
@@ -63,12 +70,13 @@
 			start(i)
 		}
 		order := &turns{t: t, last: map[string]time.Time{}}
+		var messages []message
 		for range 300 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
 			n := nodes[i]
 			clock := now.Add(n.offset)
-			switch rapid.IntRange(0, 7).Draw(t, "act") {
+			switch rapid.IntRange(0, 9).Draw(t, "act") {
 			case 0:
 				n.paused = !n.paused
 			case 1, 2:
@@ -105,6 +113,15 @@
 				}
 			case 7:
 				start(i)
+			case 8:
+				if r := n.l.Renewal(); r.Version != 0 && !n.paused {
+					messages = append(messages, message{version: r.Version, age: clock.Sub(r.At)})
+				}
+			case 9:
+				if len(messages) > 0 && !n.paused {
+					m := messages[rapid.IntRange(0, len(messages)-1).Draw(t, "message")]
+					n.l.RecordRenewal(leaser.Renewal{Version: m.version, At: clock.Add(-m.age)})
+				}
 			}
 			holders := 0
 			for _, other := range nodes {
@@ -170,3 +187,28 @@
 	l.Observe(now, 5, leaser.Lease{Holder: "a", Fence: 3})
 	require.False(t, l.Holds(now))
 }
+
+// A row that is first read when its holder has fallen silent counted as new: the successor
+// waited a lifetime from there instead of from the holder's last renewal.
+func TestRenewalDatesTheRow(t *testing.T) {
+	const lifetime = 4 * time.Second
+	now := time.UnixMilli(1_700_000_000_000)
+	newLeaser := func() *leaser.Leaser {
+		return leaser.New(leaser.Config{Holder: "b", Lifetime: lifetime, Margin: time.Second}, now.Add(-time.Hour))
+	}
+	row := leaser.Lease{Holder: "a", Fence: 3}
+	renewal := leaser.Renewal{Version: 7, At: now.Add(-3 * time.Second)}
+	for name, hear := range map[string]func(*leaser.Leaser){
+		"before the row": func(l *leaser.Leaser) { l.RecordRenewal(renewal); l.Observe(now, 7, row) },
+		"after the row":  func(l *leaser.Leaser) { l.Observe(now, 7, row); l.RecordRenewal(renewal) },
+	} {
+		l := newLeaser()
+		hear(l)
+		require.Equal(t, leaser.NotVacant, l.Status(now.Add(time.Second-1)).Vacancy, name)
+		require.Equal(t, leaser.Expired, l.Status(now.Add(time.Second)).Vacancy, name)
+	}
+	l := newLeaser()
+	l.RecordRenewal(renewal)
+	l.Observe(now, 8, row)
+	require.Equal(t, leaser.NotVacant, l.Status(now.Add(lifetime-1)).Vacancy, "the holder has renewed it since")
+}
