internal/pooler, dispatcher, server: silent connections to an upstream are closed together

Cause: a failure closed only the connection that it was seen on.

Change: a kept connection that was silent for half a second takes with it the idle ones to the same upstream that were not used since (pooler). On the product's own interface a call that ends at its deadline on a kept connection, and a stream that the upstream's progress shows to be broken, close the idle connections.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -129,6 +129,8 @@
 	EngineClient
 	ServiceClient
 	Prober
+	// CloseIdle closes the kept connections that are idle.
+	CloseIdle()
 }
 
 const (
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -70,6 +71,10 @@
 	}
 }
 
+// CloseIdle closes the kept connections that are idle, after one was found to be silent.
+// What has made it silent has usually done so to all that were open.
+func (h *HTTP) CloseIdle() { h.pooled.CloseIdleConnections() }
+
 // Close closes idle connections.
 func (h *HTTP) Close() {
 	h.pooled.CloseIdleConnections()
@@ -80,11 +85,17 @@
 // on the execution of the request. What the head of the response says of the upstream is
 // reported.
 func (h *HTTP) roundTrip(transport *http.Transport, req *http.Request, target Target) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(conn httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(conn.Reused)
+	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		if reused.Load() && errors.Is(err, context.DeadlineExceeded) {
+			h.CloseIdle()
+		}
 		if !connected.Load() {
 			return nil, judge.Wrap(judge.NotRun, err, "connect to %s", req.URL.Host)
 		}
--- a/internal/dispatcher/http_test.go
+++ b/internal/dispatcher/http_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -195,3 +196,45 @@
 		server.Close()
 	}
 }
+
+// Several kept connections to an upstream went silent while new ones worked. Each of them
+// cost a call its whole timeout, one after the other.
+func TestCallsOverSilentConnections(t *testing.T) {
+	const calls = 4
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := emulator.NewListener(inner)
+	// Calls wait for each other, so that each needs a connection of its own.
+	var together sync.WaitGroup
+	together.Add(calls)
+	var served atomic.Int64
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if served.Add(1) <= calls {
+			together.Done()
+			together.Wait()
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Attempt", r.Header.Get("X-Attempt"))
+	})}}
+	server.Start()
+	defer server.CloseClientConnections()
+	h := dispatcher.NewHTTP(dispatcher.Config{})
+	defer h.Close()
+	var done sync.WaitGroup
+	for range calls {
+		done.Go(func() {
+			_, err := h.Call(context.Background(), target(server), call(false))
+			require.NoError(t, err)
+		})
+	}
+	done.Wait()
+	listener.Silence()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = h.Call(ctx, target(server), call(false))
+	require.Equal(t, judge.MayHaveRun, judge.VerdictOf(err))
+	ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = h.Call(ctx, target(server), call(false))
+	require.NoError(t, err, "a second silent connection was used")
+}
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -69,8 +69,10 @@
 	net.Conn
 	limiter *headLimiter
 	reader  *bufio.Reader
-	// idleUntil is when the upstream may close the connection.
+	// idleUntil is when the upstream may close the connection, usedAt when the last response
+	// over it ended, zero if there was none.
 	idleUntil time.Time
+	usedAt    time.Time
 }
 
 // DialerConfig configures a dialer.
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -26,6 +26,9 @@
 	// idleMargin is how much earlier than the upstream the pool closes an idle
 	// connection.
 	idleMargin = 500 * time.Millisecond
+	// minSilence is how long a kept connection must have been silent before others are
+	// closed with it. No network delay is that long.
+	minSilence = 500 * time.Millisecond
 )
 
 var errWithdrawn = judge.Errorf(judge.NotRun, "the upstream takes no more requests")
@@ -155,8 +158,11 @@
 	Length   int64
 	received int64
 	body     io.ReadCloser
-	onClose  func(complete bool)
-	complete bool
+	// onClose gets the time at which the last bytes were received.
+	onClose    func(receivedAt time.Time, complete bool)
+	now        func() time.Time
+	receivedAt time.Time
+	complete   bool
 	// distrusted reports that the connection must not be reused.
 	distrusted bool
 	once       sync.Once
@@ -167,6 +173,9 @@
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	r.received += int64(n)
+	if n > 0 {
+		r.receivedAt = r.now()
+	}
 	if max(r.received, r.Length) > maxBodyBytes {
 		return n, errBodyTooLarge
 	}
@@ -183,7 +192,7 @@
 // Close ends the exchange. If the body was not read to its end the connection is
 // closed, so that the upstream can stop sending.
 func (r *Response) Close() {
-	r.once.Do(func() { r.onClose(r.complete && !r.distrusted) })
+	r.once.Do(func() { r.onClose(r.receivedAt, r.complete && !r.distrusted) })
 }
 
 // Do sends a request to an upstream and returns its response. If ctx ends before
@@ -198,10 +207,12 @@
 		return nil, errWithdrawn
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	sentAt := p.cfg.Now()
 	response, err := c.exchange(request, p.cfg.IDHeader)
 	if err != nil {
 		stop()
 		p.discard(address, c)
+		p.closeSilent(address, c, sentAt)
 		if ctx.Err() != nil {
 			return nil, judge.Wrap(judge.VerdictOf(err), context.Cause(ctx), "exchange with %s", address)
 		}
@@ -209,17 +220,46 @@
 	}
 	framing := framingOf(response)
 	return &Response{
-		Status: response.StatusCode, Header: response.Header, Framing: framing, Length: response.ContentLength, body: response.Body,
-		onClose: func(complete bool) {
+		Status: response.StatusCode, Header: response.Header, Framing: framing, Length: response.ContentLength, body: response.Body, now: p.cfg.Now, receivedAt: p.cfg.Now(),
+		onClose: func(receivedAt time.Time, complete bool) {
 			if stop() && complete && framing != FramingClose && !response.Close {
 				p.putIdle(address, c, response.Header)
 				return
 			}
 			p.discard(address, c)
+			if !complete {
+				p.closeSilent(address, c, receivedAt)
+			}
 		},
 	}, nil
 }
 
+// closeSilent closes the idle connections to an upstream that have not been used since
+// another kept one fell silent, if that was long enough ago. What has made one connection
+// silent has usually done so to all that were open.
+func (p *Pool) closeSilent(address string, failed *conn, silentSince time.Time) {
+	if failed.usedAt.IsZero() || p.cfg.Now().Sub(silentSince) < minSilence {
+		return
+	}
+	var silent []*conn
+	p.mu.Lock()
+	if h, ok := p.hosts[address]; ok {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if c.usedAt.After(silentSince) {
+				kept = append(kept, c)
+				continue
+			}
+			silent = append(silent, c)
+		}
+		h.idle = kept
+	}
+	p.mu.Unlock()
+	for _, c := range silent {
+		p.discard(address, c)
+	}
+}
+
 // Probe reports whether an upstream accepts connections: an idle connection to it is
 // open, or a new one can be opened. It returns an error if that can't be told, as when
 // the upstream does not respond.
@@ -319,7 +359,8 @@
 		p.discard(address, c)
 		return
 	}
-	c.idleUntil = p.cfg.Now().Add(idleTimeout(header) - idleMargin)
+	c.usedAt = p.cfg.Now()
+	c.idleUntil = c.usedAt.Add(idleTimeout(header) - idleMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.upstreamConns(address)
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenahitch/galenahitch/internal/emulator"
 	"github.com/galenahitch/galenahitch/internal/pooler"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 )
@@ -304,3 +306,42 @@
 	r.Close()
 	require.Equal(t, 2, accepted())
 }
+
+// Several kept connections to an upstream went silent while new ones worked. Each of them
+// cost a request its whole timeout, one after the other.
+func TestRequestsOverSilentConnections(t *testing.T) {
+	const requests = 4
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := emulator.NewListener(inner)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(idHeader, r.Header.Get(idHeader))
+	})}}
+	server.Start()
+	defer server.CloseClientConnections()
+	pool := pooler.New(pooler.Config{IDHeader: idHeader, Now: time.Now})
+	do := func(id string) (*pooler.Response, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		t.Cleanup(cancel)
+		response, err := pool.Do(ctx, listener.Addr().String(), pooler.Request{ID: id, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{idHeader: {id}}})
+		if err == nil {
+			_, err = io.Copy(io.Discard, response)
+		}
+		return response, err
+	}
+	var open []*pooler.Response
+	for i := range requests {
+		response, err := do(strconv.Itoa(i))
+		require.NoError(t, err)
+		open = append(open, response)
+	}
+	for _, response := range open {
+		response.Close()
+	}
+	listener.Silence()
+	_, err = do("silent")
+	require.Error(t, err)
+	response, err := do("next")
+	require.NoError(t, err, "a second silent connection was used")
+	response.Close()
+}
--- a/internal/server/watchdog.go
+++ b/internal/server/watchdog.go
@@ -104,6 +104,7 @@
 		w.server.suspect(w.target.ID)
 	case !progress.Found:
 		w.reason = judge.Errorf(judge.MayHaveRun, "%s knows nothing of the request", w.target.ID)
+		w.server.cfg.Upstreams.CloseIdle()
 	case (w.startOffset+progress.Tokens > w.offset || progress.Done) && w.missingAt != offset:
 		// The parts may still be in transit, or a busy entry reads them late.
 		w.missingAt = offset
@@ -112,6 +113,7 @@
 	case w.startOffset+progress.Tokens > w.offset || progress.Done:
 		w.reason = judge.Errorf(judge.MayHaveRun, "the connection to %s went silent", w.target.ID)
 		w.server.metrics.Count("silent_connections")
+		w.server.cfg.Upstreams.CloseIdle()
 	default:
 		// The upstream is slow but the connection works: double the delay.
 		w.probeDelay = min(maxProbeDelay, 2*w.probeDelay)
--- a/internal/server/watchdog_test.go
+++ b/internal/server/watchdog_test.go
@@ -42,9 +42,12 @@
 // progressingUpstream reports a number of parts for any attempt.
 type progressingUpstream struct {
 	dispatcher.UpstreamClient
-	parts int
+	parts      int
+	closedIdle bool
 }
 
+func (u *progressingUpstream) CloseIdle() { u.closedIdle = true }
+
 func (u *progressingUpstream) Progress(context.Context, dispatcher.Target, string, int) (dispatcher.Progress, error) {
 	return dispatcher.Progress{Found: true, Tokens: u.parts}, nil
 }
@@ -64,9 +67,11 @@
 	upstream.parts = 9
 	w.onTimeout(context.Background())
 	require.False(t, attemptCanceled, "parts have arrived since")
+	require.False(t, upstream.closedIdle)
 	w.onTimeout(context.Background())
 	require.True(t, attemptCanceled)
 	require.ErrorContains(t, w.failureCause(nil), "went silent")
+	require.True(t, upstream.closedIdle, "other kept connections are as silent as this one")
 }
 
 // The first request that detects a crash records it for all requests in flight,
