pkg/throttler: the quota's property holds at the tightest allowance, also when all restart

The property allowed 4 s of the quota beyond it; for the largest organisation of a site the allowance is a third of a second (72,000 tokens at 216,653 a second), and all entries may restart at once. It holds on the code as it is.

Ruled out with it: buckets that start with a quarter or half of a burst when all entries restart together (429 for 28% of the requests of the next two seconds in a model, 5% with half a burst). A credit needs to know what was spent before.

--- a/pkg/throttler/throttler_test.go
+++ b/pkg/throttler/throttler_test.go
@@ -19,8 +19,9 @@
 
 const (
 	org = "luna"
-	// allowance is what operators tolerate beyond the quota in any window.
-	allowance = 40_000.0
+	// allowance is what operators tolerate beyond the quota in any window, for the largest
+	// organisation of the sites.
+	allowance = 3_300.0
 )
 
 // group is a number of entries that report their spending to each other.
@@ -74,9 +75,12 @@
 
 func allLinks(int, int) bool { return true }
 
+// restartTime is the shortest time from the kill of a process to the start of the next one.
+const restartTime = 200 * time.Millisecond
+
 // One organisation sends many times its quota, to all entries or to one, while
-// messages are late and lost, entries restart and groups are cut off from each
-// other. In each window of eight seconds the admitted cost must not exceed the
+// messages are late and lost, entries restart, one by one and all together, and groups are
+// cut off from each other. In each window of eight seconds the admitted cost must not exceed the
 // quota plus the 10 % and the allowance that operators tolerate.
 func TestHotOrganisationStaysWithinItsQuota(t *testing.T) {
 	const (
@@ -87,6 +91,7 @@
 	)
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 9).Draw(t, "entries")
+		allRestartAt := rapid.IntRange(0, 300).Draw(t, "all restart")
 		g := newGroup(start, n)
 		now := start
 		cut := 0
@@ -99,6 +104,12 @@
 			if tick%37 == 30 {
 				g.start(now, rapid.IntRange(0, n-1).Draw(t, "restart"))
 			}
+			if tick == allRestartAt {
+				now = now.Add(restartTime)
+				for i := range g.entries {
+					g.start(now, i)
+				}
+			}
 			spent := 0.0
 			for i, th := range g.entries {
 				if i%2 == 1 && tick%2 == 0 {
