internal/follower, gateway: the store's calls follow the bounds, not the number of entries

Cause: each entry waited for changes of each table by itself, although relays tell ten times a second how up to date their copies are. Both relays of a group read the list of upstreams. The rows of entries were asked for after longer than the store keeps its history, so that each read took two calls.

Change: while a relay sends messages, a member has no poll of its own: a check asks the store for what a relay has, or when nobody has confirmed the copy. One relay of a group reads the list, the other one takes over when the first has not read it for 0.45 of the time allowed, before the members do at 0.5. Tables whose changes are no longer kept are read. Rows of entries are read as often as their writers are removed in, and after the own row was written, so that of two entries that start together one finds the other.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -45,6 +45,13 @@
 	// Update merges them.
 	PeersSendUpdates func(now time.Time) bool
 	SlowPollInterval time.Duration
+	// PeersConfirm, if set, reports whether peers tell how up to date the copy is. While it
+	// returns true no poll waits for changes: a check asks for those that a peer has.
+	// FreshFor must be set too.
+	PeersConfirm func(now time.Time) bool
+	// History is how long the store keeps changes. After that time without an answer the
+	// table is read instead of asking for changes. Zero means any time.
+	History time.Duration
 	// GracePeriod is how long missing rows are kept after an outage.
 	GracePeriod time.Duration
 	// Apply receives the rows that changed. Calls do not overlap.
@@ -138,7 +145,7 @@
 // pollStore reads the table and waits for its changes until ctx ends.
 func (f *Follower) pollStore(ctx context.Context) {
 	backoff := minBackoff
-	for ctx.Err() == nil {
+	for f.waitForNeed(ctx) {
 		p := f.beginPoll(ctx)
 		page, err := p.call()
 		now := f.cfg.Now()
@@ -203,6 +210,24 @@
 	return true
 }
 
+// waitForNeed waits while peers confirm the copy, unless there is something to poll for. It
+// returns false once ctx has ended.
+func (f *Follower) waitForNeed(ctx context.Context) bool {
+	for f.cfg.PeersConfirm != nil && f.isSettled() && f.cfg.PeersConfirm(f.cfg.Now()) {
+		if !waiter.Pause(ctx, peerUpdatesCheckInterval) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// isSettled reports whether the table was read, the store answers and no row is missing.
+func (f *Follower) isSettled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded && f.failedSince.IsZero() && len(f.missing) == 0
+}
+
 // Update merges changes that a peer has read from the store. Changes that are
 // not newer than the copy are ignored.
 func (f *Follower) Update(now time.Time, rows []provider.StoreRow) {
--- a/internal/follower/freshness.go
+++ b/internal/follower/freshness.go
@@ -61,9 +61,7 @@
 
 // addChanges records the versions of changes that the copy has.
 func (s *freshness) addChanges(rows []provider.StoreRow) {
-	for _, row := range rows {
-		s.newest = max(s.newest, row.Version)
-	}
+	s.newest = max(s.newest, newestOf(rows))
 }
 
 func later(a, b time.Time) time.Time {
@@ -108,7 +106,7 @@
 	timeout := f.pollTimeout()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.loaded {
+	if f.loaded && f.keepsHistory() {
 		p.after, p.timeout = f.version, timeout
 		p.call = func() (provider.Page, error) { return f.cfg.Store.Watch(p.ctx, f.cfg.Table, p.after, p.timeout) }
 		f.poll = p
@@ -116,6 +114,12 @@
 	return p
 }
 
+// keepsHistory reports whether the store keeps the changes since its last answer. The lock
+// must be held.
+func (f *Follower) keepsHistory() bool {
+	return f.cfg.History <= 0 || f.cfg.Now().Sub(f.lastResponseAt) < f.cfg.History
+}
+
 // endPoll returns the cause with which a check has ended the poll, if any.
 func (f *Follower) endPoll(p *poll) error {
 	f.mu.Lock()
@@ -219,8 +223,7 @@
 // them, or whose store does not answer, is ended: its connection may be silent.
 func (f *Follower) check(ctx context.Context) {
 	start := f.cfg.SteadyNow()
-	after := f.Version()
-	before := f.freshnessNow()
+	after, before := f.checkFrom()
 	page, err := f.ask(ctx, after)
 	now := f.cfg.SteadyNow()
 	switch {
@@ -240,11 +243,27 @@
 	}
 }
 
-// ask returns the changes after a version. It calls a second time if there is no answer.
+// checkFrom returns the version after which a check asks for changes, zero to read the
+// table, and what is known when it begins.
+func (f *Follower) checkFrom() (provider.Version, freshness) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.keepsHistory() {
+		return 0, f.freshness
+	}
+	return f.version, f.freshness
+}
+
+// ask returns the changes after a version, or the table if that is zero. It calls a second
+// time if there is no answer.
 func (f *Follower) ask(ctx context.Context, after provider.Version) (page provider.Page, err error) {
 	for range checkTries {
 		callCtx, cancel := context.WithTimeout(ctx, f.cfg.CheckTimeout)
-		page, err = f.cfg.Store.Watch(callCtx, f.cfg.Table, after, 0)
+		if after == 0 {
+			page, err = f.cfg.Store.Read(callCtx, f.cfg.Table)
+		} else {
+			page, err = f.cfg.Store.Watch(callCtx, f.cfg.Table, after, 0)
+		}
 		cancel()
 		if err == nil || ctx.Err() != nil || !errorx.IsOfType(err, provider.Unreachable) {
 			break
@@ -253,16 +272,18 @@
 	return page, err
 }
 
-func (f *Follower) freshnessNow() freshness {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.freshness
+// newestOf returns the version of the newest of some rows.
+func newestOf(rows []provider.StoreRow) (newest provider.Version) {
+	for _, row := range rows {
+		newest = max(newest, row.Version)
+	}
+	return newest
 }
 
 // endCheck ends a check that has returned a page. before is what was known when it began.
 func (f *Follower) endCheck(now time.Time, page provider.Page, before freshness) {
 	if len(page.Rows) > 0 {
-		if waited, ok := f.interruptPoll(now, page.Rows[len(page.Rows)-1].Version, errOvertaken); ok {
+		if waited, ok := f.interruptPoll(now, newestOf(page.Rows), errOvertaken); ok {
 			f.cfg.Log.Info().Str("event", "poll_overtaken").Str("table", f.cfg.Table).Uint64("version", page.Version.Number()).Uint64("era", page.Version.Era()).
 				Int("rows", len(page.Rows)).Dur("waited", waited).
 				Dur("confirmed_age", now.Sub(before.confirmedAt)).Bool("peer_has_it", !before.behindSince.IsZero()).Send()
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -240,6 +240,9 @@
 	// MaxStaleness is the time after the end of a disturbance within which the entry's
 	// copies of the store's tables must be up to date.
 	MaxStaleness time.Duration
+	// StoreHistory is how long the store keeps the changes of tables. Zero means that it is
+	// not known.
+	StoreHistory time.Duration
 
 	Log zerolog.Logger
 	Now func() time.Time
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -74,6 +74,15 @@
 	return time.Duration(share * float64(g.cfg.MaxStaleness))
 }
 
+// relaysConfirm reports whether a relay's messages tell this entry how up to date its copies
+// of tables are.
+func (g *Gateway) relaysConfirm(now time.Time) bool {
+	st := g.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return !st.plan.IsRelay && slices.ContainsFunc(st.plan.Relays, func(id string) bool { return st.sendsMessages(now, id) })
+}
+
 // peerLead returns how long a change that another entry has may take to arrive.
 func (g *Gateway) peerLead() time.Duration {
 	g.state.mu.Lock()
@@ -92,10 +101,7 @@
 // isFirstRelay reports whether no other relay that sends messages has a lower ID. The lock
 // must be held.
 func (st *state) isFirstRelay(now time.Time) bool {
-	isEarlier := func(id string) bool {
-		p, known := st.peers[id]
-		return known && id < st.cfg.ID && !p.stopping && now.Sub(p.detector.LastReceived()) <= peerTimeout
-	}
+	isEarlier := func(id string) bool { return id < st.cfg.ID && st.sendsMessages(now, id) }
 	if slices.ContainsFunc(st.plan.Relays, isEarlier) {
 		return false
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,9 @@
 	// store. Checks find one whose connection is silent.
 	configPollTimeout   = 10 * time.Second
 	upstreamPollTimeout = 5 * time.Second
+	// storeHistoryShare is the share of the time for which the store keeps changes after
+	// which an entry reads a table instead of asking for its changes.
+	storeHistoryShare = 0.75
 	// missingRowGrace is how long upstreams without a row are kept after the
 	// store was unreachable. Running upstreams write their rows again within two
 	// seconds.
@@ -55,6 +58,8 @@
 	quarantineFollower *follower.Follower
 	leader             *leader
 
+	// memberRowTried is closed after the first try to write this entry's row.
+	memberRowTried chan struct{}
 	// memberRowVersion is the version of this entry's row in the table of entries, 0 if it
 	// is not known. Only maintainMemberRow uses it.
 	memberRowVersion provider.Version
@@ -76,22 +81,13 @@
 	}
 	now := cfg.Now()
 	boot := uint64(now.UnixMilli())
-	g := &Gateway{cfg: cfg, boot: boot, startedAt: now, state: newState(cfg, boot), metrics: measurer.New()}
+	g := &Gateway{cfg: cfg, boot: boot, startedAt: now, state: newState(cfg, boot), metrics: measurer.New(), memberRowTried: make(chan struct{})}
 	g.abortContext, g.abort = context.WithCancel(context.Background())
 	g.pool = pooler.New(pooler.Config{
 		IDHeader: cfg.IDHeader, LocalIP: cfg.LocalIP, Now: cfg.Now,
 		OnOpen: func() { g.metrics.Count("connections_opened") },
 	})
-	g.configFollower = g.newFollower(follower.Config{Table: cfg.Tables.Operator, PollTimeout: configPollTimeout, FreshFor: g.freshFor, Apply: g.state.applyOperatorRows})
-	g.upstreamFollower = g.newFollower(follower.Config{
-		Table: cfg.Tables.Upstreams, PollTimeout: upstreamPollTimeout, PollInterval: cfg.MaxLeavingDelay / 4, PeersSendUpdates: g.relaysSendList, SlowPollInterval: slowUpstreamPollInterval,
-		MaxPollTimeout: g.listPollTimeout, FreshFor: g.listFreshFor,
-		Apply: g.state.applyUpstreamRows,
-	})
-	g.entryFollower = g.newFollower(follower.Config{
-		Table: cfg.Tables.Entries, GracePeriod: memberRowGrace, PollTimeout: memberPollInterval, PollInterval: memberPollInterval, PeersSendUpdates: g.slowMemberPolls, SlowPollInterval: slowMemberPollInterval, Apply: g.applyMemberRows,
-	})
-	g.quarantineFollower = g.newFollower(follower.Config{Table: cfg.Tables.Quarantine, PollTimeout: quarantinePollTimeout, FreshFor: g.freshFor, Apply: g.state.applyQuarantineRows})
+	g.follow()
 	g.leader = newLeader(g)
 	gossip, err := gossiper.Listen(gossiper.Config[peerMessage]{
 		Address: cfg.PeerListen, Interval: gossipInterval, Compose: g.roundMessages, Handle: g.receive, Now: cfg.Now, Log: cfg.Log,
@@ -100,10 +96,26 @@
 	return g, err
 }
 
+// follow creates the followers of the store's tables.
+func (g *Gateway) follow() {
+	cfg := g.cfg
+	g.configFollower = g.newFollower(follower.Config{Table: cfg.Tables.Operator, PollTimeout: configPollTimeout, FreshFor: g.freshFor, PeersConfirm: g.relaysConfirm, Apply: g.state.applyOperatorRows})
+	g.upstreamFollower = g.newFollower(follower.Config{
+		Table: cfg.Tables.Upstreams, PollTimeout: upstreamPollTimeout, PollInterval: time.Duration(listPauseShare * float64(cfg.MaxLeavingDelay)), PeersSendUpdates: g.relaysSendList, SlowPollInterval: slowUpstreamPollInterval,
+		MaxPollTimeout: g.listPollTimeout, FreshFor: g.listFreshFor,
+		Apply: g.state.applyUpstreamRows,
+	})
+	g.entryFollower = g.newFollower(follower.Config{
+		Table: cfg.Tables.Entries, GracePeriod: memberRowGrace, PollTimeout: memberPollInterval, PollInterval: memberPollInterval, PeersSendUpdates: g.postponeMemberPoll, SlowPollInterval: maxMemberPollInterval, Apply: g.applyMemberRows,
+	})
+	g.quarantineFollower = g.newFollower(follower.Config{Table: cfg.Tables.Quarantine, PollTimeout: quarantinePollTimeout, FreshFor: g.freshFor, PeersConfirm: g.relaysConfirm, Apply: g.state.applyQuarantineRows})
+}
+
 // newFollower returns a follower of a table of the store.
 func (g *Gateway) newFollower(cfg follower.Config) *follower.Follower {
 	cfg.Store, cfg.Now, cfg.SteadyNow, cfg.Log = g.cfg.Store, g.cfg.Now, g.cfg.LeaseNow, g.cfg.Log
 	cfg.PeerLead = g.peerLead
+	cfg.History = time.Duration(storeHistoryShare * float64(g.cfg.StoreHistory))
 	cfg.CheckTimeout = time.Duration(checkTimeoutShare * float64(g.cfg.MaxStaleness))
 	cfg.OnNewEra = func() { g.metrics.Count("store_era_tables") }
 	if cfg.GracePeriod == 0 {
@@ -170,7 +182,7 @@
 // addTasks adds the background tasks to group.
 func (g *Gateway) addTasks(group *run.Group) {
 	for _, task := range []func(context.Context) error{
-		g.configFollower.Run, g.upstreamFollower.Run, g.entryFollower.Run, g.quarantineFollower.Run, g.gossip.Run,
+		g.configFollower.Run, g.upstreamFollower.Run, g.followEntries, g.quarantineFollower.Run, g.gossip.Run,
 		g.maintainMemberRow, g.maintainQuarantine, g.leader.run, g.sweep,
 	} {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/provider"
@@ -16,7 +17,16 @@
 	maxChunks     = 24
 	// slowUpstreamPollInterval is the time between two reads of the list of upstreams
 	// by an entry that receives its changes from relays.
-	slowUpstreamPollInterval = 15 * time.Second
+	slowUpstreamPollInterval = time.Minute
+	// An entry reads the list itself when the relay that sends it has not read it for
+	// these shares of Config.MaxLeavingDelay: the other relay of the group before the
+	// members, so that it goes on sending the changes.
+	relayListShare  = 0.45
+	memberListShare = 0.5
+	// listPollShare is the share for which a relay's poll waits for changes. With the
+	// pause between polls it is below relayListShare.
+	listPollShare  = 0.125
+	listPauseShare = 0.25
 )
 
 // listChange is a change of the list of upstreams that relays send.
@@ -116,7 +126,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.plan.IsRelay && len(st.plan.Members) > 0 {
-		return g.cfg.MaxLeavingDelay / 4
+		return time.Duration(listPollShare * float64(g.cfg.MaxLeavingDelay))
 	}
 	return upstreamPollTimeout
 }
@@ -127,14 +137,32 @@
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	share := memberListShare
 	if st.plan.IsRelay {
-		return false
+		if st.readsList(now) {
+			return false
+		}
+		share = relayListShare
 	}
 	version := g.upstreamFollower.Version()
 	for _, source := range st.listSources {
-		if now.Sub(source.readAt) < g.cfg.MaxLeavingDelay/2 && version > 0 && version >= source.requiredVersion {
+		if now.Sub(source.readAt) < time.Duration(share*float64(g.cfg.MaxLeavingDelay)) && version > 0 && version >= source.requiredVersion {
 			return true
 		}
 	}
 	return false
 }
+
+// readsList reports whether this relay is the one of its group that reads the list of
+// upstreams for the others: no other one that sends messages has a lower ID. The lock must
+// be held.
+func (st *state) readsList(now time.Time) bool {
+	return !slices.ContainsFunc(st.plan.Relays, func(id string) bool { return id < st.cfg.ID && st.sendsMessages(now, id) })
+}
+
+// sendsMessages reports whether an entry sends messages and goes on doing so. The lock must
+// be held.
+func (st *state) sendsMessages(now time.Time, id string) bool {
+	p, known := st.peers[id]
+	return known && !p.stopping && now.Sub(p.detector.LastReceived()) <= peerTimeout
+}
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -20,9 +20,9 @@
 	memberRowInterval  = 10 * time.Second
 	memberPollInterval = 5 * time.Second
 	memberRowTimeout   = 25 * time.Second
-	// slowMemberPollInterval replaces memberPollInterval among many entries, most of
+	// maxMemberPollInterval bounds the time between two reads among many entries, most of
 	// which need only the rows of their relays.
-	slowMemberPollInterval = 20 * time.Second
+	maxMemberPollInterval = time.Minute
 	// memberRowGrace is how long entries without a row are kept after the store was
 	// away, and eraWriteDelay the mean time after which entries write their rows again
 	// if it has returned from an older copy.
@@ -50,22 +50,28 @@
 }
 
 // fullRateMembers is the number of entries up to which each writes its row every
-// memberRowInterval. From twice as many on, each writes less often in proportion, so
-// that the rate of writes and reads of all entries together does not grow.
+// memberRowInterval. Beyond it each writes less often in proportion, at most half as often
+// at first, so that the rate of writes and reads of all entries together does not grow.
 const fullRateMembers = 16
 
 // memberIntervalFactor returns the factor by which the interval between writes of rows
 // grows with the number of entries. The lock must be held.
 func (st *state) memberIntervalFactor() time.Duration {
-	return time.Duration(max(1, st.memberCount()/fullRateMembers))
+	if st.memberCount() <= fullRateMembers {
+		return 1
+	}
+	return time.Duration(max(2, st.memberCount()/fullRateMembers))
 }
 
-// slowMemberPolls reports whether the rows of entries are read at
-// slowMemberPollInterval.
-func (g *Gateway) slowMemberPolls(time.Time) bool {
+// postponeMemberPoll reports whether the next read of the rows of entries can wait. They
+// must be read more than twice in the time after which a silent entry is removed, and a
+// second time soon after the start, as many entries may have started together.
+func (g *Gateway) postponeMemberPoll(now time.Time) bool {
 	g.state.mu.Lock()
-	defer g.state.mu.Unlock()
-	return g.state.memberIntervalFactor() > 1
+	factor := g.state.memberIntervalFactor()
+	g.state.mu.Unlock()
+	age, _ := g.entryFollower.Age(now)
+	return factor > 1 && age < memberRowInterval*factor && now.Sub(g.startedAt) > memberPollInterval+time.Second
 }
 
 // applyMemberRows applies changed rows of the table of entries to the peers.
@@ -148,13 +154,29 @@
 	}
 }
 
+// followEntries follows the table of entries until ctx ends. It begins after this entry has
+// written its own row: of two entries that start together the one that reads later then
+// finds the other one and sends it messages.
+func (g *Gateway) followEntries(ctx context.Context) error {
+	select {
+	case <-g.memberRowTried:
+	case <-ctx.Done():
+		return nil
+	}
+	return g.entryFollower.Run(ctx)
+}
+
 // maintainMemberRow writes this entry's row until ctx ends or the process stops.
 func (g *Gateway) maintainMemberRow(ctx context.Context) error {
 	for sequence := 1; ctx.Err() == nil && !g.stopping.Load(); sequence++ {
 		g.state.mu.Lock()
 		delay := memberRowInterval * g.state.memberIntervalFactor()
 		g.state.mu.Unlock()
-		if err := g.writeMemberRow(ctx, sequence); err != nil {
+		err := g.writeMemberRow(ctx, sequence)
+		if sequence == 1 {
+			close(g.memberRowTried)
+		}
+		if err != nil {
 			g.cfg.Log.Warn().Str("event", "entry_row_not_written").Err(err).Send()
 			delay = memberRowRetryDelay
 		}
