internal/gateway: orders for VMs that were reclaimed no longer count as under way

Cause: the leader had raised its orders in all domains at 7.8. For boot time and three seconds after an order its number counted as what the class would have. When the class was reclaimed at 8.0, with the VMs that were booting, 28 in each of the two domains still counted, so that only 30 on-demand VMs were ordered at 10.1 and the others at 15.4. The reclaim itself was acted on two seconds late, as the fleet was looked at each second.

Change: an order that raised the number of a reclaimable class is void when the class has no ready VM left and more are leaving than when it was sent; after one that lowered it, no more are expected than are ready. A reclaim starts the next round at once.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -91,8 +91,15 @@
 type order struct {
 	vms       int
 	orderedAt time.Time
+	// ready is the number of VMs that were ready when it was sent, leaving the smallest
+	// number since then that were leaving.
+	ready, leaving int
 }
 
+// classCount is the number of VMs of a class that accept requests, and of those that are
+// leaving.
+type classCount struct{ ready, leaving int }
+
 func newFleetManager(g *Gateway, l *leader) *fleetManager {
 	return &fleetManager{g: g, leader: l, fleets: map[string]*fleetState{}}
 }
@@ -146,7 +153,10 @@
 func (f *fleetManager) reconcile(ctx context.Context) {
 	now := f.g.cfg.Now()
 	r := f.g.state.resolver.Load()
-	if !f.g.cfg.OrdersVMs || r == nil || now.Sub(f.reconciledAt) < fleetInterval {
+	f.g.state.mu.Lock()
+	isReclaim := f.g.state.reclaimNoticedAt.After(f.reconciledAt)
+	f.g.state.mu.Unlock()
+	if !f.g.cfg.OrdersVMs || r == nil || now.Sub(f.reconciledAt) < fleetInterval && !isReclaim {
 		return
 	}
 	f.reconciledAt = now
@@ -171,15 +181,12 @@
 // reconcileDeployment brings one deployment's fleet to its target.
 func (f *fleetManager) reconcileDeployment(ctx context.Context, now time.Time, d resolver.Deployment) {
 	s := f.stateOf(d)
-	ready := f.readyVMs(now, d.Name)
-	total := 0
-	for _, n := range ready {
-		total += n
-	}
-	onDemand := 0
-	for c, n := range ready {
+	listed := f.listedVMs(now, d.Name)
+	total, onDemand := 0, 0
+	for c, n := range listed {
+		total += n.ready
 		if !c.reclaimable {
-			onDemand += n
+			onDemand += n.ready
 		}
 	}
 	needed, ok := s.target(now, onDemand)
@@ -189,7 +196,7 @@
 	// The provisioner skips a refused class, so the next round orders other classes
 	// in its place at once.
 	for range maxOrderRounds {
-		if !f.orderRound(ctx, now, d, s, ready, total, needed) {
+		if !f.orderRound(ctx, now, d, s, listed, total, needed) {
 			return
 		}
 	}
@@ -197,9 +204,9 @@
 
 // orderRound sends the orders of one decision of the provisioner. It reports whether
 // any was refused.
-func (f *fleetManager) orderRound(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, ready map[vmClass]int, total, needed int) bool {
+func (f *fleetManager) orderRound(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, listed map[vmClass]classCount, total, needed int) bool {
 	refused := false
-	expected := s.expectedVMs(now, d, ready)
+	expected := s.expectedVMs(now, d, listed)
 	pools := make([]provisioner.Pool, 0, len(expected))
 	for c, n := range expected {
 		pools = append(pools, provisioner.Pool{FailureDomain: c.domain, Reclaimable: c.reclaimable, VMs: n})
@@ -220,7 +227,7 @@
 			total -= expected[c] - vms
 		}
 		if vms != expected[c] {
-			refused = !f.order(ctx, now, d, s, c, vms, ready[c]) || refused
+			refused = !f.order(ctx, now, d, s, c, vms, listed[c]) || refused
 		}
 	}
 	return refused
@@ -238,38 +245,55 @@
 	return all
 }
 
-// readyVMs counts the upstreams that accept requests, by class. The new version's
-// upstreams are left out until its move is done.
-func (f *fleetManager) readyVMs(now time.Time, deployment string) map[vmClass]int {
+// listedVMs counts the upstreams of a deployment by class. The new version's upstreams are
+// left out until its move is done.
+func (f *fleetManager) listedVMs(now time.Time, deployment string) map[vmClass]classCount {
 	st := f.g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	ready := map[vmClass]int{}
+	listed := map[vmClass]classCount{}
 	for _, u := range st.upstreams {
 		if m, ok := st.moves[deployment]; ok && m.state != mover.Done && u.Version == m.order.To {
 			// Upstreams of the new version start and stop with the move.
 			continue
 		}
-		if u.Deployment == deployment && !u.Leaving && !st.router.IsLeaving(u.ID) {
-			ready[vmClass{u.FailureDomain, u.Reclaimable}]++
+		if u.Deployment != deployment {
+			continue
+		}
+		c := vmClass{u.FailureDomain, u.Reclaimable}
+		count := listed[c]
+		if u.Leaving || st.router.IsLeaving(u.ID) {
+			count.leaving++
+		} else {
+			count.ready++
 		}
+		listed[c] = count
 	}
-	return ready
+	return listed
 }
 
 // expectedVMs returns the VMs by class once the recent orders have taken effect:
 // ordered VMs that may still be booting count, stopped VMs that are still listed do
 // not.
-func (s *fleetState) expectedVMs(now time.Time, d resolver.Deployment, ready map[vmClass]int) map[vmClass]int {
+func (s *fleetState) expectedVMs(now time.Time, d resolver.Deployment, listed map[vmClass]classCount) map[vmClass]int {
 	expected := map[vmClass]int{}
-	for c, n := range ready {
-		expected[c] = n
+	for c, n := range listed {
+		expected[c] = n.ready
 	}
 	for c, o := range s.orders {
-		if now.Sub(o.orderedAt) < d.Fleet.BootTime+maxListDelay {
-			expected[c] = o.vms
-		} else {
+		n := listed[c]
+		switch {
+		case now.Sub(o.orderedAt) >= d.Fleet.BootTime+maxListDelay:
 			delete(s.orders, c)
+		case o.vms <= o.ready:
+			expected[c] = min(n.ready, o.vms)
+		case c.reclaimable && n.ready == 0 && n.leaving > o.leaving:
+			// The class was reclaimed, with the VMs that were booting.
+			delete(s.orders, c)
+		default:
+			expected[c] = o.vms
+			o.leaving = min(o.leaving, n.leaving)
+			s.orders[c] = o
 		}
 	}
 	return expected
@@ -320,7 +344,7 @@
 }
 
 // order sends one order. It returns false if the cloud refused it.
-func (f *fleetManager) order(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, c vmClass, vms, ready int) bool {
+func (f *fleetManager) order(ctx context.Context, now time.Time, d resolver.Deployment, s *fleetState, c vmClass, vms int, listed classCount) bool {
 	sentAt := f.g.cfg.Now()
 	t, err := f.leader.callCloud(ctx, func(ctx context.Context, t term) error {
 		return f.g.cfg.Cloud.Order(ctx, FleetOrder{
@@ -334,7 +358,7 @@
 	}
 	f.g.metrics.Count("fleet_orders")
 	line := f.g.cfg.Log.Info().Str("event", "fleet_ordered").Str("deployment", d.Name).Str("failure_domain", c.domain).
-		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", ready).Float64("needed", s.demandTarget).Uint64("fence", t.fence).
+		Bool("reclaimable", c.reclaimable).Int("vms", vms).Int("ready", listed.ready).Float64("needed", s.demandTarget).Uint64("fence", t.fence).
 		Dur("lease_left", t.left).Dur("took", f.g.cfg.Now().Sub(sentAt))
 	if err != nil {
 		line.Err(err).Send()
@@ -346,7 +370,7 @@
 		return !refused
 	}
 	s.provisioner.RecordStart(c.domain, c.reclaimable)
-	s.orders[c] = order{vms: vms, orderedAt: now}
+	s.orders[c] = order{vms: vms, orderedAt: now, ready: listed.ready, leaving: listed.leaving}
 	line.Send()
 	return true
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -222,3 +222,32 @@
 	require.InDelta(t, 11, enginesNeeded(demand{Running: 12.8 * 11}, engine), 0.01, "no prefill speed has been measured")
 	require.InDelta(t, 1, enginesNeeded(total, nil), 0)
 }
+
+// Two domains were reclaimed right after more VMs had been ordered in them, those that were
+// booting with the others, and no reclaimable VMs were left. The orders counted as if they
+// were still under way, so that no other VMs were ordered for seven seconds, until the third
+// domain was reclaimed too: there was no upstream at all.
+func TestReclaimsRightAfterAnOrder(t *testing.T) {
+	cloud, g := newFakeCloud(t, 12)
+	cloud.run(g, 60, 6)
+	cloud.run(g, 2, 10)
+	require.Zero(t, cloud.onDemand(), "all are reclaimable")
+	cloud.noReclaimable = true
+	for _, domain := range domains[:2] {
+		cloud.reclaim(domain)
+	}
+	cloud.run(g, 12, 10)
+	for _, domain := range domains[2:] {
+		cloud.reclaim(domain)
+	}
+	require.GreaterOrEqual(t, cloud.run(g, 12, 10), 8, "VMs that serve")
+}
+
+// onDemand returns the number of on-demand VMs that are not leaving.
+func (c *fakeCloud) onDemand() int {
+	n := 0
+	for _, domain := range domains {
+		n += len(c.running(domain, false))
+	}
+	return n
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -54,6 +54,8 @@
 	// deploymentSizes are the numbers of listed upstreams by deployment.
 	deploymentSizes map[string]int
 	listUpdatedAt   time.Time
+	// reclaimNoticedAt is when a reclaimable upstream was last found to be leaving.
+	reclaimNoticedAt time.Time
 	// listChanges are the recent changes of the list of upstreams that a relay
 	// sends to its members; lastChange is the number of the latest one.
 	// listSources are the relays that send changes to this entry, by entry ID.
@@ -274,6 +276,9 @@
 	st.router.Replace(now, listed)
 	for _, u := range st.upstreams {
 		if u.Leaving && st.router.MarkLeaving(now, u.ID, u.LeavesIn) {
+			if u.Reclaimable {
+				st.reclaimNoticedAt = now
+			}
 			st.log.Info().Str("event", "upstream_leaving").Str("upstream", u.ID).Dur("left", u.LeavesIn).Send()
 		}
 	}
