internal/gateway: requests and listings tell the row and the age of the list

The lines request, attempt_failed, upstream_listed and upstream_leaving now name the version of the upstream's row; list_age is the time since the store confirmed the list, to this entry or to a relay of which it missed no change, and no longer that since the last change.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -67,8 +67,10 @@
 	exclude []string
 
 	upstream Upstream
-	// attemptAt is when the current attempt began.
+	// attemptAt is when the current attempt began, listAge the age of the list of upstreams
+	// then.
 	attemptAt time.Time
+	listAge   time.Duration
 	// loadAtStart is the load of the upstream before the request was sent to it.
 	loadAtStart      float64
 	status           int
@@ -293,6 +295,7 @@
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	c.listAge = g.listAge(now)
 	c.loadAtStart = st.router.EstimatedLoad(now, c.upstream.ID)
 	st.router.Begin(c.upstream.ID)
 	st.router.AdjustLoad(c.upstream.ID, load)
@@ -349,11 +352,11 @@
 		}
 		st.recordOutcome(c, u, true, c.attemptLatency)
 	}
-	listAge := now.Sub(st.listUpdatedAt)
 	st.mu.Unlock()
 	g.cfg.Log.Info().Str("event", "attempt_failed").Str("request_id", c.request.ID).Str("upstream", u.ID).
 		Str("verdict", string(f.verdict)).Bool("busy", f.busy).Bool("unsent", f.unsent).Int("sends", c.sends).Int("runs", c.runs).
-		Str("fingerprint", c.fingerprint.String()).Bool("suspect", c.isSuspect).Dur("took", now.Sub(c.attemptAt)).Dur("list_age", listAge).
+		Str("fingerprint", c.fingerprint.String()).Bool("suspect", c.isSuspect).Dur("took", now.Sub(c.attemptAt)).Dur("list_age", c.listAge).
+		Uint64("row_version", u.RowVersion.Number()).
 		Str("framing", string(c.framing)).Int64("received", c.receivedBytes).Int("partial", c.partialEventBytes).Err(f.cause).Send()
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -96,6 +96,8 @@
 	// Name identifies the upstream in requests to it. Unlike the ID it may stay
 	// the same after a restart.
 	Name string
+	// RowVersion is the version of the row that says so. The gateway sets it.
+	RowVersion provider.Version
 	// StartedAt is when the process started by the platform's clock, zero if that is not
 	// known.
 	StartedAt   time.Time
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -230,7 +230,7 @@
 	}
 	if c.upstream.ID != "" {
 		line = line.Str("upstream", c.upstream.ID).Int("status", c.status).Str("fingerprint", c.fingerprint.String()).
-			Str("framing", string(c.framing)).Int64("received", c.receivedBytes).Int("partial", c.partialEventBytes)
+			Uint64("row_version", c.upstream.RowVersion.Number()).Dur("list_age", c.listAge).Str("framing", string(c.framing)).Int64("received", c.receivedBytes).Int("partial", c.partialEventBytes)
 	}
 	if c.prefix != 0 {
 		line = line.Str("prefix", strconv.FormatUint(c.prefix, 36)).Float64("met", c.loadAtStart)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -153,6 +153,22 @@
 	return false
 }
 
+// listAge returns the time since the store last confirmed the list of upstreams, to this
+// entry or to a relay of which it has missed no change. The lock must be held.
+func (g *Gateway) listAge(now time.Time) time.Duration {
+	age, read := g.upstreamFollower.Age(now)
+	if !read {
+		return 0
+	}
+	version := g.upstreamFollower.Version()
+	for _, source := range g.state.listSources {
+		if version >= source.requiredVersion {
+			age = min(age, now.Sub(source.readAt))
+		}
+	}
+	return age
+}
+
 // readsList reports whether this relay is the one of its group that reads the list of
 // upstreams for the others: no other one that sends messages has a lower ID. The lock must
 // be held.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -243,12 +243,13 @@
 			st.log.Warn().Str("event", "upstream_row_invalid").Str("row", row.Key).Uint64("row_version", row.Version.Number()).Err(err).Send()
 			continue
 		}
+		u.RowVersion = row.Version
 		if known && old.ID != u.ID {
 			st.recordRemoval(now, old)
 			st.log.Info().Str("event", "upstream_restarted").Str("upstream", old.ID).Str("now", u.ID).Bool("was_leaving", old.Leaving).Send()
 		}
 		if !known || old.ID != u.ID {
-			st.log.Info().Str("event", "upstream_listed").Str("upstream", u.ID).Str("address", u.Address).
+			st.log.Info().Str("event", "upstream_listed").Str("upstream", u.ID).Str("address", u.Address).Uint64("row_version", row.Version.Number()).
 				Str("deployment", u.Deployment).Str("version", u.Version).Bool("reclaimable", u.Reclaimable).Send()
 		}
 		if !known || old.ID != u.ID || old.Leaving != u.Leaving || old.Address != u.Address {
@@ -279,7 +280,7 @@
 			if u.Reclaimable {
 				st.reclaimNoticedAt = now
 			}
-			st.log.Info().Str("event", "upstream_leaving").Str("upstream", u.ID).Dur("left", u.LeavesIn).Send()
+			st.log.Info().Str("event", "upstream_leaving").Str("upstream", u.ID).Uint64("row_version", u.RowVersion.Number()).Dur("left", u.LeavesIn).Send()
 		}
 	}
 }
