internal/gateway, follower: tests of upstreams that are listed again after they left

The store and the network of the model are part of the emulator: a store in memory whose answers have each change in order, and datagrams that are lost and reordered.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -231,3 +231,32 @@
 	require.NoError(t, f.Run(ctx))
 	require.Equal(t, 6, checks, "each delay is extended once")
 }
+
+// A peer's or the store's older row arrived after the deletion that a peer had sent, and the
+// row was taken for a new one.
+func TestOlderRowsDoNotUndoADeletion(t *testing.T) {
+	s := &scriptedStore{t: t, now: time.UnixMilli(1_700_000_000_000), rows: map[string]string{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var f *follower.Follower
+	update := func(rows ...provider.StoreRow) { f.Update(s.now, rows) }
+	s.steps = []step{
+		fullTable(5, row("a", 3)),
+		{
+			wantTimeout: pollTimeout, page: provider.Page{Version: 8, Rows: []provider.StoreRow{row("a", 6), row("b", 7)}},
+			during: func() { update(deletedRow("a", 9), row("a", 8), deletedRow("x", 9), row("x", 7)) },
+		},
+		{
+			wantTimeout: pollTimeout, page: provider.Page{Version: 12, Rows: []provider.StoreRow{row("a", 8), deletedRow("a", 9), row("c", 10), row("d", 11), deletedRow("d", 12)}},
+			during: func() { update(deletedRow("c", 13), row("e", 14)) },
+		},
+		{wantTimeout: pollTimeout, err: provider.Compacted.New("gone")},
+		fullTable(12, row("b", 7), row("c", 10)),
+		changes(16, row("a", 15), row("c", 10), row("e", 16)),
+	}
+	s.done = cancel
+	f = follower.New(follower.Config{
+		Store: s, Table: "servers", PollTimeout: pollTimeout, GracePeriod: gracePeriod, Apply: s.apply, Now: s.clock, Log: zerolog.Nop(),
+	})
+	require.NoError(t, f.Run(ctx))
+	require.Equal(t, []string{"+a", "-a", "+b", "+e", "+a", "+e"}, s.applied)
+}
--- /dev/null
+++ b/internal/gateway/listmodel_test.go
@@ -0,0 +1,250 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenahitch/galenahitch/internal/emulator"
+	"github.com/galenahitch/galenahitch/internal/provider"
+)
+
+// modelEntry is an entry of a listModel.
+type modelEntry struct {
+	g       *Gateway
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	// mu is held while a message is handled.
+	mu        sync.Mutex
+	startedAt time.Time
+	stopped   bool
+	// gone are the upstreams that it has seen leave.
+	gone map[string]bool
+}
+
+// listModel is a fleet of entries with their store and the network between them, without
+// callers. Its time is that of a synctest bubble.
+type listModel struct {
+	t       *testing.T
+	store   *emulator.Store
+	network *emulator.Datagrams[peerMessage]
+	random  *rand.Rand
+
+	mu      sync.Mutex
+	entries []*modelEntry
+	// removedAt is when the store acknowledged that an upstream is gone.
+	removedAt map[string]time.Time
+	upstreams []string
+	added     int
+
+	late, again []string
+}
+
+func newListModel(t *testing.T, n int, seed uint64) *listModel {
+	m := &listModel{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), removedAt: map[string]time.Time{}, entries: make([]*modelEntry, n),
+		store: emulator.NewStore(emulator.StoreConfig{History: storeHistory, Now: time.Now, Latency: func() time.Duration { return 4 * time.Millisecond }}),
+	}
+	m.network = emulator.NewDatagrams(emulator.DatagramsConfig[peerMessage]{
+		Deliver: m.deliver, Loss: 0.05, Delay: time.Millisecond, Jitter: 30 * time.Millisecond, LateShare: 0.02, LateBy: time.Second, Seed: seed,
+	})
+	for i := range n {
+		m.start(i)
+	}
+	return m
+}
+
+func modelAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:7600", i/250, i%250+1) }
+
+// start starts the process of an entry.
+func (m *listModel) start(i int) {
+	g, _ := newGateway(m.t, nil)
+	g.boot = uint64(time.Now().UnixMilli())
+	g.cfg.ID, g.cfg.FailureDomain, g.cfg.PeerListen, g.cfg.Capacity = fmt.Sprint("e", i), fmt.Sprint("d", i%clusterDomains), modelAddress(i), 0.2
+	g.cfg.MaxLeavingDelay, g.cfg.MaxStaleness = 3*time.Second, 4*time.Second
+	if i < 2*clusterDomains {
+		g.cfg.Capacity = 0.8
+	}
+	followStore(g, m.store)
+	ctx, cancel := context.WithCancel(m.t.Context())
+	e := &modelEntry{g: g, cancel: cancel, startedAt: time.Now(), gone: map[string]bool{}}
+	for _, run := range append(g.storeTasks(), func(ctx context.Context) error { m.gossip(ctx, e); return nil }) {
+		e.running.Go(func() { _ = run(ctx) })
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries[i] = e
+}
+
+// gossip sends the messages of an entry until ctx ends.
+func (m *listModel) gossip(ctx context.Context, e *modelEntry) {
+	ticker := time.NewTicker(gossipInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, envelope := range e.g.roundMessages(time.Now()) {
+			for _, to := range envelope.Receivers {
+				m.network.Send(to, envelope.Message)
+			}
+		}
+	}
+}
+
+// deliver hands a message to the process that has an address.
+func (m *listModel) deliver(to string, message peerMessage) {
+	m.mu.Lock()
+	var receiver *modelEntry
+	for i, e := range m.entries {
+		if modelAddress(i) == to && !e.stopped {
+			receiver = e
+		}
+	}
+	m.mu.Unlock()
+	if receiver != nil {
+		receiver.mu.Lock()
+		defer receiver.mu.Unlock()
+		receiver.g.receive(time.Now(), netip.AddrPort{}, message)
+	}
+}
+
+// stop stops the process of an entry as planned, which takes as long as open requests do,
+// and starts it again.
+func (m *listModel) stop(i int, takes time.Duration) {
+	e := m.entries[i]
+	e.g.stopping.Store(true)
+	e.g.deleteMemberRow(m.t.Context())
+	time.Sleep(takes)
+	m.kill(i)
+	time.Sleep(700 * time.Millisecond)
+	m.start(i)
+}
+
+func (m *listModel) kill(i int) {
+	m.mu.Lock()
+	e := m.entries[i]
+	e.stopped = true
+	m.mu.Unlock()
+	e.cancel()
+	e.running.Wait()
+}
+
+// close stops all entries.
+func (m *listModel) close() {
+	for i := range m.entries {
+		m.kill(i)
+	}
+	// Messages that are on their way.
+	time.Sleep(2 * time.Second)
+}
+
+// add starts upstreams.
+func (m *listModel) add(n int) {
+	for range n {
+		m.added++
+		id := fmt.Sprint("u", m.added)
+		m.upstreams = append(m.upstreams, id)
+		m.write(id)
+	}
+}
+
+func (m *listModel) write(id string) {
+	m.store.Put(provider.StoreRow{Table: "upstreams", Key: id, Value: []byte("ready")})
+}
+
+// remove ends some upstreams, which announce nothing before.
+func (m *listModel) remove(n int) {
+	for range n {
+		i := m.random.IntN(len(m.upstreams))
+		id := m.upstreams[i]
+		m.upstreams = append(m.upstreams[:i], m.upstreams[i+1:]...)
+		m.store.Delete("upstreams", id)
+		m.removedAt[id] = time.Now()
+	}
+}
+
+// check records each entry that may send to an upstream that left more than
+// MaxLeavingDelay ago, or that it has seen leave.
+func (m *listModel) check() {
+	now := time.Now()
+	for _, e := range m.entries {
+		if e.stopped {
+			continue
+		}
+		st := e.g.state
+		st.mu.Lock()
+		for id, at := range m.removedAt {
+			_, listed := st.upstreams[id]
+			if !listed {
+				e.gone[id] = e.gone[id] || !st.listUpdatedAt.IsZero()
+				continue
+			}
+			if e.gone[id] {
+				m.again = append(m.again, fmt.Sprintf("%s lists %s again %v after it was gone", e.g.cfg.ID, id, now.Sub(at)))
+			}
+			if late := now.Sub(at); late > e.g.cfg.MaxLeavingDelay && now.Sub(e.startedAt) > e.g.cfg.MaxLeavingDelay {
+				m.late = append(m.late, fmt.Sprintf("%s lists %s %v after it was gone", e.g.cfg.ID, id, late))
+			}
+		}
+		st.mu.Unlock()
+	}
+}
+
+// run lets upstreams write their rows, leave and start, and stops entries one after the
+// other, for some time.
+func (m *listModel) run(d time.Duration, stopInterval time.Duration) {
+	const step = 5 * time.Millisecond
+	var stops sync.WaitGroup
+	next, start := 0, time.Now()
+	for tick := 0; time.Since(start) < d; tick++ {
+		time.Sleep(step)
+		if tick%20 == 0 && len(m.upstreams) > 0 {
+			// Each upstream writes its row every few seconds.
+			for range max(1, len(m.upstreams)/40) {
+				m.write(m.upstreams[m.random.IntN(len(m.upstreams))])
+			}
+		}
+		if tick%300 == 150 {
+			m.remove(4)
+			m.add(4)
+		}
+		if time.Since(start) > time.Duration(next)*stopInterval {
+			// The largest entries, which are the relays, are stopped first.
+			i := next % len(m.entries)
+			next++
+			stops.Go(func() { m.stop(i, 4*time.Second) })
+		}
+		m.check()
+	}
+	stops.Wait()
+}
+
+// Upstreams leave while entries are stopped one after the other, so that relays change all
+// the time, and messages are lost, late and out of order (issue 43): no entry may list an
+// upstream again that it has seen leave, or know of it later than MaxLeavingDelay.
+func TestUpstreamsThatLeftStayGone(t *testing.T) {
+	for _, n := range []int{9, 73, 81, 195} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newListModel(t, n, uint64(n))
+				m.add(60)
+				time.Sleep(8 * time.Second)
+				m.run(20*time.Second, 500*time.Millisecond)
+				m.close()
+				t.Logf("%d entries: %d listed again, %d late; calls %v", n, len(m.again), len(m.late), m.store.Calls())
+				require.Empty(t, m.late[:min(3, len(m.late))])
+				require.Empty(t, m.again[:min(3, len(m.again))], "%d times", len(m.again))
+			})
+		})
+	}
+}
