internal/follower: a deletion is remembered until no older content can arrive

Cause: a copy of a table kept a version for each row that it had and none for a row that was deleted. Content that was older than a deletion, in a peer's message or in the store's list of changes after a peer's message, counted as a new row. A relay numbered such rows as changes of its own and sent them, with the deletions, to its members; where the datagram with the deletions was lost the upstream stayed listed until the next read of the whole table.

Change: the versions of deletions that peers sent are kept until the own copy is complete up to them, of a page and of a message only the newest row of a key counts, and rows of a page that an earlier page had are passed over. What is dropped is logged (row_outdated).

Evidence: TestOlderRowsDoNotUndoADeletion failed before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -82,6 +82,9 @@
 	mu             sync.Mutex
 	rows           map[string]provider.StoreRow
 	version        provider.Version
+	// deleted holds the versions of deletions that a peer sent, above version: older
+	// content of these rows may still arrive.
+	deleted map[string]provider.Version
 	lastResponseAt time.Time
 	failedSince    time.Time
 	// failures is the number of failed calls since failedSince.
@@ -108,7 +111,7 @@
 		cfg.SteadyNow = cfg.Now
 	}
 	return &Follower{
-		cfg: cfg, rows: map[string]provider.StoreRow{}, missing: map[string]time.Time{}, lost: map[string]bool{},
+		cfg: cfg, rows: map[string]provider.StoreRow{}, deleted: map[string]provider.Version{}, missing: map[string]time.Time{}, lost: map[string]bool{},
 		checkAgain: make(chan struct{}, 1),
 	}
 }
@@ -242,15 +245,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var changed []provider.StoreRow
-	for _, row := range rows {
-		old, exists := f.rows[row.Key]
-		if row.Version <= f.version || f.lastResponseAt.IsZero() || exists && old.Version >= row.Version || row.Deleted && !exists {
+	for _, row := range newestRows(rows) {
+		if f.lastResponseAt.IsZero() || row.Version <= f.version || !f.isNew(row) {
 			continue
 		}
+		_, exists := f.rows[row.Key]
 		f.forgetMissing(row.Key)
 		if row.Deleted {
 			delete(f.rows, row.Key)
+			f.deleted[row.Key] = row.Version
+			if !exists {
+				continue
+			}
 		} else {
+			delete(f.deleted, row.Key)
 			f.rows[row.Key] = row
 		}
 		changed = append(changed, row)
@@ -259,6 +267,37 @@
 	return changed
 }
 
+// isNew reports whether a row is newer than what is known of its key. Content that is older
+// than its deletion is logged.
+func (f *Follower) isNew(row provider.StoreRow) bool {
+	if deletion, deleted := f.deleted[row.Key]; deleted {
+		if row.Version < deletion {
+			f.cfg.Log.Info().Str("event", "row_outdated").Str("table", f.cfg.Table).Str("row", row.Key).Uint64("row_version", row.Version.Number()).
+				Uint64("deletion", deletion.Number()).Uint64("version", f.version.Number()).Send()
+		}
+		return row.Version > deletion
+	}
+	old, exists := f.rows[row.Key]
+	return !exists || row.Version > old.Version
+}
+
+// newestRows returns the newest of the rows of each key, in their order.
+func newestRows(rows []provider.StoreRow) []provider.StoreRow {
+	newest := make(map[string]int, len(rows))
+	for i, row := range rows {
+		if j, ok := newest[row.Key]; !ok || row.Version >= rows[j].Version {
+			newest[row.Key] = i
+		}
+	}
+	kept := make([]provider.StoreRow, 0, len(newest))
+	for i, row := range rows {
+		if newest[row.Key] == i {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
 // pollTimeout returns how long the next call waits for changes: zero after a
 // failure, so that the recovery of the store is detected at once.
 func (f *Follower) pollTimeout() time.Duration {
@@ -330,26 +369,27 @@
 			f.cfg.OnNewEra()
 		}
 	}
+	previous := f.version
 	f.version = page.Version
 	var changed []provider.StoreRow
 	seen := map[string]bool{}
-	for _, row := range page.Rows {
+	for _, row := range newestRows(page.Rows) {
 		seen[row.Key] = true
-		if old, ok := f.rows[row.Key]; ok && old.Version >= row.Version && !row.Deleted {
+		switch {
+		case !whole && row.Version <= previous:
+			// Another call has returned it.
+		case !f.isNew(row):
 			f.forgetMissing(row.Key)
-			continue
-		}
-		if row.Deleted {
-			if f.rows[row.Key].Version <= row.Version {
-				delete(f.lost, row.Key)
-				changed = append(changed, f.removeRow(now, row)...)
-			}
-			continue
+		case row.Deleted:
+			delete(f.lost, row.Key)
+			changed = append(changed, f.removeRow(now, row)...)
+		default:
+			f.forgetMissing(row.Key)
+			f.rows[row.Key] = row
+			changed = append(changed, row)
 		}
-		f.forgetMissing(row.Key)
-		f.rows[row.Key] = row
-		changed = append(changed, row)
 	}
+	maps.DeleteFunc(f.deleted, func(_ string, deletion provider.Version) bool { return deletion <= f.version })
 	if whole {
 		for _, key := range slices.Sorted(maps.Keys(f.rows)) {
 			if !seen[key] && f.rows[key].Version <= page.Version {
