internal/gateway, follower: the list counts as up to date only as far as it is complete

Change: one clock for one question. A copy knows the version up to which it has all changes and since when, on the steady clock; it is confirmed by a page after its changes are applied, or by a relay all of whose numbered changes have arrived. Members send a stamp of their clock, which relays repeat, so that a message is dated before it was sent, however long it was on its way. A relay that reads the whole list begins a new series of numbers. Deletions of rows that the copy did not have are passed on as well: a member may have the row from another relay. Polls ask for the changes since the version up to which the copy is complete, no longer since the own last page.

TestMembersGetTheListFromRelays asked that a member which misses a change reads at once; now it does when its list was not confirmed for the share of the bound that is asserted, since the relay repeats changes until then. The scripted tests of the follower expect deletions of unknown rows to be applied.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -54,7 +54,8 @@
 	History time.Duration
 	// GracePeriod is how long missing rows are kept after an outage.
 	GracePeriod time.Duration
-	// Apply receives the rows that changed. Calls do not overlap.
+	// Apply receives the rows that changed, and deletions of rows that the copy did not
+	// have. Calls do not overlap.
 	Apply func(now time.Time, changed []provider.StoreRow)
 	// OnNewEra, if set, is called when the table has been read in a new era.
 	OnNewEra func()
@@ -79,14 +80,13 @@
 	// applied in the order of their versions.
 	applyMu sync.Mutex
 
-	mu             sync.Mutex
-	rows           map[string]provider.StoreRow
-	version        provider.Version
+	mu      sync.Mutex
+	rows    map[string]provider.StoreRow
+	version provider.Version
 	// deleted holds the versions of deletions that a peer sent, above version: older
 	// content of these rows may still arrive.
-	deleted map[string]provider.Version
-	lastResponseAt time.Time
-	failedSince    time.Time
+	deleted     map[string]provider.Version
+	failedSince time.Time
 	// failures is the number of failed calls since failedSince.
 	failures int
 	// missing holds the ends of the grace periods of missing rows, by key. lost are
@@ -116,19 +116,11 @@
 	}
 }
 
-// Age returns the time since the last response of the store, and whether there
-// was one.
+// Age returns the time since the store last confirmed the copy to this follower, and
+// whether it ever did. now is a time of the steady clock.
 func (f *Follower) Age(now time.Time) (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now.Sub(f.lastResponseAt), !f.lastResponseAt.IsZero()
-}
-
-// Version returns the version of the store that the copy reflects.
-func (f *Follower) Version() provider.Version {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.version
+	status, read := f.Status(now, true)
+	return status.Age, read
 }
 
 // Run follows the table until ctx ends.
@@ -164,7 +156,7 @@
 				// The store responds, so a backoff from failures before does not apply.
 				backoff = minBackoff
 				f.setLoaded(false)
-				f.cfg.Log.Info().Str("event", "store_history_lost").Str("table", f.cfg.Table).Uint64("version", f.Version().Number()).Uint64("era", f.Version().Era()).Send()
+				f.cfg.Log.Info().Str("event", "store_history_lost").Str("table", f.cfg.Table).Uint64("version", p.after.Number()).Uint64("era", p.after.Era()).Send()
 			} else if !errors.Is(cause, errUnconfirmed) {
 				f.recordFailure(now, f.cfg.SteadyNow().Sub(p.start), err)
 			}
@@ -236,9 +228,14 @@
 func (f *Follower) Update(now time.Time, rows []provider.StoreRow) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	if changed := f.mergeUpdate(rows); len(changed) > 0 {
-		f.cfg.Apply(now, changed)
+	changed := f.mergeUpdate(rows)
+	if len(changed) == 0 {
+		return
 	}
+	f.cfg.Apply(now, changed)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freshness.newest = max(f.freshness.newest, newestOf(changed))
 }
 
 func (f *Follower) mergeUpdate(rows []provider.StoreRow) []provider.StoreRow {
@@ -246,24 +243,19 @@
 	defer f.mu.Unlock()
 	var changed []provider.StoreRow
 	for _, row := range newestRows(rows) {
-		if f.lastResponseAt.IsZero() || row.Version <= f.version || !f.isNew(row) {
+		if f.freshness.ownConfirmedAt.IsZero() || row.Version <= f.version || !f.isNew(row) {
 			continue
 		}
-		_, exists := f.rows[row.Key]
 		f.forgetMissing(row.Key)
 		if row.Deleted {
 			delete(f.rows, row.Key)
 			f.deleted[row.Key] = row.Version
-			if !exists {
-				continue
-			}
 		} else {
 			delete(f.deleted, row.Key)
 			f.rows[row.Key] = row
 		}
 		changed = append(changed, row)
 	}
-	f.freshness.addChanges(changed)
 	return changed
 }
 
@@ -337,29 +329,39 @@
 func (f *Follower) applyPage(now time.Time, page provider.Page, after provider.Version, confirmed time.Time) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	changed, ok := f.mergePage(now, page, after, confirmed)
+	changed, result := f.mergePage(now, page, after)
 	if len(changed) > 0 {
 		f.cfg.Apply(now, changed)
 	}
-	return ok
+	if result == pageMerged {
+		// Not before the changes are applied: others may rely on it.
+		f.confirmOwn(confirmed, page, after)
+	}
+	return result != pageStale
 }
 
-func (f *Follower) mergePage(now time.Time, page provider.Page, after provider.Version, confirmed time.Time) ([]provider.StoreRow, bool) {
+// pageResult says what a page of the store was to the copy.
+type pageResult int
+
+const (
+	pageMerged pageResult = iota
+	// pageOvertaken is a page when another call has returned later changes already.
+	pageOvertaken
+	pageStale
+)
+
+func (f *Follower) mergePage(now time.Time, page provider.Page, after provider.Version) ([]provider.StoreRow, pageResult) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordRecovery(now)
-	f.lastResponseAt = now
 	whole := after == 0
 	if page.Version < f.version {
 		if !whole && page.Version >= after {
-			// Another call has returned later changes in the meantime.
-			return nil, true
+			return nil, pageOvertaken
 		}
 		f.cfg.Log.Warn().Str("event", "store_answer_stale").Str("table", f.cfg.Table).Uint64("version", page.Version.Number()).Uint64("era", page.Version.Era()).Uint64("known", f.version.Number()).Uint64("known_era", f.version.Era()).Send()
-		return nil, false
+		return nil, pageStale
 	}
-	f.freshness.confirm(confirmed, page.Version)
-	f.freshness.addChanges(page.Rows)
 	newEra := f.version > 0 && page.Version.Era() > f.version.Era()
 	if newEra {
 		f.graceEnd = now.Add(f.cfg.GracePeriod)
@@ -382,6 +384,11 @@
 			f.forgetMissing(row.Key)
 		case row.Deleted:
 			delete(f.lost, row.Key)
+			if _, exists := f.rows[row.Key]; !exists {
+				// A peer may have its content.
+				changed = append(changed, row)
+				continue
+			}
 			changed = append(changed, f.removeRow(now, row)...)
 		default:
 			f.forgetMissing(row.Key)
@@ -400,7 +407,7 @@
 			}
 		}
 	}
-	return append(changed, f.removeExpired(now)...), true
+	return append(changed, f.removeExpired(now)...), pageMerged
 }
 
 func (f *Follower) forgetMissing(key string) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -211,7 +211,7 @@
 	})
 	update(row("z", 1))
 	require.NoError(t, f.Run(ctx))
-	require.Equal(t, []string{"+a", "+b", "+c", "-c", "+d", "+a", "+e", "-e"}, s.applied)
+	require.Equal(t, []string{"+a", "+b", "+c", "-c", "+d", "-x", "+a", "+e", "-e"}, s.applied)
 	require.Equal(t, []string{"a", "b", "d"}, slices.Sorted(maps.Keys(s.rows)))
 }
 
@@ -258,5 +258,5 @@
 		Store: s, Table: "servers", PollTimeout: pollTimeout, GracePeriod: gracePeriod, Apply: s.apply, Now: s.clock, Log: zerolog.Nop(),
 	})
 	require.NoError(t, f.Run(ctx))
-	require.Equal(t, []string{"+a", "-a", "+b", "+e", "+a", "+e"}, s.applied)
+	require.Equal(t, []string{"+a", "-a", "-x", "+b", "-c", "+e", "-d", "+a", "+e"}, s.applied)
 }
--- a/internal/follower/freshness.go
+++ b/internal/follower/freshness.go
@@ -28,16 +28,26 @@
 
 // Status says how up to date a copy of the table is.
 type Status struct {
-	// Newest is the version of the newest change that the copy has.
-	Newest provider.Version
+	// Newest is the version of the newest change that the copy has, Complete that up to
+	// which it has all changes.
+	Newest   provider.Version
+	Complete provider.Version
 	// Age is the time since the copy was confirmed.
 	Age time.Duration
+	// Snapshots is how often the table was read as a whole: deletions before that may be
+	// missing in the changes that were applied.
+	Snapshots uint64
 }
 
 // freshness is what a follower knows of how up to date its copy is. Times are of the
 // steady clock.
 type freshness struct {
 	newest provider.Version
+	// The copy has all changes up to complete, as was known at completeAt by the store or a
+	// peer. ownComplete leaves peers out.
+	complete, ownComplete provider.Version
+	completeAt            time.Time
+	snapshots             uint64
 	// confirmedAt is a time at which the store had no change that the copy lacks, as the
 	// store has answered here or to a peer. ownConfirmedAt leaves peers out.
 	confirmedAt, ownConfirmedAt time.Time
@@ -49,19 +59,42 @@
 	backoff        time.Duration
 }
 
-// confirm records that the copy was confirmed as of a time and has all changes up to a
-// version.
+// confirm records that the copy has all changes up to a version and that the store had no
+// others at a time.
 func (s *freshness) confirm(at time.Time, version provider.Version) {
-	s.ownConfirmedAt = later(s.ownConfirmedAt, at)
 	s.confirmedAt = later(s.confirmedAt, at)
+	if version >= s.complete {
+		s.complete, s.completeAt = version, later(s.completeAt, at)
+	}
 	if version >= s.peerVersion {
 		s.behindSince = time.Time{}
 	}
 }
 
-// addChanges records the versions of changes that the copy has.
-func (s *freshness) addChanges(rows []provider.StoreRow) {
-	s.newest = max(s.newest, newestOf(rows))
+// confirmOwn records that the store has confirmed the copy to this follower with a page that
+// lists the changes after a version.
+func (f *Follower) confirmOwn(at time.Time, page provider.Page, after provider.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := &f.freshness
+	s.confirm(at, page.Version)
+	s.newest = max(s.newest, newestOf(page.Rows))
+	s.ownConfirmedAt = later(s.ownConfirmedAt, at)
+	s.ownComplete = page.Version
+	if after == 0 {
+		s.snapshots++
+	}
+}
+
+// Confirm records that a peer knows that the copy has all changes up to a version, and that
+// the store had no others at a time of the steady clock. It has no effect if the copy was
+// never read or the time has not come.
+func (f *Follower) Confirm(at time.Time, version provider.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.freshness.confirmedAt.IsZero() && !at.After(f.cfg.SteadyNow()) {
+		f.freshness.confirm(at, version)
+	}
 }
 
 func later(a, b time.Time) time.Time {
@@ -107,17 +140,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.loaded && f.keepsHistory() {
-		p.after, p.timeout = f.version, timeout
+		p.after, p.timeout = f.freshness.complete, timeout
 		p.call = func() (provider.Page, error) { return f.cfg.Store.Watch(p.ctx, f.cfg.Table, p.after, p.timeout) }
 		f.poll = p
 	}
 	return p
 }
 
-// keepsHistory reports whether the store keeps the changes since its last answer. The lock
+// keepsHistory reports whether the store keeps the changes that the copy lacks. The lock
 // must be held.
 func (f *Follower) keepsHistory() bool {
-	return f.cfg.History <= 0 || f.cfg.Now().Sub(f.lastResponseAt) < f.cfg.History
+	return f.cfg.History <= 0 || f.cfg.SteadyNow().Sub(f.freshness.completeAt) < f.cfg.History
 }
 
 // endPoll returns the cause with which a check has ended the poll, if any.
@@ -154,22 +187,24 @@
 func (f *Follower) Status(now time.Time, own bool) (Status, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	confirmedAt := f.freshness.confirmedAt
+	s := &f.freshness
+	status, confirmedAt := Status{Newest: s.newest, Complete: s.complete, Snapshots: s.snapshots}, s.confirmedAt
 	if own {
-		confirmedAt = f.freshness.ownConfirmedAt
+		status.Complete, confirmedAt = s.ownComplete, s.ownConfirmedAt
 	}
-	return Status{Newest: f.freshness.newest, Age: now.Sub(confirmedAt)}, !confirmedAt.IsZero()
+	status.Age = now.Sub(confirmedAt)
+	return status, !confirmedAt.IsZero()
 }
 
-// Observe records how up to date a peer's copy is. If the peer has a change that this copy
-// lacks, the store is asked for it soon. now is a time of the steady clock.
+// Observe records how up to date a peer's copy was at a time of the steady clock. If the peer
+// has a change that this copy lacks, the store is asked for it soon.
 func (f *Follower) Observe(now time.Time, peer Status) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.freshness
 	switch {
 	case s.confirmedAt.IsZero():
-	case peer.Newest <= max(f.version, s.newest):
+	case peer.Newest <= s.complete:
 		s.confirmedAt = later(s.confirmedAt, now.Add(-peer.Age))
 	case peer.Newest > s.peerVersion:
 		s.peerVersion, s.behindSince = peer.Newest, now
@@ -251,7 +286,7 @@
 	if !f.keepsHistory() {
 		return 0, f.freshness
 	}
-	return f.version, f.freshness
+	return f.freshness.complete, f.freshness
 }
 
 // ask returns the changes after a version, or the table if that is zero. It calls a second
--- a/internal/follower/freshness_test.go
+++ b/internal/follower/freshness_test.go
@@ -149,6 +149,11 @@
 	}
 }
 
+func completeVersion(f *follower.Follower) provider.Version {
+	status, _ := f.Status(time.Now(), false)
+	return status.Complete
+}
+
 // The connection of a poll goes silent, and the table changes some time later. The copy
 // was out of date until the poll had ended, up to 6.5 s.
 func TestCopyIsRightSoonAfterASilence(t *testing.T) {
@@ -166,7 +171,7 @@
 						s.change()
 						time.Sleep(max(maxStaleness-delay, maxDelay))
 						synctest.Wait()
-						require.EqualValues(t, 2, f.Version())
+						require.EqualValues(t, 2, completeVersion(f))
 					})
 				})
 			}
@@ -195,7 +200,7 @@
 		f.Observe(time.Now(), follower.Status{Newest: 2})
 		time.Sleep(200 * time.Millisecond)
 		synctest.Wait()
-		require.EqualValues(t, 2, f.Version())
+		require.EqualValues(t, 2, completeVersion(f))
 	})
 }
 
@@ -227,6 +232,6 @@
 		s.mu.Unlock()
 		time.Sleep(12 * time.Second)
 		require.Less(t, s.callCount(), 60)
-		require.EqualValues(t, 9, f.Version())
+		require.EqualValues(t, 9, completeVersion(f))
 	})
 }
--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -4,8 +4,8 @@
 	"maps"
 	"time"
 
+	"github.com/galenahitch/galenahitch/internal/follower"
 	"github.com/galenahitch/galenahitch/internal/gossiper"
-	"github.com/galenahitch/galenahitch/internal/provider"
 	"github.com/galenahitch/galenahitch/pkg/aggregator"
 )
 
@@ -18,6 +18,9 @@
 		Totals: aggregator.Totals{}, Load: map[uint32]uint32{}, Demand: st.ownDemand(now),
 		Moves: st.moveUpdates(now), Tables: g.tableStatuses(false), Renewal: g.leader.renewalMessage(g.cfg.LeaseNow()),
 	}
+	if len(st.plan.Relays) > 0 {
+		message.StampMS = g.cfg.LeaseNow().UnixMilli()
+	}
 	for org, spent := range st.throttler.LocalSpending() {
 		message.Totals[spentPrefix+org] = spent
 	}
@@ -43,10 +46,8 @@
 	// agreedClockMS is the agreed time of day that a relay sends to its members,
 	// groupClockMS the median time of its group, both in Unix milliseconds.
 	agreedClockMS, groupClockMS int64
-	// listAge is the time since the relay last read the list of upstreams,
-	// listVersion the store version that its list reflects.
-	listAge     time.Duration
-	listVersion provider.Version
+	// list is the status of the list of upstreams by the store's answers to the relay.
+	list follower.Status
 	// tables are the statuses of tables for the members.
 	tables map[sharedTable]tableStatus
 }
@@ -113,6 +114,7 @@
 	message := own
 	message.Kind, message.Group, message.Entries = kindGroup, plan.Group, a.group.entries
 	message.Totals, message.Load, message.Demand, message.Leader, message.ClockMS = a.group.totals, a.group.load, a.group.demand, a.group.leader, a.groupClockMS
+	message.StampMS = 0
 	if len(plan.Members) > 0 {
 		message.Usage = nil
 	}
@@ -120,8 +122,9 @@
 }
 
 // memberMessage returns the message for a member of this entry's group about all entries
-// except that member: the aggregate over all entries minus the member's part.
-func (a *aggregates) memberMessage(st *state, own peerMessage, id string) peerMessage {
+// except that member: the aggregate over all entries minus the member's part. steady is the
+// time of the steady clock.
+func (a *aggregates) memberMessage(st *state, own peerMessage, id string, steady time.Time) peerMessage {
 	message := own
 	message.Kind, message.Entries, message.Leader, message.ClockMS, message.Usage = kindOthers, a.all.entries, a.all.leader, a.agreedClockMS, nil
 	message.Totals, message.Load, message.Demand = maps.Clone(a.all.totals), a.all.load, a.all.demand
@@ -129,7 +132,11 @@
 		message.Totals[name] -= memberTotal
 	}
 	message.Tables = a.tables
-	message.LastChange, message.ListAgeMS, message.ListVersion = st.lastChange, a.listAge.Milliseconds(), a.listVersion
+	message.StampMS, message.Echo = 0, st.peers[id].echo(steady)
+	message.LastChange, message.ListVersion = st.lastChange, max(a.list.Complete, st.maxChangeVersion)
+	if a.list.Snapshots > 0 {
+		message.ListAgeMS, message.ListComplete, message.ListSnapshots = a.list.Age.Milliseconds()+1, a.list.Complete, a.list.Snapshots
+	}
 	for domain := range a.all.domains {
 		message.Domains = append(message.Domains, domain)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -295,7 +295,7 @@
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	c.listAge = g.listAge(now)
+	c.listAge = g.listAge()
 	c.loadAtStart = st.router.EstimatedLoad(now, c.upstream.ID)
 	st.router.Begin(c.upstream.ID)
 	st.router.AdjustLoad(c.upstream.ID, load)
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -46,7 +46,7 @@
 		if i < 2*clusterDomains {
 			g.cfg.Capacity = 0.8
 		}
-		g.cfg.Now = c.clock.read
+		g.cfg.Now, g.cfg.LeaseNow = c.clock.read, c.clock.read
 		st := g.state
 		st.cfg = g.cfg
 		st.accountant = newState(g.cfg, g.boot).accountant
@@ -308,18 +308,32 @@
 	for i := range 4000 {
 		manyRows = append(manyRows, provider.StoreRow{Key: fmt.Sprint("v", i), Value: []byte("ready"), Version: provider.Version(10 + i)})
 	}
+	relays := []*Gateway{}
 	for _, id := range member.state.plan.Relays {
-		c.entries[c.byAddress[member.state.peers[id].address]].upstreamFollower.Update(c.clock.now, manyRows)
+		relays = append(relays, c.entries[c.byAddress[member.state.peers[id].address]])
 	}
-	c.round()
-	require.False(t, member.relaysSendList(c.clock.now), "it received only some of the changes")
-	c.rounds(3)
-	require.False(t, member.relaysSendList(c.clock.now))
+	for _, relay := range relays {
+		relay.upstreamFollower.Update(c.clock.now, manyRows)
+	}
+	confirmedByRelays := func(rounds int) bool {
+		for range rounds {
+			for _, relay := range relays {
+				read(relay, 5000, manyRows...)
+			}
+			c.round()
+		}
+		return member.relaysSendList(c.clock.now)
+	}
+	limit := int(memberListShare * float64(member.cfg.MaxLeavingDelay) / float64(gossipInterval))
+	status, _ := member.upstreamFollower.Status(c.clock.now, false)
+	require.False(t, confirmedByRelays(limit+1), "it received only some of the changes")
+	later, _ := member.upstreamFollower.Status(c.clock.now, false)
+	require.Equal(t, status.Complete, later.Complete)
+	require.GreaterOrEqual(t, later.Age, time.Duration(limit)*gossipInterval)
 	read(member, 9, manyRows[:0]...)
-	require.False(t, member.relaysSendList(c.clock.now), "the list it read is older than the changes it missed")
+	require.False(t, confirmedByRelays(limit+1), "the list it read is older than the changes it missed")
 	read(member, 5000, manyRows...)
-	c.rounds(1)
-	require.True(t, member.relaysSendList(c.clock.now), "it has read them")
+	require.True(t, confirmedByRelays(3*limit), "it has read them")
 	for end := c.clock.now.Add(time.Duration(memberListShare*float64(member.cfg.MaxLeavingDelay)) + 2*gossipInterval); member.relaysSendList(c.clock.now); {
 		require.True(t, c.clock.now.Before(end), "no relay has read the list for too long")
 		c.round()
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -92,10 +92,7 @@
 
 // listFreshFor is freshFor for the list of upstreams, of which members hear from relays.
 func (g *Gateway) listFreshFor() time.Duration {
-	if g.relaysSendList(g.cfg.Now()) {
-		return 0
-	}
-	return g.freshFor()
+	return min(g.freshFor(), time.Duration(listCheckShare*float64(g.cfg.MaxLeavingDelay)))
 }
 
 // isFirstRelay reports whether no other relay that sends messages has a lower ID. The lock
@@ -139,7 +136,11 @@
 	g.state.mu.Lock()
 	plan := g.state.plan
 	g.state.mu.Unlock()
-	now := g.cfg.LeaseNow()
+	// What a relay states to a member was so when the message was sent at the earliest.
+	now, dated := message.Echo.sentAfter(g.boot)
+	if message.Kind != kindOthers {
+		now, dated = g.cfg.LeaseNow(), true
+	}
 	// Relays state what the store has told them, and only members may rely on what relays
 	// have heard.
 	confirms := message.Kind == kindGroup || slices.Contains(plan.Relays, message.ID)
@@ -152,8 +153,8 @@
 			continue
 		}
 		decoded := status.decode()
-		if !confirms {
-			decoded.Age = unconfirmedAge
+		if !confirms || !dated {
+			now, decoded.Age = g.cfg.LeaseNow(), unconfirmedAge
 		}
 		f.Observe(now, decoded)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -221,7 +221,7 @@
 	engine := gin.New()
 	engine.GET(g.cfg.ReadyPath, func(c *gin.Context) {
 		now := g.cfg.Now()
-		if g.stopping.Load() || !g.state.ready(now, g.tablesRead(now)) {
+		if g.stopping.Load() || !g.state.ready(now, g.tablesRead()) {
 			c.Status(http.StatusServiceUnavailable)
 			return
 		}
@@ -231,7 +231,8 @@
 }
 
 // tablesRead reports whether the tables of entries and of quarantined requests were read.
-func (g *Gateway) tablesRead(now time.Time) bool {
+func (g *Gateway) tablesRead() bool {
+	now := g.cfg.LeaseNow()
 	_, entriesRead := g.entryFollower.Age(now)
 	_, quarantineRead := g.quarantineFollower.Age(now)
 	return entriesRead && quarantineRead
@@ -247,14 +248,14 @@
 }
 
 func (g *Gateway) updateGauges() {
-	now := g.cfg.Now()
+	now, steady := g.cfg.Now(), g.cfg.LeaseNow()
 	g.metrics.Gauge("requests_open", g.openRequests.Load())
 	g.metrics.Gauge("store_era", int64(g.cfg.Store.Era()))
 	for name, f := range map[string]*follower.Follower{"config": g.configFollower, "upstreams": g.upstreamFollower, "entries": g.entryFollower, "quarantine": g.quarantineFollower} {
-		if age, known := f.Age(now); known {
+		if age, known := f.Age(steady); known {
 			g.metrics.Gauge("store_age_ms_"+name, age.Milliseconds())
 		}
-		if status, known := f.Status(g.cfg.LeaseNow(), false); known {
+		if status, known := f.Status(steady, false); known {
 			g.metrics.Gauge("confirmed_age_ms_"+name, status.Age.Milliseconds())
 		}
 	}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,11 +19,13 @@
 	// slowUpstreamPollInterval is the time between two reads of the list of upstreams
 	// by an entry that receives its changes from relays.
 	slowUpstreamPollInterval = time.Minute
-	// An entry reads the list itself when the relay that sends it has not read it for
-	// these shares of Config.MaxLeavingDelay: the other relay of the group before the
-	// members, so that it goes on sending the changes.
+	// An entry reads the list itself when it was not confirmed for these shares of
+	// Config.MaxLeavingDelay: the other relay of the group before the members, so that it
+	// goes on sending the changes. If that read gets no answer for listCheckShare, a check
+	// over another connection asks.
 	relayListShare  = 0.45
 	memberListShare = 0.5
+	listCheckShare  = 0.7
 	// listPollShare is the share for which a relay's poll waits for changes. With the
 	// pause between polls it is below relayListShare.
 	listPollShare  = 0.125
@@ -70,24 +73,65 @@
 	return messages[max(0, len(messages)-maxChunks):]
 }
 
-// listSource is a relay that sends changes of the list of upstreams.
+// maxEarlyChanges bounds the changes of a relay that are remembered although an earlier one
+// is missing.
+const maxEarlyChanges = 1024
+
+// listSource is what this entry has of the changes of the list of upstreams that a relay
+// numbers, in one series: since the start of its process and its last read of the whole
+// list.
 type listSource struct {
-	boot uint64
-	// readAt is when it last read the list, lastChange the number of its last change
-	// that was received.
-	readAt     time.Time
-	lastChange uint64
-	// requiredVersion is the store version that this entry's own list must have
-	// reached, because this entry missed changes from the relay.
-	requiredVersion provider.Version
+	boot, snapshots uint64
+	// This entry's list has all changes up to complete, unless joined is false: then
+	// nothing is known of those before the first message. early are later ones that it has.
+	joined   bool
+	complete uint64
+	early    map[uint64]bool
+}
+
+// receive records the changes of a message, which were applied, and returns whether this
+// entry's list has all changes up to the message's LastChange. known is the version up to
+// which it has all changes of the store.
+func (s *listSource) receive(message peerMessage, known provider.Version) bool {
+	if s.boot != message.Boot || s.snapshots != message.ListSnapshots {
+		*s = listSource{boot: message.Boot, snapshots: message.ListSnapshots}
+	}
+	if known >= message.ListVersion {
+		s.joined, s.complete = true, max(s.complete, message.LastChange)
+	}
+	if s.early == nil || len(s.early) > maxEarlyChanges {
+		s.early = map[uint64]bool{}
+	}
+	for i := range uint64(len(message.ListChanges)) {
+		s.early[message.LastChange-i] = true
+	}
+	for s.early[s.complete+1] {
+		s.complete++
+	}
+	maps.DeleteFunc(s.early, func(number uint64, _ bool) bool { return number <= s.complete })
+	return s.joined && s.complete >= message.LastChange
 }
 
-// receiveList applies the changes of the list of upstreams in a relay's message and
-// detects missed ones.
+// receiveList applies the changes of the list of upstreams in a relay's message. If this
+// entry has all changes of the relay, its list is as complete as the relay's was when the
+// message was sent.
 func (g *Gateway) receiveList(now time.Time, message peerMessage) {
 	if message.Kind != kindOthers && message.Kind != kindUpstreams {
 		return
 	}
+	if len(message.ListChanges) > 0 {
+		rows := make([]provider.StoreRow, 0, len(message.ListChanges))
+		for _, row := range message.ListChanges {
+			rows = append(rows, provider.StoreRow{
+				Table: g.cfg.Tables.Upstreams, Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted,
+			})
+		}
+		g.upstreamFollower.Update(now, rows)
+	}
+	status, read := g.upstreamFollower.Status(g.cfg.LeaseNow(), false)
+	if !read {
+		return
+	}
 	st := g.state
 	st.mu.Lock()
 	source, known := st.listSources[message.ID]
@@ -95,27 +139,13 @@
 		source = &listSource{}
 		st.listSources[message.ID] = source
 	}
-	if source.boot != message.Boot {
-		source.boot, source.lastChange, source.requiredVersion = message.Boot, message.LastChange, message.ListVersion
-	}
-	if message.LastChange > source.lastChange+uint64(len(message.ListChanges)) {
-		source.requiredVersion = max(source.requiredVersion, message.ListVersion)
-	}
-	source.lastChange = max(source.lastChange, message.LastChange)
-	if message.Kind == kindOthers {
-		source.readAt = now.Add(-time.Duration(message.ListAgeMS) * time.Millisecond)
-	}
+	hasAll := source.receive(message, status.Complete)
 	st.mu.Unlock()
-	if len(message.ListChanges) == 0 {
-		return
-	}
-	rows := make([]provider.StoreRow, 0, len(message.ListChanges))
-	for _, row := range message.ListChanges {
-		rows = append(rows, provider.StoreRow{
-			Table: g.cfg.Tables.Upstreams, Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted,
-		})
+	sentAfter, dated := message.Echo.sentAfter(g.boot)
+	age := time.Duration(message.ListAgeMS) * time.Millisecond
+	if message.Kind == kindOthers && message.ListSnapshots > 0 && hasAll && dated && age > 0 {
+		g.upstreamFollower.Confirm(sentAfter.Add(-age), message.ListComplete)
 	}
-	g.upstreamFollower.Update(now, rows)
 }
 
 // listPollTimeout returns how long a poll of the list may wait for changes. It is
@@ -131,42 +161,31 @@
 	return upstreamPollTimeout
 }
 
-// relaysSendList reports whether a relay sends the changes of the list of upstreams in
-// time and this entry has missed none, so that it need not poll the list often.
+// relaysSendList reports whether this entry need not poll the list of upstreams soon, as a
+// relay sends its changes and the list was confirmed a short time ago.
 func (g *Gateway) relaysSendList(now time.Time) bool {
+	status, read := g.upstreamFollower.Status(g.cfg.LeaseNow(), false)
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	share := memberListShare
-	if st.plan.IsRelay {
-		if st.readsList(now) {
-			return false
-		}
+	switch {
+	case st.plan.IsRelay && st.readsList(now), len(st.plan.Relays) == 0:
+		return false
+	case st.plan.IsRelay:
 		share = relayListShare
 	}
-	version := g.upstreamFollower.Version()
-	for _, source := range st.listSources {
-		if now.Sub(source.readAt) < time.Duration(share*float64(g.cfg.MaxLeavingDelay)) && version > 0 && version >= source.requiredVersion {
-			return true
-		}
-	}
-	return false
+	return read && status.Age < time.Duration(share*float64(g.cfg.MaxLeavingDelay))
 }
 
 // listAge returns the time since the store last confirmed the list of upstreams, to this
-// entry or to a relay of which it has missed no change. The lock must be held.
-func (g *Gateway) listAge(now time.Time) time.Duration {
-	age, read := g.upstreamFollower.Age(now)
+// entry or to a relay all of whose changes it has.
+func (g *Gateway) listAge() time.Duration {
+	status, read := g.upstreamFollower.Status(g.cfg.LeaseNow(), false)
 	if !read {
 		return 0
 	}
-	version := g.upstreamFollower.Version()
-	for _, source := range g.state.listSources {
-		if version >= source.requiredVersion {
-			age = min(age, now.Sub(source.readAt))
-		}
-	}
-	return age
+	return status.Age
 }
 
 // readsList reports whether this relay is the one of its group that reads the list of
--- a/internal/gateway/listmodel_test.go
+++ b/internal/gateway/listmodel_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenahitch/galenahitch/internal/emulator"
+	"github.com/galenahitch/galenahitch/internal/follower"
 	"github.com/galenahitch/galenahitch/internal/provider"
 )
 
@@ -196,7 +198,10 @@
 				m.again = append(m.again, fmt.Sprintf("%s lists %s again %v after it was gone", e.g.cfg.ID, id, now.Sub(at)))
 			}
 			if late := now.Sub(at); late > e.g.cfg.MaxLeavingDelay && now.Sub(e.startedAt) > e.g.cfg.MaxLeavingDelay {
-				m.late = append(m.late, fmt.Sprintf("%s lists %s %v after it was gone", e.g.cfg.ID, id, late))
+				own, _ := e.g.upstreamFollower.Status(now, true)
+				all, _ := e.g.upstreamFollower.Status(now, false)
+				row := st.upstreams[id].RowVersion
+				m.late = append(m.late, fmt.Sprintf("%s lists %s (row %d) %v after it was gone; up for %v, relay %t, stopping %t, own copy %d of %v ago, complete to %d as of %v ago", e.g.cfg.ID, id, row, late, now.Sub(e.startedAt), st.plan.IsRelay, e.g.stopping.Load(), own.Complete, own.Age, all.Complete, all.Age))
 			}
 		}
 		st.mu.Unlock()
@@ -251,3 +256,43 @@
 		})
 	}
 }
+
+// A relay's message that waited in the socket of a paused or busy process made the list
+// younger than it was: its age counted from its arrival.
+func TestAgeOfTheListCountsFromBeforeTheMessageWasSent(t *testing.T) {
+	c := newCluster(t, 40)
+	for _, g := range c.entries {
+		g.cfg.Decoder, g.state.cfg.Decoder = listDecoder{}, listDecoder{}
+	}
+	c.rounds(4)
+	read := func(g *Gateway) {
+		readTable(t, &g.upstreamFollower, g, follower.Config{Table: "upstreams", Apply: g.state.applyUpstreamRows}, provider.Page{Version: 5})
+	}
+	member := c.entries[38]
+	relay := c.entries[c.byAddress[member.state.peers[member.state.plan.Relays[0]].address]]
+	read(member)
+	read(relay)
+	age := func() time.Duration {
+		status, _ := member.upstreamFollower.Status(c.clock.now, false)
+		return status.Age
+	}
+	c.rounds(5)
+	require.Less(t, age(), 8*gossipInterval, "the relay confirms it")
+	read(relay)
+	var waiting []peerMessage
+	for _, envelope := range relay.roundMessages(c.clock.now) {
+		if slices.Contains(envelope.Receivers, member.cfg.PeerListen) {
+			waiting = append(waiting, envelope.Message)
+		}
+	}
+	const pause = 5 * time.Second
+	c.clock.advance(pause)
+	for _, message := range waiting {
+		member.receive(c.clock.now, netip.AddrPort{}, message)
+	}
+	require.GreaterOrEqual(t, age(), pause)
+	require.Less(t, age(), pause+3*gossipInterval)
+	member.boot++
+	c.rounds(1)
+	require.GreaterOrEqual(t, age(), pause, "stamps of an earlier process date nothing")
+}
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -70,7 +70,7 @@
 	g.state.mu.Lock()
 	factor := g.state.memberIntervalFactor()
 	g.state.mu.Unlock()
-	age, _ := g.entryFollower.Age(now)
+	age, _ := g.entryFollower.Age(g.cfg.LeaseNow())
 	return factor > 1 && age < memberRowInterval*factor && now.Sub(g.startedAt) > memberPollInterval+time.Second
 }
 
@@ -147,7 +147,7 @@
 		if p.detector.LastReceived().IsZero() {
 			silent = now.Sub(p.rowReadAt)
 		}
-		age, everRead := g.entryFollower.Age(now)
+		age, everRead := g.entryFollower.Age(g.cfg.LeaseNow())
 		if silent > rowTimeout && everRead && age < rowTimeout/2 && now.Sub(p.rowReadAt) > rowTimeout {
 			g.removePeer(now, id, "no messages received and its row is no longer written")
 		}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -57,14 +57,19 @@
 	Capacity float64  `cbor:"16,keyasint,omitempty"`
 	// UsageRecords are keyed by processName.
 	UsageRecords map[string]usageRecord `cbor:"17,keyasint,omitempty"`
-	// ListChanges are the latest changes of the list of upstreams. LastChange
-	// is the number of the last one, counted from the start of the sender's
-	// process. ListAgeMS is how long ago the sender read the list, ListVersion
-	// the store version that its list reflects.
+	// ListChanges are the latest changes of the list of upstreams. LastChange is the
+	// number of the last one, counted from the start of the sender's process. None of
+	// the changes up to it is newer than the store version ListVersion.
 	ListChanges []listRow        `cbor:"18,keyasint,omitempty"`
 	LastChange  uint64           `cbor:"21,keyasint,omitempty"`
-	ListAgeMS   int64            `cbor:"19,keyasint,omitempty"`
 	ListVersion provider.Version `cbor:"22,keyasint,omitempty"`
+	// ListAgeMS is at least the time since the store confirmed to the sender that its
+	// list has all changes up to the version ListComplete, and that there were no others.
+	// ListSnapshots is how often the sender has read the whole list: deletions before the
+	// last time may have no number. All three are zero if it has never read it.
+	ListAgeMS     int64            `cbor:"19,keyasint,omitempty"`
+	ListComplete  provider.Version `cbor:"26,keyasint,omitempty"`
+	ListSnapshots uint64           `cbor:"27,keyasint,omitempty"`
 	// Moves are keyed by deployment.
 	Moves map[string]moveUpdate `cbor:"20,keyasint,omitempty"`
 	// CrashRecords are new crash records of this entry and of others.
@@ -73,6 +78,28 @@
 	Tables map[sharedTable]tableStatus `cbor:"24,keyasint,omitempty"`
 	// Renewal is the last renewal of the leader's lease that the sender knows of.
 	Renewal *leaseRenewal `cbor:"25,keyasint,omitempty"`
+	// StampMS is the time of the sender's steady clock, in milliseconds, in messages about
+	// itself to its relays. Echo repeats the last stamp of the receiver.
+	StampMS int64 `cbor:"28,keyasint,omitempty"`
+	Echo    *echo `cbor:"29,keyasint,omitempty"`
+}
+
+// echo repeats the stamp of a process, which the sender received HeldMS ago.
+type echo struct {
+	_       struct{} `cbor:",toarray"`
+	Boot    uint64
+	StampMS int64
+	HeldMS  int64
+}
+
+// sentAfter returns a time of this process's steady clock before which the message was not
+// sent, however long it was on its way or waited here. It returns false if the sender has
+// received no stamp of this process.
+func (e *echo) sentAfter(boot uint64) (time.Time, bool) {
+	if e == nil || e.Boot != boot {
+		return time.Time{}, false
+	}
+	return time.UnixMilli(e.StampMS + e.HeldMS), true
 }
 
 // leaseRenewal is a leaser.Renewal in a message. The renewal is at least AgeMS old.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,10 +35,29 @@
 	// usageReceivedAt is the time up to which its counts of usage were received.
 	usageReceivedAt time.Time
 	detector        aggregator.FailureDetector
+	// stampMS is its newest stamp, received at stampReceivedAt of the steady clock.
+	stampMS         int64
+	stampReceivedAt time.Time
 	// stopping reports that its process is stopping.
 	stopping bool
 }
 
+// recordStamp records the stamp of a message. now is a time of the steady clock.
+func (p *peer) recordStamp(now time.Time, message peerMessage) {
+	if message.StampMS > 0 && (message.Boot != p.boot || message.StampMS > p.stampMS) {
+		p.stampMS, p.stampReceivedAt = message.StampMS, now
+	}
+}
+
+// echo returns what repeats the newest stamp of the peer, nil if there is none. now is a
+// time of the steady clock.
+func (p *peer) echo(now time.Time) *echo {
+	if p.stampMS == 0 {
+		return nil
+	}
+	return &echo{Boot: p.boot, StampMS: p.stampMS, HeldMS: now.Sub(p.stampReceivedAt).Milliseconds()}
+}
+
 // receivedMessage is the newest message about one entry, a group of entries, or all
 // other entries.
 type receivedMessage struct {
@@ -94,6 +113,7 @@
 	if message.Kind == kindMember || message.Kind == kindGroup && message.Group == message.ID {
 		p.usageReceivedAt = now
 	}
+	p.recordStamp(g.cfg.LeaseNow(), message)
 	p.boot, p.address, p.domain, p.capacity = message.Boot, message.Address, message.Domain, message.Capacity
 	p.detector.Received(now)
 	p.stopping = message.Stopping
@@ -298,11 +318,8 @@
 		return envelopes
 	}
 	aggregated := st.aggregateReceived(now, own)
-	age, everRead := g.upstreamFollower.Age(now)
-	if !everRead {
-		age = time.Hour
-	}
-	aggregated.listAge, aggregated.listVersion = age, max(g.upstreamFollower.Version(), st.maxChangeVersion)
+	aggregated.list, _ = g.upstreamFollower.Status(g.cfg.LeaseNow(), true)
+	listVersion := max(aggregated.list.Complete, st.maxChangeVersion)
 	if len(st.plan.Members) > 0 {
 		aggregated.tables = g.tableStatuses(true)
 	}
@@ -312,11 +329,12 @@
 	}
 	envelopes = append(envelopes, gossiper.Envelope[peerMessage]{Receivers: st.peerAddresses(relays), Message: aggregated.groupMessage(st.plan, own)})
 	for _, message := range st.listMessages(now) {
-		message.ID, message.Boot, message.ListVersion = own.ID, own.Boot, aggregated.listVersion
+		message.ListSnapshots = aggregated.list.Snapshots
+		message.ID, message.Boot, message.ListVersion = own.ID, own.Boot, listVersion
 		envelopes = append(envelopes, gossiper.Envelope[peerMessage]{Receivers: st.peerAddresses(st.plan.Members), Message: message})
 	}
 	for _, id := range st.plan.Members {
-		envelopes = append(envelopes, gossiper.Envelope[peerMessage]{Receivers: st.peerAddresses([]string{id}), Message: aggregated.memberMessage(st, own, id)})
+		envelopes = append(envelopes, gossiper.Envelope[peerMessage]{Receivers: st.peerAddresses([]string{id}), Message: aggregated.memberMessage(st, own, id, g.cfg.LeaseNow())})
 	}
 	return append(envelopes, st.usageMessages(now, own)...)
 }
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -55,7 +55,7 @@
 // no more than half of its part in a window, besides that of the first process, and one
 // that started with the others gets little until it knows them. The lock must be held.
 func (g *Gateway) retryAllowance(now time.Time) (allowance float64, members int) {
-	if _, read := g.entryFollower.Age(now); !read {
+	if _, read := g.entryFollower.Age(g.cfg.LeaseNow()); !read {
 		return 0, 0
 	}
 	st := g.state
@@ -81,7 +81,7 @@
 		g.metrics.Count("retries_over_budget")
 		line := g.cfg.Log.Info().Str("event", "retry_refused").Str("request_id", requestID).Str("deployment", deployment).Int("members", members)
 		if ok {
-			age, _ := g.entryFollower.Age(now)
+			age, _ := g.entryFollower.Age(g.cfg.LeaseNow())
 			line = line.Float64("allowance", budget.Allowance).Float64("ratio", budget.Ratio).Dur("entries_age", age)
 		}
 		line.Send()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -233,9 +233,9 @@
 			if known {
 				st.recordRemoval(now, old)
 				delete(st.upstreams, row.Key)
-				st.recordListChange(now, row)
 				st.log.Info().Str("event", "upstream_gone").Str("upstream", old.ID).Uint64("row_version", row.Version.Number()).Send()
 			}
+			st.recordListChange(now, row)
 			continue
 		}
 		u, err := st.cfg.Decoder.Upstream(row.Key, row.Value)
