internal/pooler: a failure without an ID is no response to a request on a kept connection

Cause: a failure without an ID counted as the response to whatever was asked last. Now only the first response on a connection may lack the ID; after that it is an error that says the request may have run, and the connection is closed. With an ID it was passed over before, as a response to another request.

--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -177,7 +177,8 @@
 	return int(sent), err
 }
 
-// receive reads responses until one has the ID of the request.
+// receive reads responses until one has the ID of the request. A failure without an ID may
+// be that of a request before, unless it is the first response on the connection.
 func (c *conn) receive(request Request, idHeader string) (*http.Response, error) {
 	c.limiter.left = maxHeadBytes
 	for range maxForeignResponses {
@@ -186,8 +187,13 @@
 			return nil, err
 		}
 		id := response.Header.Get(idHeader)
-		if id == request.ID || id == "" && response.StatusCode >= http.StatusBadRequest {
+		switch {
+		case id == request.ID:
 			return response, nil
+		case id == "" && response.StatusCode >= http.StatusBadRequest && c.usedAt.IsZero():
+			return response, nil
+		case id == "" && response.StatusCode >= http.StatusBadRequest:
+			return nil, judge.Errorf(judge.MayHaveRun, "an answer without an ID, with status %d, on a kept connection", response.StatusCode)
 		}
 		if err := c.skipForeign(response, id); err != nil {
 			return nil, err
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -157,6 +157,62 @@
 	}
 }
 
+// refusal is a response that says that its request has not run.
+func refusal(id string) string {
+	head := ""
+	if id != "" {
+		head = "X-Id: " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\n" + head + "X-Refused: 1\r\nContent-Length: 4\r\n\r\nfull"
+}
+
+// An upstream wrote an earlier refusal once more on a kept connection, and the next request,
+// which it ran, counted as refused.
+func TestRepeatedRefusalsAreNotThoseOfTheNextRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second string
+		want          string
+		err           bool
+	}{
+		"before its response":               {first: refusal("1"), second: refusal("1") + response("2", "two"), want: "two"},
+		"in place of its response":          {first: refusal("1"), second: refusal("1") + "CLOSE", err: true},
+		"without an id":                     {first: refusal(""), second: refusal("") + response("2", "two"), err: true},
+		"without an id, after one with":     {first: refusal("1"), second: refusal("") + response("2", "two"), err: true},
+		"without an id, after a success":    {first: response("1", "one"), second: refusal("") + response("2", "two"), err: true},
+		"right after itself":                {first: refusal("1") + refusal("1"), second: response("2", "two"), want: "two"},
+		"right after itself, without an id": {first: refusal("") + refusal(""), second: response("2", "two"), want: "two"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startUpstream(t, []string{c.first, c.second}, []string{response("2", "two")})
+			p := newPool()
+			_, err := send(t, p, address, "1")
+			require.NoError(t, err)
+			got, err := send(t, p, address, "2")
+			if c.err {
+				require.Error(t, err, "%q", got)
+				require.Equal(t, judge.MayHaveRun, judge.VerdictOf(err))
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.want, got)
+		})
+	}
+}
+
+// An upstream stopped in the middle of the head of its response and closed the connection.
+func TestHeadsThatBreakOffAreNoResponses(t *testing.T) {
+	whole := response("1", "one")
+	head := strings.Index(whole, "\r\n\r\n") + 4
+	for _, end := range []string{"CLOSE", "RESET"} {
+		for sent := range head {
+			address, _ := startUpstream(t, []string{whole[:sent] + end})
+			got, err := send(t, newPool(), address, "1")
+			require.Error(t, err, "%q: %q", whole[:sent], got)
+			require.Equal(t, judge.MayHaveRun, judge.VerdictOf(err))
+		}
+	}
+}
+
 // The rest of a large response to another request was read as the next response.
 func TestLargeForeignResponsesEndTheExchange(t *testing.T) {
 	forged := strings.Repeat("x", 1<<20) + response("1", "forged")
