internal/dispatcher: a refusal counts only for the attempt that it names

Cause: a refusal was accepted before the ids of its request and attempt were compared. Now it has to repeat both, or neither on a new connection; otherwise the request may have run, and the kept connections are closed. The emulated upstreams name the attempt in a refusal.

--- a/internal/dispatcher/broken_test.go
+++ b/internal/dispatcher/broken_test.go
@@ -121,6 +121,46 @@
 	}
 }
 
+// An upstream wrote an earlier refusal once more on a kept connection, and the next request,
+// which it ran, counted as refused.
+func TestRepeatedRefusalsAreNotThoseOfTheNextRequest(t *testing.T) {
+	refusal := func(ids string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + ids + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	const first, other = "X-Request-Id: r\r\nX-Attempt: 1\r\n", "X-Request-Id: r\r\nX-Attempt: 2\r\n"
+	for name, c := range map[string]struct{ first, second string }{
+		"of another attempt": {first: refusal(first), second: refusal(first)},
+		"without ids":        {first: refusal(""), second: refusal("")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			requests := 0
+			server, err := emulator.NewRaw(func(conn net.Conn, _ *http.Request) bool {
+				requests++
+				response := c.first
+				if requests > 1 {
+					response = c.second
+				}
+				_, err := conn.Write([]byte(response))
+				return err == nil
+			})
+			require.NoError(t, err)
+			defer server.Close()
+			h := dispatcher.NewHTTP(dispatcher.Config{})
+			defer h.Close()
+			target := dispatcher.Target{ID: "u", Address: server.Address()}
+			_, err = h.Generate(context.Background(), target, dispatcher.Attempt{RequestID: "r", Number: 1, Body: []byte("{}")})
+			require.Equal(t, judge.NotRun, judge.VerdictOf(err), "%v", err)
+			_, err = h.Generate(context.Background(), target, dispatcher.Attempt{RequestID: "r", Number: 2, Body: []byte("{}")})
+			require.Equal(t, judge.MayHaveRun, judge.VerdictOf(err), "%v", err)
+		})
+	}
+	target := serveRaw(t, func(*http.Request) ([]byte, bool) { return []byte(refusal(other)), false })
+	h := dispatcher.NewHTTP(dispatcher.Config{})
+	defer h.Close()
+	_, err := h.Generate(context.Background(), target, dispatcher.Attempt{RequestID: "r", Number: 2, Body: []byte("{}")})
+	require.Equal(t, judge.NotRun, judge.VerdictOf(err), "%v", err)
+}
+
 // allocated returns the memory that f allocates, in MiB. Nothing else may run.
 func allocated(f func()) int {
 	var before, after runtime.MemStats
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -104,11 +104,25 @@
 	h.reportSignals(target, resp)
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotRun) != "" {
 		resp.Body.Close()
+		if !refuses(resp, req, reused.Load()) {
+			// The response to this request may still arrive on the connection.
+			h.CloseIdle()
+			return nil, judge.Errorf(judge.MayHaveRun, "%s refused another request", req.URL.Host)
+		}
 		return nil, judge.Errorf(judge.NotRun, "%s refused the request", req.URL.Host)
 	}
 	return resp, nil
 }
 
+// refuses reports whether a refusal is that of the request: it repeats its attempt, or
+// repeats none and is the first response on its connection.
+func refuses(refusal *http.Response, req *http.Request, reused bool) bool {
+	if refusal.Header.Get(headerRequestID) == "" {
+		return !reused
+	}
+	return refusal.Header.Get(headerRequestID) == req.Header.Get(headerRequestID) && refusal.Header.Get(headerAttempt) == req.Header.Get(headerAttempt)
+}
+
 // OnSignals sets the function that receives the signals of upstreams.
 func (h *HTTP) OnSignals(handle func(Target, Signals)) { h.signals.Store(&handle) }
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -202,7 +202,7 @@
 		return
 	}
 	if f.Refuse {
-		writeNotRun(w, f)
+		writeNotRun(w, r, f)
 		return
 	}
 	if f.Fail {
@@ -213,7 +213,10 @@
 }
 
 // writeNotRun writes the response that confirms that the request was not run.
-func writeNotRun(w http.ResponseWriter, f UpstreamFaults) {
+func writeNotRun(w http.ResponseWriter, r *http.Request, f UpstreamFaults) {
+	for _, name := range []string{"X-Request-Id", "X-Attempt"} {
+		w.Header().Set(name, r.Header.Get(name))
+	}
 	w.Header().Set("X-Not-Run", "1")
 	if f.RetryAfterMS > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(f.RetryAfterMS)/1000, 'f', 3, 64))
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -48,7 +48,7 @@
 	f := s.begin(route)
 	defer s.end()
 	if f.Refuse {
-		writeNotRun(w, f)
+		writeNotRun(w, r, f)
 		return
 	}
 	if s.cfg.Crash != nil && strings.Contains(string(body), crashMarker) {
