internal/gateway: a resumed stream goes on with an event that has an id

Cause: any block of lines counted as an event. Only streams whose events have ids are resumed, so the first event of a resumed one must have an id; otherwise the attempt has failed.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -92,6 +92,9 @@
 	// the attempt reads it too.
 	responseStarted bool
 	lastEventID     string
+	// resuming reports that the current attempt resumes the stream and no event of it has
+	// arrived.
+	resuming bool
 	notResumable    atomic.Bool
 	// isSuspect reports that the current attempt is one of a suspect request.
 	isSuspect    bool
@@ -229,6 +232,7 @@
 	c.upstream, c.attemptAt, c.attemptLatency = u, now, 0
 	c.framing, c.receivedBytes, c.partialEventBytes = "", 0, 0
 	c.pauses = mover.Pauses{}
+	c.resuming = c.responseStarted && c.lastEventID != ""
 	ctx, silence := g.watchSilence(ctx, c)
 	defer silence.stop()
 	load := float64(c.request.PromptTokens) / promptTokensPerLoad
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,10 +8,17 @@
 )
 
 // newEvents returns the bytes of events without those that the caller already has, and
-// stores the id of the last one. A stream can't be resumed after an event without an id.
-func (c *call) newEvents(events iter.Seq[splitter.Event]) []byte {
+// stores the id of the last one. A stream can't be resumed after an event without an id,
+// and errNotResumed says that such an event is the first of a resumed stream.
+func (c *call) newEvents(events iter.Seq[splitter.Event]) ([]byte, error) {
 	var kept []byte
 	for event := range events {
+		if c.resuming && event.HasFields {
+			if event.ID == "" {
+				return nil, errNotResumed
+			}
+			c.resuming = false
+		}
 		if event.ID != "" && c.alreadySent(event.ID) {
 			continue
 		}
@@ -23,7 +30,7 @@
 		}
 		kept = append(kept, event.Bytes...)
 	}
-	return kept
+	return kept, nil
 }
 
 // alreadySent reports whether an event is not newer than the last one that was sent.
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -44,7 +44,9 @@
 				n := rapid.IntRange(1, len(rest)).Draw(t, "read")
 				s.Write(rest[:n])
 				rest = rest[n:]
-				got = append(got, c.newEvents(s.Events())...)
+				kept, err := c.newEvents(s.Events())
+				require.NoError(t, err)
+				got = append(got, kept...)
 			}
 			if from <= events {
 				from = rapid.IntRange(1, max(1, len(got)/len("id: 01\ndata: x\n\n")+1)).Draw(t, "resumes")
@@ -56,8 +58,18 @@
 
 func TestEventsWithoutNumbers(t *testing.T) {
 	c := &call{}
-	require.Equal(t, ": ping\n\ndata: x\n\n", string(c.newEvents(eventsOf(": ping\n\ndata: x\n\n"))))
+	newEvents := func(stream string) string {
+		kept, err := c.newEvents(eventsOf(stream))
+		require.NoError(t, err)
+		return string(kept)
+	}
+	require.Equal(t, ": ping\n\ndata: x\n\n", newEvents(": ping\n\ndata: x\n\n"))
 	require.Empty(t, c.lastEventID)
-	require.Equal(t, "id: a\n\n", string(c.newEvents(eventsOf("id: a\n\nid: a\n\n"))))
+	require.Equal(t, "id: a\n\n", newEvents("id: a\n\nid: a\n\n"))
 	require.Equal(t, "a", c.lastEventID)
+	c.resuming = true
+	require.Equal(t, ": ping\n\nid: b\n\n", newEvents(": ping\n\nid: b\n\n"))
+	c.resuming = true
+	_, err := c.newEvents(eventsOf("error\n\nid: c\n\n"))
+	require.ErrorIs(t, err, errNotResumed)
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -78,7 +78,7 @@
 func truncatedResponse(ctx context.Context, response *pooler.Response, err error) *failure {
 	f := brokenResponse(ctx, err)
 	framed := response.Framing != pooler.FramingClose
-	faulty := errors.Is(err, errPartialEvent) || errors.Is(err, errEventTooLarge) || pooler.IsTooLarge(err)
+	faulty := errors.Is(err, errPartialEvent) || errors.Is(err, errEventTooLarge) || errors.Is(err, errNotResumed) || pooler.IsTooLarge(err)
 	f.connectionBroke = ctx.Err() == nil && !(faulty && framed)
 	response.Distrust()
 	return f
@@ -120,6 +120,7 @@
 var (
 	errPartialEvent  = judge.Errorf(judge.MayHaveRun, "the stream ended inside an event")
 	errEmptyStream   = judge.Errorf(judge.MayHaveRun, "the connection ended before the first byte of the stream")
+	errNotResumed    = judge.Errorf(judge.MayHaveRun, "the stream goes on with an event without an id")
 	errEventTooLarge = judge.Errorf(judge.MayHaveRun, "an event of the stream is larger than %d bytes", maxEventBytes)
 )
 
@@ -158,9 +159,12 @@
 		r.silence.progress()
 		c.receivedBytes += int64(n)
 		events.Write(chunk[:n])
-		toSend := c.newEvents(events.Events())
+		toSend, eventErr := c.newEvents(events.Events())
 		c.partialEventBytes = events.Pending()
-		if err == io.EOF {
+		switch {
+		case eventErr != nil:
+			err = eventErr
+		case err == io.EOF:
 			rest, ended := events.End()
 			switch {
 			case !ended:
