internal/gateway: late messages of an entry that stops do not make it a member again

A message that an entry had sent before it began to stop, and that arrived after its row was deleted, added it to the members for up to 100 s, so that quotas and retry budgets were shared by too many; one that arrived earlier made the stopping entry a relay again. The process that said that it stops is remembered by entry.

Evidence: TestLateMessagesOfAnEntryThatStops failed before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -94,8 +94,8 @@
 	lastEventID     string
 	// resuming reports that the current attempt resumes the stream and no event of it has
 	// arrived.
-	resuming bool
-	notResumable    atomic.Bool
+	resuming     bool
+	notResumable atomic.Bool
 	// isSuspect reports that the current attempt is one of a suspect request.
 	isSuspect    bool
 	usageCounted bool
--- a/internal/gateway/membership_test.go
+++ b/internal/gateway/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -44,3 +45,22 @@
 	require.NoError(t, g.writeMemberRow(context.Background(), 4))
 	require.Contains(t, string(store.rows["entries/e1"].Value), `"sequence":4`)
 }
+
+// A message that an entry had sent before it began to stop arrived late: the entry was a relay
+// again, or counted as a member after its row was deleted.
+func TestLateMessagesOfAnEntryThatStops(t *testing.T) {
+	g, clock := newGateway(t, nil)
+	before := peerMessage{ID: "e2", Boot: 7, Address: "10.0.0.2:7600", Kind: kindMember, Group: "a"}
+	stops, next := before, before
+	stops.Stopping, next.Boot = true, 8
+	g.receive(clock.now, netip.AddrPort{}, before)
+	g.receive(clock.now, netip.AddrPort{}, stops)
+	g.receive(clock.now, netip.AddrPort{}, before)
+	require.True(t, g.state.peers["e2"].stopping)
+	g.applyMemberRows(clock.now, []provider.StoreRow{{Key: "e2", Deleted: true}})
+	g.receive(clock.now, netip.AddrPort{}, before)
+	require.NotContains(t, g.state.peers, "e2")
+	g.receive(clock.now, netip.AddrPort{}, next)
+	require.Contains(t, g.state.peers, "e2", "its next process")
+	require.False(t, g.state.peers["e2"].stopping)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -98,7 +98,11 @@
 	st.mergeMoves(now, message.Moves)
 	st.mergeRecords(now, message.CrashRecords)
 	g.leader.recordRenewal(g.cfg.LeaseNow(), message.Renewal)
-	if message.Stopping && !known {
+	if message.Stopping {
+		st.stoppingBoots[message.ID] = message.Boot
+	}
+	stopping := st.stoppingBoots[message.ID] == message.Boot
+	if stopping && !known {
 		// The entry finishes its accepted requests and is no longer a member.
 		st.aggregateMessage(now, message)
 		return
@@ -116,7 +120,7 @@
 	p.recordStamp(g.cfg.LeaseNow(), message)
 	p.boot, p.address, p.domain, p.capacity = message.Boot, message.Address, message.Domain, message.Capacity
 	p.detector.Received(now)
-	p.stopping = message.Stopping
+	p.stopping = stopping
 	if !known {
 		st.applyMemberCount(now)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -71,7 +71,9 @@
 	memberPeak       memberPeak
 	demand           map[string]*demand
 	peers            map[string]*peer
-	connectFailedAt  map[string]time.Time
+	// stoppingBoots are the newest processes of entries that said that they stop, by ID.
+	stoppingBoots   map[string]uint64
+	connectFailedAt map[string]time.Time
 	// unreachableDomains are the failure domains that get no requests for now.
 	unreachableDomains map[string]bool
 	// saidSignals are the latest signals of upstreams, by name.
@@ -138,6 +140,7 @@
 		retryBudgets:       map[string]*retrier.Window{},
 		demand:             map[string]*demand{},
 		peers:              map[string]*peer{},
+		stoppingBoots:      map[string]uint64{},
 		aggregator:         aggregator.New(peerTimeout),
 		received:           map[string]receivedMessage{},
 		remoteLoad:         map[uint32]int{},
