internal/follower: an answer that is older than what a peer has confirmed confirms nothing

It is treated like other outdated answers now.

Evidence: TestAnswersOlderThanWhatAPeerConfirmed failed before. What members do with confirmations without a date reads more simply; nothing changes by that.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -355,11 +355,11 @@
 	defer f.mu.Unlock()
 	f.recordRecovery(now)
 	whole := after == 0
-	if page.Version < f.version {
+	if known := max(f.version, f.freshness.complete); page.Version < known {
 		if !whole && page.Version >= after {
 			return nil, pageOvertaken
 		}
-		f.cfg.Log.Warn().Str("event", "store_answer_stale").Str("table", f.cfg.Table).Uint64("version", page.Version.Number()).Uint64("era", page.Version.Era()).Uint64("known", f.version.Number()).Uint64("known_era", f.version.Era()).Send()
+		f.cfg.Log.Warn().Str("event", "store_answer_stale").Str("table", f.cfg.Table).Uint64("version", page.Version.Number()).Uint64("era", page.Version.Era()).Uint64("known", known.Number()).Uint64("known_era", known.Era()).Send()
 		return nil, pageStale
 	}
 	newEra := f.version > 0 && page.Version.Era() > f.version.Era()
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -260,3 +260,34 @@
 	require.NoError(t, f.Run(ctx))
 	require.Equal(t, []string{"+a", "-a", "-x", "+b", "-c", "+e", "-d", "+a", "+e"}, s.applied)
 }
+
+// A peer has confirmed the copy up to a version. An older answer of the store must not make
+// it younger, or change it.
+func TestAnswersOlderThanWhatAPeerConfirmed(t *testing.T) {
+	s := &scriptedStore{t: t, now: time.UnixMilli(1_700_000_000_000), rows: map[string]string{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var f *follower.Follower
+	s.steps = []step{
+		fullTable(5, row("a", 3)),
+		{
+			wantTimeout: pollTimeout, page: provider.Page{Version: 7, Rows: []provider.StoreRow{row("b", 7)}},
+			during: func() {
+				f.Update(s.now, []provider.StoreRow{row("b", 7), deletedRow("b", 8)})
+				f.Confirm(s.now, 9)
+				f.Confirm(s.now.Add(time.Hour), 20)
+			},
+		},
+		{elapsed: time.Second, wantTimeout: pollTimeout, page: provider.Page{Version: 8, Rows: []provider.StoreRow{row("c", 8)}}},
+	}
+	s.done = cancel
+	f = follower.New(follower.Config{
+		Store: s, Table: "servers", PollTimeout: pollTimeout, GracePeriod: gracePeriod, Apply: s.apply, Now: s.clock, Log: zerolog.Nop(),
+		// The store's lock is held during a call.
+		SteadyNow: func() time.Time { return s.now },
+	})
+	require.NoError(t, f.Run(ctx))
+	require.Equal(t, []string{"+a", "-b"}, s.applied)
+	status, _ := f.Status(s.now, false)
+	require.Equal(t, time.Second, status.Age)
+	require.EqualValues(t, 9, status.Complete)
+}
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -136,16 +136,15 @@
 	g.state.mu.Lock()
 	plan := g.state.plan
 	g.state.mu.Unlock()
-	// What a relay states to a member was so when the message was sent at the earliest.
-	now, dated := message.Echo.sentAfter(g.boot)
-	if message.Kind != kindOthers {
-		now, dated = g.cfg.LeaseNow(), true
-	}
+	now := g.cfg.LeaseNow()
 	// Relays state what the store has told them, and only members may rely on what relays
-	// have heard.
+	// have heard. That was so when the message was sent, at the earliest.
 	confirms := message.Kind == kindGroup || slices.Contains(plan.Relays, message.ID)
 	if message.Kind == kindOthers {
-		confirms = !plan.IsRelay
+		sentAfter, dated := message.Echo.sentAfter(g.boot)
+		if confirms = dated && !plan.IsRelay; confirms {
+			now = sentAfter
+		}
 	}
 	for table, f := range g.sharedFollowers() {
 		status, sent := message.Tables[table]
@@ -153,8 +152,8 @@
 			continue
 		}
 		decoded := status.decode()
-		if !confirms || !dated {
-			now, decoded.Age = g.cfg.LeaseNow(), unconfirmedAge
+		if !confirms {
+			decoded.Age = unconfirmedAge
 		}
 		f.Observe(now, decoded)
 	}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -82,7 +82,7 @@
 // list.
 type listSource struct {
 	boot, snapshots uint64
-	// This entry's list has all changes up to complete, unless joined is false: then
+	// This entry's list has all changes up to complete, if joined is true; before that
 	// nothing is known of those before the first message. early are later ones that it has.
 	joined   bool
 	complete uint64
