internal/gateway: a relay that has just started does not confirm older lists of others

Cause: relays of other groups tell the newest change of the list that they have. One that had just started had seen none, so whatever another entry had was up to that.

Change: what a relay states includes the version at which it last read the whole list. In groups with members the list is confirmed only by the group's own relays, whose messages can be dated. A series of numbered changes is named by that version too.

Evidence: TestRelaysThatStartDoNotConfirmOlderLists, at 9 and 40 entries, failed before.

--- a/internal/follower/freshness.go
+++ b/internal/follower/freshness.go
@@ -34,9 +34,9 @@
 	Complete provider.Version
 	// Age is the time since the copy was confirmed.
 	Age time.Duration
-	// Snapshots is how often the table was read as a whole: deletions before that may be
-	// missing in the changes that were applied.
-	Snapshots uint64
+	// Snapshot is the version at which the table was last read as a whole: changes up to
+	// it may be missing in those that were applied.
+	Snapshot provider.Version
 }
 
 // freshness is what a follower knows of how up to date its copy is. Times are of the
@@ -47,7 +47,7 @@
 	// peer. ownComplete leaves peers out.
 	complete, ownComplete provider.Version
 	completeAt            time.Time
-	snapshots             uint64
+	snapshot              provider.Version
 	// confirmedAt is a time at which the store had no change that the copy lacks, as the
 	// store has answered here or to a peer. ownConfirmedAt leaves peers out.
 	confirmedAt, ownConfirmedAt time.Time
@@ -82,7 +82,7 @@
 	s.ownConfirmedAt = later(s.ownConfirmedAt, at)
 	s.ownComplete = page.Version
 	if after == 0 {
-		s.snapshots++
+		s.snapshot = page.Version
 	}
 }
 
@@ -188,7 +188,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &f.freshness
-	status, confirmedAt := Status{Newest: s.newest, Complete: s.complete, Snapshots: s.snapshots}, s.confirmedAt
+	status, confirmedAt := Status{Newest: s.newest, Complete: s.complete, Snapshot: s.snapshot}, s.confirmedAt
 	if own {
 		status.Complete, confirmedAt = s.ownComplete, s.ownConfirmedAt
 	}
--- a/internal/gateway/aggregate.go
+++ b/internal/gateway/aggregate.go
@@ -134,8 +134,8 @@
 	message.Tables = a.tables
 	message.StampMS, message.Echo = 0, st.peers[id].echo(steady)
 	message.LastChange, message.ListVersion = st.lastChange, max(a.list.Complete, st.maxChangeVersion)
-	if a.list.Snapshots > 0 {
-		message.ListAgeMS, message.ListComplete, message.ListSnapshots = a.list.Age.Milliseconds()+1, a.list.Complete, a.list.Snapshots
+	if a.list.Snapshot > 0 {
+		message.ListAgeMS, message.ListComplete, message.ListSnapshot = a.list.Age.Milliseconds()+1, a.list.Complete, a.list.Snapshot
 	}
 	for domain := range a.all.domains {
 		message.Domains = append(message.Domains, domain)
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -123,8 +123,9 @@
 			continue
 		}
 		if table == upstreamTable {
-			// Most rows of the list change in ways that do not matter to others.
-			status.Newest = st.maxChangeVersion
+			// Most rows of the list change in ways that do not matter to others. What changed
+			// before the whole list was read is not known.
+			status.Newest = max(st.maxChangeVersion, status.Snapshot)
 		}
 		statuses[table] = tableStatus{Newest: status.Newest, AgeMS: status.Age.Milliseconds() + 1}
 	}
@@ -152,7 +153,9 @@
 			continue
 		}
 		decoded := status.decode()
-		if !confirms {
+		// In groups with members the list is confirmed by the relay that reads it, in
+		// messages whose time is known.
+		if !confirms || table == upstreamTable && len(plan.Relays) > 0 {
 			decoded.Age = unconfirmedAge
 		}
 		f.Observe(now, decoded)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -81,7 +81,8 @@
 // numbers, in one series: since the start of its process and its last read of the whole
 // list.
 type listSource struct {
-	boot, snapshots uint64
+	boot     uint64
+	snapshot provider.Version
 	// This entry's list has all changes up to complete, if joined is true; before that
 	// nothing is known of those before the first message. early are later ones that it has.
 	joined   bool
@@ -93,8 +94,8 @@
 // entry's list has all changes up to the message's LastChange. known is the version up to
 // which it has all changes of the store.
 func (s *listSource) receive(message peerMessage, known provider.Version) bool {
-	if s.boot != message.Boot || s.snapshots != message.ListSnapshots {
-		*s = listSource{boot: message.Boot, snapshots: message.ListSnapshots}
+	if s.boot != message.Boot || s.snapshot != message.ListSnapshot {
+		*s = listSource{boot: message.Boot, snapshot: message.ListSnapshot}
 	}
 	if known >= message.ListVersion {
 		s.joined, s.complete = true, max(s.complete, message.LastChange)
@@ -143,7 +144,7 @@
 	st.mu.Unlock()
 	sentAfter, dated := message.Echo.sentAfter(g.boot)
 	age := time.Duration(message.ListAgeMS) * time.Millisecond
-	if message.Kind == kindOthers && message.ListSnapshots > 0 && hasAll && dated && age > 0 {
+	if message.Kind == kindOthers && message.ListSnapshot > 0 && hasAll && dated && age > 0 {
 		g.upstreamFollower.Confirm(sentAfter.Add(-age), message.ListComplete)
 	}
 }
--- a/internal/gateway/listmodel_test.go
+++ b/internal/gateway/listmodel_test.go
@@ -302,3 +302,34 @@
 	c.rounds(1)
 	require.GreaterOrEqual(t, age(), pause, "stamps of an earlier process date nothing")
 }
+
+// A relay that had just started had seen no change of the list, and said that nothing was
+// newer than that: to relays of other groups their list was up to date, whatever it lacked.
+func TestRelaysThatStartDoNotConfirmOlderLists(t *testing.T) {
+	for _, n := range []int{9, 40} {
+		c := newCluster(t, n)
+		for _, g := range c.entries {
+			g.cfg.Decoder, g.state.cfg.Decoder = listDecoder{}, listDecoder{}
+		}
+		c.rounds(4)
+		read := func(g *Gateway, version provider.Version) {
+			readTable(t, &g.upstreamFollower, g, follower.Config{Table: "upstreams", Apply: g.state.applyUpstreamRows}, provider.Page{Version: version})
+		}
+		older, started := c.entries[0], c.entries[1]
+		require.True(t, older.state.plan.IsRelay && started.state.plan.IsRelay)
+		require.NotEqual(t, older.state.plan.Group, started.state.plan.Group)
+		age := func() time.Duration {
+			status, _ := older.upstreamFollower.Status(c.clock.now, false)
+			return status.Age
+		}
+		read(older, 5)
+		const pause = 3 * time.Second
+		c.clock.advance(pause)
+		read(started, 9)
+		c.rounds(3)
+		require.GreaterOrEqual(t, age(), pause, "of %d", n)
+		read(started, 5)
+		c.rounds(3)
+		require.Equal(t, n == 9, age() < pause, "of %d: among few entries it confirms what it has as well", n)
+	}
+}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -65,11 +65,11 @@
 	ListVersion provider.Version `cbor:"22,keyasint,omitempty"`
 	// ListAgeMS is at least the time since the store confirmed to the sender that its
 	// list has all changes up to the version ListComplete, and that there were no others.
-	// ListSnapshots is how often the sender has read the whole list: deletions before the
-	// last time may have no number. All three are zero if it has never read it.
-	ListAgeMS     int64            `cbor:"19,keyasint,omitempty"`
-	ListComplete  provider.Version `cbor:"26,keyasint,omitempty"`
-	ListSnapshots uint64           `cbor:"27,keyasint,omitempty"`
+	// ListSnapshot is the version at which the sender last read the whole list: changes
+	// before that may have no number. All three are zero if it has never read it.
+	ListAgeMS    int64            `cbor:"19,keyasint,omitempty"`
+	ListComplete provider.Version `cbor:"26,keyasint,omitempty"`
+	ListSnapshot provider.Version `cbor:"27,keyasint,omitempty"`
 	// Moves are keyed by deployment.
 	Moves map[string]moveUpdate `cbor:"20,keyasint,omitempty"`
 	// CrashRecords are new crash records of this entry and of others.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -333,7 +333,7 @@
 	}
 	envelopes = append(envelopes, gossiper.Envelope[peerMessage]{Receivers: st.peerAddresses(relays), Message: aggregated.groupMessage(st.plan, own)})
 	for _, message := range st.listMessages(now) {
-		message.ListSnapshots = aggregated.list.Snapshots
+		message.ListSnapshot = aggregated.list.Snapshot
 		message.ID, message.Boot, message.ListVersion = own.ID, own.Boot, listVersion
 		envelopes = append(envelopes, gossiper.Envelope[peerMessage]{Receivers: st.peerAddresses(st.plan.Members), Message: message})
 	}
