review/2: the requests that are lost have no part of an answer

The clients beside the uploads now send small requests of 450 ms instead of reading streams, so that each lost one ends without any answer.

--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -17,8 +17,10 @@
 	// the largest burst that the deployment names.
 	zoneRate     = 37.4
 	burstPercent = 170
-	// chatters are the clients that read streams on kept connections meanwhile.
-	chatters = 12
+	// readers are the clients that repeat small requests on kept connections meanwhile. These
+	// take longWork, the longest that the deployment names.
+	readers  = 12
+	longWork = 450 * time.Millisecond
 	// linkMBs is the speed of the machine's link, 1,000 Mbit/s.
 	linkMBs = 125
 )
@@ -69,11 +71,11 @@
 func runMemory(f *fleet) (bool, error) {
 	f.configure([]service{{name: "profiles", maxConnections: 230}}, []route{
 		{name: "save", prefix: "/save/", kind: "non_idempotent", service: "profiles", timeoutMS: 10000, aimMS: 1000, attempts: 1, priority: 1},
-		{name: "chat", prefix: "/chat/", kind: "streaming", service: "profiles", timeoutMS: 12000, aimMS: 500, gapMS: 400, attempts: 1, priority: 0},
+		{name: "file", prefix: "/file/", kind: "non_idempotent", service: "profiles", timeoutMS: 4000, aimMS: 1000, attempts: 1, priority: 0},
 	})
 	var workers []*worker
 	for i := range 4 {
-		w := &worker{id: fmt.Sprintf("i-%d", i+1), service: "profiles", zone: "occ-a", slots: 32, queue: 67, work: 60 * time.Millisecond, events: 24, eventGap: 100 * time.Millisecond}
+		w := &worker{id: fmt.Sprintf("i-%d", i+1), service: "profiles", zone: "occ-a", slots: 32, queue: 67, work: longWork}
 		workers = append(workers, w)
 		if err := f.startWorker(w); err != nil {
 			return false, err
@@ -83,8 +85,8 @@
 		return false, err
 	}
 	e := f.entries[0]
-	stopPlatform, stopChats := make(chan struct{}), make(chan struct{})
-	var platform, chats sync.WaitGroup
+	stopPlatform, stopReaders := make(chan struct{}), make(chan struct{})
+	var platform, reads sync.WaitGroup
 	var peak int
 	var kills []time.Time
 	platform.Add(1)
@@ -105,22 +107,22 @@
 		switch {
 		case a.err == nil && a.status == http.StatusOK:
 			served++
-		case a.err != nil && a.reused && ran:
+		case a.err != nil && a.status == 0 && a.reused && ran:
 			lost++
 			f.rec.add("client: BROKEN: %s was run and its kept connection ended without an answer", r.id)
 		}
 	}
-	for range chatters {
-		chats.Add(1)
+	for range readers {
+		reads.Add(1)
 		go func() {
-			defer chats.Done()
+			defer reads.Done()
 			c := &client{address: e.front}
 			defer c.close()
 			for {
-				r := request{method: http.MethodPost, target: "/chat/1", id: f.nextID(), body: []byte("hello"), deadline: 12 * time.Second}
-				judge("chat", r, c.send(r))
+				r := request{method: http.MethodPost, target: "/file/1", id: f.nextID(), body: []byte("small"), deadline: 4 * time.Second}
+				judge("small request", r, c.send(r))
 				select {
-				case <-stopChats:
+				case <-stopReaders:
 					return
 				case <-time.After(100 * time.Millisecond):
 				}
@@ -158,8 +160,8 @@
 	}
 	uploads.Wait()
 	time.Sleep(3 * time.Second)
-	close(stopChats)
-	chats.Wait()
+	close(stopReaders)
+	reads.Wait()
 	close(stopPlatform)
 	platform.Wait()
 	f.rec.say("%d requests were served, %d were run and lost their answers; the process used up to %d MB of %d and was killed %d times", served, lost, peak, memoryMB, len(kills))
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -14,15 +14,13 @@
 // worker is a sound worker: it runs slots requests at once, lets a few more wait and rejects
 // those for which it has no room.
 type worker struct {
-	f        *fleet
-	id       string
-	service  string
-	zone     string
-	address  string
-	slots    int
-	work     time.Duration
-	events   int
-	eventGap time.Duration
+	f       *fleet
+	id      string
+	service string
+	zone    string
+	address string
+	slots   int
+	work    time.Duration
 	// admitted, if set, reports whether the network lets a machine reach the worker.
 	admitted func(remote string) bool
 
@@ -175,10 +173,6 @@
 	}
 	w.ran(id)
 	out.Header().Set(names.Seal, "seal-"+w.id)
-	if strings.HasPrefix(r.URL.Path, "/chat/") {
-		w.stream(out, r, id)
-		return
-	}
 	select {
 	case <-time.After(w.work):
 	case <-r.Context().Done():
@@ -187,21 +181,6 @@
 	_, _ = fmt.Fprintf(out, "%s took %d bytes of %s", w.id, len(body), id)
 }
 
-func (w *worker) stream(out http.ResponseWriter, r *http.Request, id string) {
-	out.Header().Set("Content-Type", "text/event-stream")
-	for i := range w.events {
-		if _, err := fmt.Fprintf(out, "id: %d\ndata: event %d of %s\n\n", i+1, i+1, id); err != nil {
-			return
-		}
-		_ = http.NewResponseController(out).Flush()
-		select {
-		case <-time.After(w.eventGap):
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
 func (w *worker) currentBrittle() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
