--- a/review/standin/reset.go
+++ b/review/standin/reset.go
@@ -3,17 +3,26 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 )
 
 const (
-	// earlyBytes is how much of a long body the worker has read when it answers.
-	earlyBytes = 64 << 10
+	// longBody is the size of the bodies. earlyBytes is how much of one the worker has read when
+	// it answers; its connections receive no more than receiveBuffer ahead.
+	longBody      = 150_000
+	earlyBytes    = 4 << 10
+	receiveBuffer = 4 << 10
+	// segment is the size of TCP segments on Ethernet. The loopback's are 45 times as large, and
+	// with them the kernel's buffers.
+	segment = 1460
 	// resetRounds is the number of requests of each kind.
 	resetRounds = 18
 	// halfTime is the time between the two halves of an answer.
@@ -103,7 +112,16 @@
 // runReset sends long requests to a worker that answers early and without a length, and
 // resets some of its connections. An answer that was reset on the way must not look complete.
 func runReset(f *fleet) (bool, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(fd uintptr) {
+			err = errors.Join(
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer),
+				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segment),
+			)
+		})
+		return errors.Join(err, controlErr)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return false, err
 	}
@@ -121,7 +139,7 @@
 		w.resetFrom = f.entries[0].ip
 	}
 	go w.serve(listener)
-	body := bytes.Repeat([]byte("0123456789abcdef"), maxBodyBytes/16)
+	body := bytes.Repeat([]byte("0123456789abcdef"), longBody/16)
 	truncated, whole := 0, 0
 	for i := range 2 * resetRounds {
 		prefix := "/save/"
