--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"memory":    runMemory,
 	"partition": runPartition,
 	"brittle":   runBrittle,
+	"silence":   runSilence,
 }
 
 // maxTime bounds the time of a case.
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -21,6 +21,7 @@
 	RowsTx    string `json:"rows_tx"`
 	Expect    string `json:"expect"`
 	Cold      string `json:"cold"`
+	LastEvent string `json:"last_event"`
 }
 
 //go:embed names.json
