--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -16,6 +16,8 @@
 	store   *store
 	cloud   string
 	entries []*entry
+	// gone are the machines that were removed for good.
+	gone    []*entry
 	trouble bool
 	ids     atomic.Int64
 }
@@ -26,7 +28,7 @@
 	maxConnections int
 }
 
-// route is a route of the configuration. All its requests are public.
+// route is a route of the configuration.
 type route struct {
 	name, prefix, kind, service string
 	timeoutMS, aimMS, gapMS     int
@@ -59,8 +61,25 @@
 	return f, nil
 }
 
-// configure writes the first configuration.
+// tenant is the only tenant of a configuration, and apiKey its key.
+const (
+	tenant = "hule930"
+	apiKey = "i9n73hh2b9wu3fexd9dn"
+)
+
+// configure writes the first configuration, in which all routes are public.
 func (f *fleet) configure(services []service, routes []route) {
+	f.writeConfig(services, routes, true, []any{})
+}
+
+// configureTenant writes the first configuration, with a tenant whose quota counts tokens.
+func (f *fleet) configureTenant(services []service, routes []route, rate, plainTokens int) {
+	f.writeConfig(services, routes, false, []any{map[string]any{
+		"name": tenant, "api_keys": []string{apiKey}, "priority": 1, "unit": "token_count", "plain_tokens": plainTokens, "rate_per_s": rate, "burst": rate,
+	}})
+}
+
+func (f *fleet) writeConfig(services []service, routes []route, public bool, tenants []any) {
 	var serviceRows, routeRows []map[string]any
 	for _, s := range services {
 		serviceRows = append(serviceRows, map[string]any{"name": s.name, "health_path": "/health", "max_connections": s.maxConnections, "protocol": "h1", "tls": false})
@@ -68,13 +87,13 @@
 	for _, r := range routes {
 		routeRows = append(routeRows, map[string]any{
 			"name": r.name, "host": host, "prefix": r.prefix, "kind": r.kind, "timeout_ms": r.timeoutMS, "target_latency_ms": r.aimMS, "target_gap_ms": r.gapMS,
-			"priority": r.priority, "service": r.service, "max_attempts": r.attempts, "public": true, "stream_resume": r.resume,
+			"priority": r.priority, "service": r.service, "max_attempts": r.attempts, "public": public, "stream_resume": r.resume,
 		})
 	}
 	f.store.put("op", "config", map[string]any{
 		"version": 7, "routes": routeRows, "services": serviceRows,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{},
+		"tenants": tenants,
 	})
 }
 
@@ -104,7 +123,7 @@
 
 // end ends all processes and keeps the logs of the entries if LOGS names a directory.
 func (f *fleet) end() {
-	for _, e := range f.entries {
+	for _, e := range append(f.gone, f.entries...) {
 		e.kill()
 		_ = e.log.Close()
 		if to := os.Getenv("LOGS"); to != "" {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"partition": runPartition,
 	"brittle":   runBrittle,
 	"silence":   runSilence,
+	"departed":  runDeparted,
 }
 
 // maxTime bounds the time of a case.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -174,3 +174,16 @@
 	}
 	s.answer(w, http.StatusOK, nil)
 }
+
+// count returns the number of rows of a table.
+func (s *store) count(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.rows {
+		if r.Table == table {
+			n++
+		}
+	}
+	return n
+}
