--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,12 +24,10 @@
 
 // cases are the cases by name. They report whether the rule was broken.
 var cases = map[string]func(f *fleet) (bool, error){
-	"reset":     runReset,
-	"memory":    runMemory,
-	"partition": runPartition,
-	"brittle":   runBrittle,
-	"silence":   runSilence,
-	"departed":  runDeparted,
+	"reset":    runReset,
+	"memory":   runMemory,
+	"silence":  runSilence,
+	"departed": runDeparted,
 }
 
 // maxTime bounds the time of a case.
