internal/pooler: tell a reset from the end of a response

The write took the error off the socket, and the read after it got an end of file. net/http has the same race on the product's own interface.

Connections now return io.EOF only if no write got an error of a reset or timeout, or the socket has received the peer's end. Long requests are written while the response is read, so that early responses and refusals are heard at once, and an upstream that pauses before it reads on keeps its connection.

--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenahitch/galenahitch/internal/pooler"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 	"github.com/galenahitch/galenahitch/pkg/router"
 )
@@ -50,9 +51,10 @@
 	if cfg.LocalIP != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.LocalIP)}
 	}
+	dial := pooler.OrderedDial(dialer.DialContext)
 	return &HTTP{
 		pooled: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            dial,
 			MaxIdleConnsPerHost:    maxIdlePerUpstream,
 			IdleConnTimeout:        idleTimeout,
 			ReadBufferSize:         bufferBytes,
@@ -61,7 +63,7 @@
 			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		unpooled: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            dial,
 			DisableKeepAlives:      true,
 			ReadBufferSize:         bufferBytes,
 			WriteBufferSize:        bufferBytes,
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -11,8 +11,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/galenahitch/galenahitch/pkg/judge"
 )
 
@@ -67,8 +65,13 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
+	ordered *orderedConn
 	limiter *headLimiter
 	reader  *bufio.Reader
+	// sending is the write of the last request. longSend reports that the timeout of
+	// the connection is that of a long one.
+	sending  *sending
+	longSend bool
 	// idleUntil is when the upstream may close the connection, usedAt when the last response
 	// over it ended, zero if there was none.
 	idleUntil time.Time
@@ -96,7 +99,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optionErr error
 			if err := raw.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
+				optionErr = setUnackedTimeout(int(fd), unacked)
 			}); err != nil {
 				return err
 			}
@@ -114,8 +117,9 @@
 	if err != nil {
 		return nil, judge.Wrap(judge.NotRun, err, "connect to %s", address)
 	}
-	limiter := &headLimiter{conn: raw}
-	return &conn{Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
+	ordered := &orderedConn{Conn: raw}
+	limiter := &headLimiter{conn: ordered}
+	return &conn{Conn: ordered, ordered: ordered, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
 // isClean reports whether an idle connection is open and has received no bytes.
@@ -124,11 +128,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.ordered.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -144,39 +144,6 @@
 	return quiet
 }
 
-// exchange sends a request and reads the header of its response.
-func (c *conn) exchange(request Request, idHeader string) (*http.Response, error) {
-	sent, err := c.send(request)
-	if err != nil {
-		verdict := judge.MayHaveRun
-		if sent == 0 {
-			verdict = judge.NotRun
-		}
-		// An upstream may respond before it has read the whole request, for example
-		// to refuse it.
-		if response, readErr := c.receive(request, idHeader); readErr == nil {
-			response.Close = true
-			return response, nil
-		}
-		return nil, judge.Wrap(verdict, err, "send")
-	}
-	response, err := c.receive(request, idHeader)
-	if err != nil {
-		return nil, judge.Wrap(judge.MayHaveRun, err, "read the answer")
-	}
-	return response, nil
-}
-
-func (c *conn) send(request Request) (int, error) {
-	head := request.head()
-	buffers := net.Buffers{head}
-	if len(request.Body) > 0 {
-		buffers = append(buffers, request.Body)
-	}
-	sent, err := buffers.WriteTo(c.Conn)
-	return int(sent), err
-}
-
 // receive reads responses until one has the ID of the request. A failure without an ID may
 // be that of a request before, unless it is the first response on the connection.
 func (c *conn) receive(request Request, idHeader string) (*http.Response, error) {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -196,7 +196,8 @@
 }
 
 // Do sends a request to an upstream and returns its response. If ctx ends before
-// Close, the exchange ends and its connection is closed.
+// Close, the exchange ends and its connection is closed. The body of the request must not be
+// changed later, as its upstream may respond before it has read it.
 func (p *Pool) Do(ctx context.Context, address string, request Request) (*Response, error) {
 	c, err := p.acquire(ctx, address)
 	if err != nil {
@@ -222,8 +223,8 @@
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Framing: framing, Length: response.ContentLength, body: response.Body, now: p.cfg.Now, receivedAt: p.cfg.Now(),
 		onClose: func(receivedAt time.Time, complete bool) {
-			if stop() && complete && framing != FramingClose && !response.Close {
-				p.putIdle(address, c, response.Header)
+			if stop() && complete {
+				p.settle(address, c, response)
 				return
 			}
 			p.discard(address, c)
@@ -234,6 +235,23 @@
 	}, nil
 }
 
+// settle keeps or closes a connection whose response is complete. If the upstream responded
+// early, it gets the rest of the request first.
+func (p *Pool) settle(address string, c *conn, response *http.Response) {
+	finish := func() {
+		if c.awaitSent(p.cfg.Now()) && framingOf(response) != FramingClose && !response.Close {
+			p.putIdle(address, c, response.Header)
+			return
+		}
+		p.discard(address, c)
+	}
+	if c.sending.isDone() {
+		finish()
+		return
+	}
+	go finish()
+}
+
 // closeSilent closes the idle connections to an upstream that have not been used since
 // another kept one fell silent, if that was long enough ago. What has made one connection
 // silent has usually done so to all that were open.
--- a/internal/provider/guard.go
+++ b/internal/provider/guard.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/galenahitch/galenahitch/internal/pooler"
 )
 
 // GuardFailed is the type of errors of calls that were not sent, as their guard failed.
@@ -35,14 +37,11 @@
 	return Unreachable.Wrap(err, "call %s", path)
 }
 
-// DialContext opens a connection.
-type DialContext func(ctx context.Context, network, address string) (net.Conn, error)
-
 // GuardedDial returns a dial function for connections that check the guards of calls. The
 // connections are reset when they are closed, also by the end of the process: the kernel
 // drops what the peer has not acknowledged, so that a call that its sender has given up
 // reaches the peer's machine no more. What has reached it by then may still be read there.
-func GuardedDial(dial DialContext) DialContext {
+func GuardedDial(dial pooler.DialContext) pooler.DialContext {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
