internal/gateway: give a silent upstream up only for another response

The timer of silence canceled the running attempt on the hope of another upstream. It also ran on while a response that is no stream arrived.

The request is now offered to other upstreams beside the silent attempt, which is canceled when the first bytes of another response have arrived. If it goes on before that, the other one is dropped.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,14 +96,13 @@
 	partialEventBytes int
 	// responseStarted reports that part of a response was sent to the caller.
 	// lastEventID is the id of the last stream event that was sent with one.
-	// notResumable reports that an event without an id was sent after it; the timer of
-	// the attempt reads it too.
+	// notResumable reports that an event without an id was sent after it.
 	responseStarted bool
 	lastEventID     string
 	// resuming reports that the current attempt resumes the stream and no event of it has
 	// arrived.
 	resuming     bool
-	notResumable atomic.Bool
+	notResumable bool
 	// isSuspect reports that the current attempt is one of a suspect request, or of one
 	// with a suspect part, which is suspect.
 	isSuspect    bool
@@ -129,7 +127,9 @@
 	misdirected bool
 	// retryCharged reports that the retry was already charged to the budget.
 	retryCharged bool
-	cause        error
+	// standby looks for an upstream that takes the request over, nil if nothing does.
+	standby *standby
+	cause   error
 }
 
 // forward sends a call to upstreams until one attempt succeeds or no other is
@@ -145,23 +145,29 @@
 	defer g.refundQuota(c)
 	ctx, cancel := g.callContext(parent, c)
 	defer cancel()
+	var response *upstreamResponse
 	for {
-		upstream, ok := g.chooseUpstream(c)
-		if !ok {
-			return g.refuseNoUpstream(c)
+		if response == nil {
+			upstream, ok := g.chooseUpstream(c)
+			if !ok {
+				return g.refuseNoUpstream(c)
+			}
+			response = g.begin(ctx, c, upstream)
 		}
-		f := g.attempt(ctx, w, c, upstream)
+		f := g.attempt(ctx, w, c, response)
 		if f == nil {
 			return nil
 		}
-		g.recordFailure(ctx, c, upstream, f)
-		var probed <-chan struct{}
-		if f.verdict == judge.MayHaveRun {
-			probed = g.recordBroken(ctx, c, upstream, f)
-		}
+		upstream := c.upstream
+		probed := g.recordAttemptFailure(ctx, c, upstream, f)
+		response = f.standby.await(ctx, c)
 		if ctx.Err() != nil || c.disconnected {
 			return g.refuseEnded(ctx, c, f)
 		}
+		if response != nil {
+			c.exclude = append(c.exclude, upstream.ID)
+			continue
+		}
 		if !c.allowsRetry(f) {
 			return g.refuseFailed(c, f)
 		}
@@ -239,32 +245,57 @@
 	return u, ok
 }
 
-// attempt sends a call to an upstream and forwards the response. It returns nil
-// once the caller has the complete response.
-func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, u Upstream) *failure {
+// attempt sends a call to an upstream, unless its response has begun, and forwards the
+// response. It returns nil once the caller has the complete response.
+func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, r *upstreamResponse) *failure {
+	r.silence = g.watchSilence(ctx, c, r.cancel)
+	defer r.close(c)
+	defer r.silence.stop()
+	var f *failure
+	if r.response == nil {
+		f = g.send(c, r)
+	}
+	if f == nil {
+		f = g.forwardResponse(r.ctx, w, c, r)
+	}
+	if f != nil {
+		f.standby = r.silence.release()
+	}
+	return f
+}
+
+// begin begins an attempt of a call. It has to be closed.
+func (g *Gateway) begin(ctx context.Context, c *call, u Upstream) *upstreamResponse {
 	now := g.cfg.Now()
+	c.reset(u, now)
+	r := &upstreamResponse{g: g, upstream: u, sentAt: now, load: float64(c.request.PromptTokens) / promptTokensPerLoad}
+	r.ctx, r.cancel = context.WithCancelCause(ctx)
+	g.beginAttempt(now, c, r.load)
+	return r
+}
+
+// reset forgets what is known of the last attempt.
+func (c *call) reset(u Upstream, now time.Time) {
 	c.upstream, c.attemptAt, c.attemptLatency = u, now, 0
 	c.framing, c.receivedBytes, c.partialEventBytes = "", 0, 0
 	c.answeredAt, c.hasEvents, c.survived = time.Time{}, false, false
 	c.pauses = mover.Pauses{}
 	c.resuming = c.responseStarted && c.lastEventID != ""
-	ctx, silence := g.watchSilence(ctx, c)
-	defer silence.stop()
-	load := float64(c.request.PromptTokens) / promptTokensPerLoad
-	g.beginAttempt(now, c, load)
-	done := false
-	promptDone := func() {
-		if !done {
-			done = true
-			g.adjustLoad(u.ID, -load)
-		}
-	}
-	defer func() {
-		promptDone()
-		g.endAttempt(c)
-	}()
+}
+
+// beginWith makes the current attempt of a copy that of the call.
+func (c *call) beginWith(fork *call) {
+	c.reset(fork.upstream, fork.attemptAt)
+	c.framing, c.answeredAt = fork.framing, fork.answeredAt
+	c.listAge, c.loadAtStart = fork.listAge, fork.loadAtStart
+	c.isSuspect, c.suspect = fork.isSuspect, fork.suspect
+}
+
+// send sends the request of an attempt and receives the head of its response.
+func (g *Gateway) send(c *call, r *upstreamResponse) *failure {
+	u := r.upstream
 	header := c.request.Header.Clone()
-	attempt := Attempt{Upstream: u.Name, TimeLeft: c.deadline.Sub(now), Priority: c.route.Priority, LastEventID: c.resumeFrom()}
+	attempt := Attempt{Upstream: u.Name, TimeLeft: c.deadline.Sub(r.sentAt), Priority: c.route.Priority, LastEventID: c.resumeFrom()}
 	if c.org != nil {
 		attempt.Organisation = c.org.Name
 		if c.org.Priority != nil {
@@ -272,7 +303,7 @@
 		}
 	}
 	g.cfg.Codec.SetAttempt(header, attempt)
-	response, err := g.pool.Do(ctx, u.Address, pooler.Request{
+	response, err := g.pool.Do(r.ctx, u.Address, pooler.Request{
 		ID: c.request.ID, Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header, Body: c.body,
 		MaySend: func() bool { return g.maySend(u.ID) },
 		OnHead:  func(status int, header http.Header) { g.recordSignals(u.ID, g.cfg.Codec.Response(status, header)) },
@@ -280,24 +311,19 @@
 	if err != nil {
 		verdict := judge.VerdictOf(err)
 		return &failure{
-			verdict: verdict, unsent: verdict == judge.NotRun, connectionBroke: verdict != judge.NotRun && ctx.Err() == nil,
-			retryCharged: silence.retryCharged.Load(), busy: pooler.IsFull(err) || pooler.IsWithdrawn(err), cause: err,
+			verdict: verdict, unsent: verdict == judge.NotRun, connectionBroke: verdict != judge.NotRun && r.ctx.Err() == nil,
+			busy: pooler.IsFull(err) || pooler.IsWithdrawn(err), cause: err,
 		}
 	}
-	defer response.Close()
-	c.framing, c.answeredAt = response.Framing, g.cfg.Now()
-	info := g.cfg.Codec.Response(response.Status, response.Header)
-	if info.Verdict == judge.NotRun {
+	r.response, r.body, r.info = response, response, g.cfg.Codec.Response(response.Status, response.Header)
+	r.silence.update(func() { c.framing, c.answeredAt = response.Framing, g.cfg.Now() })
+	if r.info.Verdict == judge.NotRun {
 		return &failure{
-			verdict: judge.NotRun, busy: !info.Misdirected, misdirected: info.Misdirected,
+			verdict: judge.NotRun, busy: !r.info.Misdirected, misdirected: r.info.Misdirected,
 			cause: judge.Errorf(judge.NotRun, "the upstream refused it with status %d", response.Status),
 		}
 	}
-	f := g.forwardResponse(ctx, w, c, &upstreamResponse{response: response, info: info, sentAt: now, promptDone: promptDone, silence: silence})
-	if f != nil {
-		f.retryCharged = f.retryCharged || silence.retryCharged.Load()
-	}
-	return f
+	return nil
 }
 
 // resumeFrom returns the id of the last event that the caller received.
@@ -348,6 +374,16 @@
 	g.state.demandFor(c.deployment).Running--
 }
 
+// recordAttemptFailure records a failed attempt. The result is closed at the end of the
+// probe of its upstream, if there is one.
+func (g *Gateway) recordAttemptFailure(ctx context.Context, c *call, u Upstream, f *failure) <-chan struct{} {
+	g.recordFailure(ctx, c, u, f)
+	if f.verdict != judge.MayHaveRun {
+		return nil
+	}
+	return g.recordBroken(ctx, c, u, f)
+}
+
 // recordFailure records a failed attempt for its upstream.
 func (g *Gateway) recordFailure(ctx context.Context, c *call, u Upstream, f *failure) {
 	if f.verdict != judge.NotRun {
@@ -382,7 +418,7 @@
 // allowsRetry reports whether the limits of the call and its route allow another attempt
 // after one that failed.
 func (c *call) allowsRetry(f *failure) bool {
-	if c.sends >= maxSends || c.notResumable.Load() || c.responseStarted && c.route.Kind != resolver.Streaming {
+	if c.sends >= maxSends || c.notResumable || c.responseStarted && c.route.Kind != resolver.Streaming {
 		return false
 	}
 	return f.verdict == judge.NotRun || c.route.Retryable() && c.runs < c.route.MaxAttempts
@@ -391,7 +427,26 @@
 // chargeRerun reports whether a request that an upstream has run may be run
 // again, and charges the retry to the budget if so.
 func (g *Gateway) chargeRerun(c *call) bool {
-	return c.mayRerun() && g.hasOtherUpstream(c.deployment, append(slices.Clone(c.exclude), c.upstream.ID)) && g.chargeRetry(c.request.ID, c.deployment)
+	return c.mayRerun() && g.hasOtherUpstream(c.deployment, c.withUpstreamExcluded()) && g.chargeRetry(c.request.ID, c.deployment)
+}
+
+// mayRerun reports whether the limits of the call and its route allow another
+// attempt after the current one has run.
+func (c *call) mayRerun() bool {
+	return c.sends < maxSends && c.route.Retryable() && c.runs+1 < c.route.MaxAttempts
+}
+
+// withUpstreamExcluded returns the excluded upstreams and that of the current attempt.
+func (c *call) withUpstreamExcluded() []string {
+	return append(slices.Clone(c.exclude), c.upstream.ID)
+}
+
+// hasOtherUpstream reports whether a deployment has an available upstream that
+// is not excluded.
+func (g *Gateway) hasOtherUpstream(deployment string, exclude []string) bool {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	return len(g.state.router.Eligible(g.cfg.Now(), router.Request{Deployment: deployment, Exclude: exclude})) > 0
 }
 
 // refuseNoUpstream returns the refusal of a call for which there is no
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -26,7 +26,7 @@
 			c.lastEventID = event.ID
 		}
 		if event.HasFields {
-			c.notResumable.Store(event.ID == "")
+			c.notResumable = event.ID == ""
 		}
 		kept = append(kept, event.Bytes...)
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -25,32 +26,89 @@
 	readChunkBytes = 4 << 10
 )
 
-// upstreamResponse is the response of an attempt while it is forwarded to the
-// caller.
+// upstreamResponse is one attempt of a call and its response.
 type upstreamResponse struct {
+	g        *Gateway
+	upstream Upstream
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	sentAt   time.Time
+	// load is that of the prompt's prefill, zero when that has ended.
+	load float64
+	// response is nil until its head has arrived. body is its body.
 	response *pooler.Response
+	body     io.Reader
 	info     ResponseInfo
-	sentAt   time.Time
-	silence  *silenceTimer
-	// promptDone removes the load of the prompt's prefill from the router.
-	promptDone func()
+	silence  *silenceWatch
 }
 
-// forwardResponse forwards a response to the caller. It returns nil once the
-// caller has all of it.
-func (g *Gateway) forwardResponse(ctx context.Context, w http.ResponseWriter, c *call, r *upstreamResponse) *failure {
+// promptDone removes the load of the prompt's prefill from the router.
+func (r *upstreamResponse) promptDone() {
+	if r.load != 0 {
+		r.g.adjustLoad(r.upstream.ID, -r.load)
+		r.load = 0
+	}
+}
+
+// close ends the attempt of a call, whose current one it is.
+func (r *upstreamResponse) close(c *call) {
+	if r.response != nil {
+		r.response.Close()
+	}
+	r.cancel(nil)
+	r.promptDone()
+	r.g.endAttempt(c)
+}
+
+// awaitBeginning sends the request of an attempt and waits for the first bytes of the body
+// of a response that can be forwarded.
+func (g *Gateway) awaitBeginning(c *call, r *upstreamResponse) *failure {
+	if f := g.send(c, r); f != nil {
+		return f
+	}
+	if f := unusableResponse(r.ctx, c, r); f != nil {
+		return f
+	}
+	if r.response.Status >= http.StatusInternalServerError {
+		return &failure{verdict: judge.Ran, cause: judge.Errorf(judge.Ran, "the upstream answered with status %d", r.response.Status)}
+	}
+	first := make([]byte, readChunkBytes)
+	n, err := r.response.Read(first)
+	if err != nil && err != io.EOF {
+		return truncatedResponse(r.ctx, r.response, err)
+	}
+	r.body = io.MultiReader(bytes.NewReader(first[:n]), r.response)
+	return nil
+}
+
+// unusableResponse returns the failure of a response that can't be forwarded, or nil.
+func unusableResponse(ctx context.Context, c *call, r *upstreamResponse) *failure {
 	response := r.response
 	if !r.info.Sealed && (response.Status < http.StatusMultipleChoices || promisesNotRun(response.Status)) {
 		return brokenResponse(ctx, judge.Errorf(judge.MayHaveRun, "the answer with status %d is not known to be the upstream's", response.Status))
 	}
-	if response.Status >= http.StatusInternalServerError && !c.responseStarted && g.chargeRerun(c) {
-		return &failure{verdict: judge.Ran, retryCharged: true, cause: judge.Errorf(judge.Ran, "the upstream answered with status %d", response.Status)}
+	if c.responseStarted && !c.isStream(response) {
+		return brokenResponse(ctx, judge.Errorf(judge.Ran, "the stream was not resumed: status %d, content type %q", response.Status, response.Header.Get("Content-Type")))
 	}
-	if c.route.Kind == resolver.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
-		return g.forwardStream(ctx, w, c, r)
+	return nil
+}
+
+// isStream reports whether a response is a stream of events of the call's route.
+func (c *call) isStream(response *pooler.Response) bool {
+	return c.route.Kind == resolver.Streaming && response.Status == http.StatusOK && isEventStream(response.Header)
+}
+
+// forwardResponse forwards a response to the caller. It returns nil once the
+// caller has all of it.
+func (g *Gateway) forwardResponse(ctx context.Context, w http.ResponseWriter, c *call, r *upstreamResponse) *failure {
+	if f := unusableResponse(ctx, c, r); f != nil {
+		return f
 	}
-	if c.responseStarted {
-		return brokenResponse(ctx, judge.Errorf(judge.Ran, "the stream was not resumed: status %d, content type %q", response.Status, response.Header.Get("Content-Type")))
+	if r.response.Status >= http.StatusInternalServerError && g.chargeRerun(c) {
+		return &failure{verdict: judge.Ran, retryCharged: true, cause: judge.Errorf(judge.Ran, "the upstream answered with status %d", r.response.Status)}
+	}
+	if c.isStream(r.response) {
+		return g.forwardStream(ctx, w, c, r)
 	}
 	return g.forwardWhole(ctx, w, c, r)
 }
@@ -87,15 +145,16 @@
 // forwardWhole forwards a response that is not a stream. Up to maxBufferedBytes
 // of it are read before any are sent.
 func (g *Gateway) forwardWhole(ctx context.Context, w http.ResponseWriter, c *call, r *upstreamResponse) *failure {
-	var response io.Reader = r.response
+	var response io.Reader = watchedReader{body: r.body, silence: r.silence}
 	if r.response.Status == http.StatusOK && r.response.Header.Get("Content-Type") != "" && isEventStream(r.response.Header) {
-		response = &eventChecker{response: r.response, events: splitter.New()}
+		response = &eventChecker{response: response, events: splitter.New()}
 	}
 	buffered, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
 	c.receivedBytes = int64(len(buffered))
 	if err != nil {
 		return truncatedResponse(ctx, r.response, err)
 	}
+	r.silence.stop()
 	g.countUsage(c, r.sentAt)
 	c.attemptLatency = g.cfg.Now().Sub(r.sentAt)
 	r.promptDone()
@@ -126,7 +185,7 @@
 
 // eventChecker reads a stream of events. Its end is an error if it is inside an event.
 type eventChecker struct {
-	response *pooler.Response
+	response io.Reader
 	events   *splitter.Splitter
 }
 
@@ -154,9 +213,9 @@
 	controller := http.NewResponseController(w)
 	events := splitter.New()
 	chunk := make([]byte, readChunkBytes)
+	body := watchedReader{body: r.body, silence: r.silence}
 	for {
-		n, err := r.response.Read(chunk)
-		r.silence.progress()
+		n, err := body.Read(chunk)
 		c.receivedBytes += int64(n)
 		events.Write(chunk[:n])
 		toSend, eventErr := c.newEvents(events.Events())
