internal/gateway: bound the memory of all responses together

They now share a sixteenth of the process's memory. Without memory left a body is forwarded as it arrives, and a long head or event ends its attempt.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -247,6 +247,8 @@
 	// MaxStaleness is the time after the end of a disturbance within which the entry's
 	// copies of the store's tables must be up to date.
 	MaxStaleness time.Duration
+	// Memory is the memory in bytes that the process may use. Zero means that it is not known.
+	Memory int64
 	// StoreHistory is how long the store keeps the changes of tables. Zero means that it is
 	// not known.
 	StoreHistory time.Duration
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/galenahitch/galenahitch/internal/measurer"
 	"github.com/galenahitch/galenahitch/internal/pooler"
 	"github.com/galenahitch/galenahitch/internal/provider"
+	"github.com/galenahitch/galenahitch/internal/rationer"
 	"github.com/galenahitch/galenahitch/internal/waiter"
 	"github.com/galenahitch/galenahitch/pkg/router"
 )
@@ -50,6 +52,7 @@
 	startedAt          time.Time
 	state              *state
 	pool               *pooler.Pool
+	responseMemory     *rationer.Budget
 	gossip             *gossiper.Gossiper[peerMessage]
 	metrics            *measurer.Metrics
 	entryFollower      *follower.Follower
@@ -85,8 +88,9 @@
 	boot := uint64(now.UnixMilli())
 	g := &Gateway{cfg: cfg, boot: boot, startedAt: now, state: newState(cfg, boot), metrics: measurer.New(), memberRowTried: make(chan struct{})}
 	g.abortContext, g.abort = context.WithCancel(context.Background())
+	g.responseMemory = rationer.New(int64(responseMemoryShare * float64(cmp.Or(cfg.Memory, defaultMemory))))
 	g.pool = pooler.New(pooler.Config{
-		IDHeader: cfg.IDHeader, LocalIP: cfg.LocalIP, Now: cfg.Now,
+		IDHeader: cfg.IDHeader, LocalIP: cfg.LocalIP, Now: cfg.Now, Memory: g.responseMemory,
 		OnOpen: func() { g.metrics.Count("connections_opened") },
 	})
 	g.follow()
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/galenahitch/galenahitch/internal/pooler"
+	"github.com/galenahitch/galenahitch/internal/rationer"
 	"github.com/galenahitch/galenahitch/internal/splitter"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 	"github.com/galenahitch/galenahitch/pkg/resolver"
@@ -20,6 +21,11 @@
 	// is sent to the caller. If the response breaks off before that, the request
 	// can be retried.
 	maxBufferedBytes = 256 << 10
+	// responseMemoryShare is the share of the process's memory that responses may hold
+	// together: what is read ahead of them, long events and long heads.
+	responseMemoryShare = 1.0 / 16
+	// defaultMemory is that of a process of which it is not known.
+	defaultMemory int64 = 256 << 20
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 64 << 10
 	// readChunkBytes is the size of one read from an upstream.
@@ -136,7 +142,7 @@
 func truncatedResponse(ctx context.Context, response *pooler.Response, err error) *failure {
 	f := brokenResponse(ctx, err)
 	framed := response.Framing != pooler.FramingClose
-	faulty := errors.Is(err, errPartialEvent) || errors.Is(err, errEventTooLarge) || errors.Is(err, errNotResumed) || pooler.IsTooLarge(err)
+	faulty := errors.Is(err, errPartialEvent) || errors.Is(err, errEventTooLarge) || errors.Is(err, errNoMemory) || errors.Is(err, errNotResumed) || pooler.IsTooLarge(err)
 	f.connectionBroke = ctx.Err() == nil && !(faulty && framed)
 	response.Distrust()
 	return f
@@ -149,7 +155,9 @@
 	if r.response.Status == http.StatusOK && r.response.Header.Get("Content-Type") != "" && isEventStream(r.response.Header) {
 		response = &eventChecker{response: response, events: splitter.New()}
 	}
-	buffered, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
+	memory := g.responseMemory.Ration()
+	defer memory.Release()
+	buffered, whole, err := readAhead(response, memory)
 	c.receivedBytes = int64(len(buffered))
 	if err != nil {
 		return truncatedResponse(ctx, r.response, err)
@@ -165,7 +173,9 @@
 	if _, err := w.Write(buffered); err != nil {
 		return g.callerWriteFailed(c, err)
 	}
-	if len(buffered) == maxBufferedBytes {
+	if !whole {
+		buffered = nil
+		memory.Release()
 		n, err := io.Copy(w, response)
 		c.receivedBytes += n
 		if err != nil {
@@ -176,10 +186,34 @@
 	return nil
 }
 
+// readAhead reads up to maxBufferedBytes of a body, or as much as memory is left for. It
+// reports whether that is all of it.
+func readAhead(body io.Reader, memory *rationer.Ration) (read []byte, whole bool, err error) {
+	read = make([]byte, 0, readChunkBytes)
+	for len(read) < maxBufferedBytes {
+		if len(read) == cap(read) {
+			if !memory.Grow(2 * cap(read)) {
+				return read, false, nil
+			}
+			read = append(make([]byte, 0, 2*cap(read)), read...)
+		}
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if err == io.EOF {
+			return read, true, nil
+		}
+		if err != nil {
+			return read, false, err
+		}
+	}
+	return read, false, nil
+}
+
 var (
 	errPartialEvent  = judge.Errorf(judge.MayHaveRun, "the stream ended inside an event")
 	errEmptyStream   = judge.Errorf(judge.MayHaveRun, "the connection ended before the first byte of the stream")
 	errNotResumed    = judge.Errorf(judge.MayHaveRun, "the stream goes on with an event without an id")
+	errNoMemory      = judge.Errorf(judge.MayHaveRun, "the responses hold too much memory")
 	errEventTooLarge = judge.Errorf(judge.MayHaveRun, "an event of the stream is larger than %d bytes", maxEventBytes)
 )
 
@@ -214,6 +248,8 @@
 	events := splitter.New()
 	chunk := make([]byte, readChunkBytes)
 	body := watchedReader{body: r.body, silence: r.silence}
+	pending := pendingMemory{ration: g.responseMemory.Ration()}
+	defer pending.ration.Release()
 	for {
 		n, err := body.Read(chunk)
 		c.receivedBytes += int64(n)
@@ -248,8 +284,36 @@
 			return truncatedResponse(ctx, r.response, err)
 		case c.partialEventBytes > maxEventBytes:
 			return truncatedResponse(ctx, r.response, errEventTooLarge)
+		case !pending.hold(c.partialEventBytes):
+			return truncatedResponse(ctx, r.response, errNoMemory)
+		}
+	}
+}
+
+// pendingMemory is the memory of the incomplete event of one stream.
+type pendingMemory struct {
+	ration *rationer.Ration
+	// held is the size of the event that the ration suffices for, without readChunkBytes.
+	held int
+}
+
+// hold takes memory for an event of some bytes. It returns false if there is too little.
+func (m *pendingMemory) hold(bytes int) bool {
+	if bytes <= readChunkBytes {
+		if m.held > 0 {
+			m.ration.Release()
+			m.held = 0
+		}
+		return true
+	}
+	for bytes > m.held+readChunkBytes {
+		// The buffer of an event may have twice its size.
+		if !m.ration.Grow(2 * readChunkBytes) {
+			return false
 		}
+		m.held += readChunkBytes
 	}
+	return true
 }
 
 // sendEvents sends events to the caller, if there are any. The response starts with the
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenahitch/galenahitch/internal/rationer"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 )
 
@@ -27,6 +28,9 @@
 	// foreign ones included. A head of many short fields takes some 20 times its size
 	// in memory.
 	maxHeadBytes = 16 << 10
+	headMemory   = 20
+	// smallHeadBytes of a head are not counted in the memory that responses share.
+	smallHeadBytes = readBufferBytes
 	// maxBodyBytes limits the body of a response.
 	maxBodyBytes = 64 << 20
 	// maxForeignBytes limits the body of a response to another request, which is
@@ -39,14 +43,19 @@
 var (
 	errHeadTooLarge = errors.New("the head of the response is too large")
 	errBodyTooLarge = errors.New("the body of the response is too large")
+	errNoMemory     = errors.New("the heads of responses hold too much memory")
 )
 
 // headLimiter reads from a connection. While a head is read, left is the number of
-// further bytes that it may have.
+// further bytes that it may have. A long one takes a ration of the memory that responses
+// share.
 type headLimiter struct {
 	conn        net.Conn
+	ration      *rationer.Ration
 	readingHead bool
 	left        int
+	// starved reports that there was no memory.
+	starved bool
 }
 
 // Read reads no more of a head than it may have.
@@ -59,6 +68,10 @@
 	}
 	n, err := l.conn.Read(b[:min(len(b), l.left)])
 	l.left -= n
+	if counted := min(n, maxHeadBytes-smallHeadBytes-l.left); counted > 0 && !l.ration.Grow(counted*headMemory) {
+		l.starved = true
+		return 0, errNoMemory
+	}
 	return n, err
 }
 
@@ -118,7 +131,7 @@
 		return nil, judge.Wrap(judge.NotRun, err, "connect to %s", address)
 	}
 	ordered := &orderedConn{Conn: raw}
-	limiter := &headLimiter{conn: ordered}
+	limiter := &headLimiter{conn: ordered, ration: p.cfg.Memory.Ration()}
 	return &conn{Conn: ordered, ordered: ordered, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
@@ -175,6 +188,9 @@
 	defer func() { c.limiter.readingHead = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err != nil && c.limiter.starved {
+			return nil, errNoMemory
+		}
 		if err != nil && c.limiter.left <= 0 {
 			// The HTTP library takes any error within a head for the end of the connection.
 			return nil, errHeadTooLarge
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenahitch/galenahitch/internal/rationer"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 )
 
@@ -43,9 +44,10 @@
 // in use. The request was not sent.
 func IsFull(err error) bool { return errors.Is(err, errFull) }
 
-// IsTooLarge reports whether a response failed because its head or body is too large.
+// IsTooLarge reports whether a response failed because its head or body is too large, or
+// larger than the memory that is left for it.
 func IsTooLarge(err error) bool {
-	return errors.Is(err, errHeadTooLarge) || errors.Is(err, errBodyTooLarge)
+	return errors.Is(err, errHeadTooLarge) || errors.Is(err, errBodyTooLarge) || errors.Is(err, errNoMemory)
 }
 
 // Config configures a Pool.
@@ -54,6 +56,9 @@
 	IDHeader string
 	// LocalIP is the local address of connections. Empty means any.
 	LocalIP string
+	// Memory is that of the heads of responses together, and of what else counts in it.
+	// Nil means no limit.
+	Memory *rationer.Budget
 	// OnOpen, if set, is called for each new connection.
 	OnOpen func()
 	Now    func() time.Time
@@ -368,6 +373,7 @@
 }
 
 func (p *Pool) discard(address string, c *conn) {
+	c.limiter.ration.Release()
 	_ = c.Close()
 	p.release(address)
 }
@@ -377,6 +383,7 @@
 		p.discard(address, c)
 		return
 	}
+	c.limiter.ration.Release()
 	c.usedAt = p.cfg.Now()
 	c.idleUntil = c.usedAt.Add(idleTimeout(header) - idleMargin)
 	p.mu.Lock()
