internal/gateway: retry no response of which a part was sent

On a route of resumable streams, a response that is no stream and broke off after 256 KiB was retried, and the caller got the events of the next attempt after its part as one complete body. Whether a call may be retried was told by the kind of its route. It is marked as not resumable now when such a response begins.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -96,7 +96,8 @@
 	partialEventBytes int
 	// responseStarted reports that part of a response was sent to the caller.
 	// lastEventID is the id of the last stream event that was sent with one.
-	// notResumable reports that an event without an id was sent after it.
+	// notResumable reports that an event without an id was sent after it, or part of a
+	// response that is no stream.
 	responseStarted bool
 	lastEventID     string
 	// resuming reports that the current attempt resumes the stream and no event of it has
@@ -418,7 +419,7 @@
 // allowsRetry reports whether the limits of the call and its route allow another attempt
 // after one that failed.
 func (c *call) allowsRetry(f *failure) bool {
-	if c.sends >= maxSends || c.notResumable || c.responseStarted && c.route.Kind != resolver.Streaming {
+	if c.sends >= maxSends || c.notResumable {
 		return false
 	}
 	return f.verdict == judge.NotRun || c.route.Retryable() && c.runs < c.route.MaxAttempts
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -168,7 +168,7 @@
 	r.promptDone()
 	g.cfg.Codec.CopyHeader(w.Header(), r.response.Header)
 	c.status = r.response.Status
-	c.responseStarted = true
+	c.responseStarted, c.notResumable = true, true
 	w.WriteHeader(r.response.Status)
 	if _, err := w.Write(buffered); err != nil {
 		return g.callerWriteFailed(c, err)
