internal/gateway: bound the memory of all request bodies together

Each body was limited by itself, read through buffers of up to twice its size, and kept until the end of its request.

Bodies of more than 16 KiB now share a quarter of the process's memory. One for which there is no room is refused with a time to come back, before it is read if its length is known.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenahitch/galenahitch/internal/pooler"
+	"github.com/galenahitch/galenahitch/internal/rationer"
 	"github.com/galenahitch/galenahitch/pkg/isolator"
 	"github.com/galenahitch/galenahitch/pkg/judge"
 	"github.com/galenahitch/galenahitch/pkg/mover"
@@ -41,6 +42,8 @@
 type call struct {
 	request Request
 	body    []byte
+	// bodyMemory is the memory of the body.
+	bodyMemory *rationer.Share
 	// fingerprint is the same for all requests with the same content, which a
 	// caller may repeat under new IDs.
 	fingerprint isolator.Fingerprint
@@ -305,7 +308,7 @@
 	}
 	g.cfg.Codec.SetAttempt(header, attempt)
 	response, err := g.pool.Do(r.ctx, u.Address, pooler.Request{
-		ID: c.request.ID, Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header, Body: c.body,
+		ID: c.request.ID, Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header, Body: c.body, BodyMemory: c.bodyMemory,
 		MaySend: func() bool { return g.maySend(u.ID) },
 		OnHead:  func(status int, header http.Header) { g.recordSignals(u.ID, g.cfg.Codec.Response(status, header)) },
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	startedAt          time.Time
 	state              *state
 	pool               *pooler.Pool
+	requestMemory      *rationer.Budget
 	responseMemory     *rationer.Budget
 	gossip             *gossiper.Gossiper[peerMessage]
 	metrics            *measurer.Metrics
@@ -88,7 +89,8 @@
 	boot := uint64(now.UnixMilli())
 	g := &Gateway{cfg: cfg, boot: boot, startedAt: now, state: newState(cfg, boot), metrics: measurer.New(), memberRowTried: make(chan struct{})}
 	g.abortContext, g.abort = context.WithCancel(context.Background())
-	g.responseMemory = rationer.New(int64(responseMemoryShare * float64(cmp.Or(cfg.Memory, defaultMemory))))
+	memory := float64(cmp.Or(cfg.Memory, defaultMemory))
+	g.requestMemory, g.responseMemory = rationer.New(int64(requestMemoryShare*memory)), rationer.New(int64(responseMemoryShare*memory))
 	g.pool = pooler.New(pooler.Config{
 		IDHeader: cfg.IDHeader, LocalIP: cfg.LocalIP, Now: cfg.Now, Memory: g.responseMemory,
 		OnOpen: func() { g.metrics.Count("connections_opened") },
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -17,12 +17,8 @@
 )
 
 const (
-	// bodyTimeout limits the reading of a request's body.
-	bodyTimeout = 10 * time.Second
 	// defaultTimeout applies to requests that give no timeout.
 	defaultTimeout = 60 * time.Second
-	// defaultMaxBodyBytes limits bodies if the configuration sets no limit.
-	defaultMaxBodyBytes = 4 << 20
 	// retryDelay is the mean delay after which a refused caller is asked to
 	// retry.
 	retryDelay = time.Second
@@ -54,6 +50,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, refusal := g.accept(w, r, now)
+	if c.bodyMemory != nil {
+		defer c.bodyMemory.Release()
+	}
 	if refusal == nil {
 		refusal = g.forward(r.Context(), w, c)
 	}
@@ -105,12 +104,8 @@
 	if g.mayOutliveProcess(c) {
 		return c, judge.Refuse(judge.CodeLeaving, judge.NotRun, "the process is about to end").WithRetryAfter(g.state.jitter(otherEntryRetryDelay))
 	}
-	if c.body, err = readBody(w, r, config.Limits().BodyBytes, now); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return c, judge.Refuse(judge.CodeTooLarge, judge.NotRun, "the body is too large")
-		}
-		return c, judge.Refuse(judge.CodeBadRequest, judge.NotRun, "the body can't be read")
+	if refusal := g.readBody(w, r, c, config.Limits().BodyBytes); refusal != nil {
+		return c, refusal
 	}
 	c.setFingerprint()
 	return c, nil
@@ -156,24 +151,6 @@
 	return limit
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, now time.Time) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(now.Add(bodyTimeout)); err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		return nil, err
-	}
-	return body, controller.SetReadDeadline(time.Time{})
-}
-
 // refuse sends a refusal to the caller. If part of a response was sent already,
 // or the caller disconnected, it aborts the connection instead, so that the
 // response does not look complete.
--- /dev/null
+++ b/internal/gateway/requestbody.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"cmp"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/galenahitch/galenahitch/internal/rationer"
+	"github.com/galenahitch/galenahitch/pkg/judge"
+)
+
+const (
+	// bodyTimeout limits the reading of a request's body.
+	bodyTimeout = 10 * time.Second
+	// defaultMaxBodyBytes limits bodies if the configuration sets no limit.
+	defaultMaxBodyBytes int64 = 4 << 20
+	// requestMemoryShare is the share of the process's memory that the bodies of requests
+	// may hold together, except those of up to smallBodyBytes.
+	requestMemoryShare = 0.25
+	smallBodyBytes     = 16 << 10
+)
+
+var errNoRequestMemory = errors.New("the bodies of requests hold too much memory")
+
+// readBody reads the body of a request. A long one is refused at once, before it is read if
+// its length is known, if there is no memory left for it.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) *judge.Refusal {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	memory := g.requestMemory.Ration()
+	c.bodyMemory = memory.Share()
+	controller := http.NewResponseController(w)
+	limit = cmp.Or(max(limit, 0), defaultMaxBodyBytes)
+	err := controller.SetReadDeadline(c.arrived.Add(bodyTimeout))
+	if err == nil {
+		c.body, err = readWhole(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, memory)
+	}
+	if err == nil {
+		err = controller.SetReadDeadline(time.Time{})
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errNoRequestMemory):
+		g.metrics.Count("bodies_refused")
+		refusal := judge.Refuse(judge.CodeOverloaded, judge.NotRun, err.Error()).WithRetryAfter(g.state.jitter(retryDelay))
+		refusal.Status = http.StatusServiceUnavailable
+		return refusal
+	case errors.As(err, &tooLarge):
+		return judge.Refuse(judge.CodeTooLarge, judge.NotRun, "the body is too large")
+	default:
+		return judge.Refuse(judge.CodeBadRequest, judge.NotRun, "the body can't be read")
+	}
+}
+
+// readWhole reads a body whose length is negative if it is not known. Its reader returns an
+// error beyond the limit.
+func readWhole(body io.Reader, length, limit int64, memory *rationer.Ration) ([]byte, error) {
+	if length < 0 || length > limit {
+		read, whole, err := readAhead(body, memory, math.MaxInt)
+		if err == nil && !whole {
+			err = errNoRequestMemory
+		}
+		memory.Trim(cap(read))
+		return read, err
+	}
+	if length > smallBodyBytes && !memory.Grow(int(length)) {
+		return nil, errNoRequestMemory
+	}
+	read := make([]byte, length)
+	_, err := io.ReadFull(body, read)
+	return read, err
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -157,7 +157,7 @@
 	}
 	memory := g.responseMemory.Ration()
 	defer memory.Release()
-	buffered, whole, err := readAhead(response, memory)
+	buffered, whole, err := readAhead(response, memory, maxBufferedBytes)
 	c.receivedBytes = int64(len(buffered))
 	if err != nil {
 		return truncatedResponse(ctx, r.response, err)
@@ -186,11 +186,11 @@
 	return nil
 }
 
-// readAhead reads up to maxBufferedBytes of a body, or as much as memory is left for. It
+// readAhead reads up to limit bytes of a body, or as much as memory is left for. It
 // reports whether that is all of it.
-func readAhead(body io.Reader, memory *rationer.Ration) (read []byte, whole bool, err error) {
+func readAhead(body io.Reader, memory *rationer.Ration, limit int) (read []byte, whole bool, err error) {
 	read = make([]byte, 0, readChunkBytes)
-	for len(read) < maxBufferedBytes {
+	for len(read) < limit {
 		if len(read) == cap(read) {
 			if !memory.Grow(2 * cap(read)) {
 				return read, false, nil
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -73,6 +73,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BodyMemory, if set, is the memory of the body, which is retained until it has been
+	// sent, also after the end of the response.
+	BodyMemory *rationer.Share
 	// MaySend, if set, is called when there is a connection. The request is sent only if
 	// it returns true.
 	MaySend func() bool
--- a/internal/pooler/send.go
+++ b/internal/pooler/send.go
@@ -47,19 +47,28 @@
 		buffers = append(buffers, request.Body)
 	}
 	s := &sending{done: make(chan struct{})}
+	isLong := len(buffers[0])+len(request.Body) > maxShortRequest
+	if isLong {
+		if err := c.setUnackedTimeout(longSendTimeout); err != nil {
+			s.err = err
+			close(s.done)
+			return s
+		}
+	}
+	if request.BodyMemory != nil {
+		request.BodyMemory.Retain()
+	}
 	write := func() {
 		defer close(s.done)
+		if request.BodyMemory != nil {
+			defer request.BodyMemory.Release()
+		}
 		s.sent, s.err = c.ordered.writeBuffers(buffers)
 	}
-	if len(buffers[0])+len(request.Body) <= maxShortRequest {
+	if !isLong {
 		write()
 		return s
 	}
-	if err := c.setUnackedTimeout(longSendTimeout); err != nil {
-		s.err = err
-		close(s.done)
-		return s
-	}
 	c.longSend = true
 	go write()
 	return s
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -40,6 +40,38 @@
 	return true
 }
 
+// Trim returns what exceeds some bytes to the budget.
+func (r *Ration) Trim(bytes int) {
+	if excess := r.held - int64(bytes); excess > 0 && r.budget != nil {
+		r.budget.left.Add(excess)
+		r.held -= excess
+	}
+}
+
+// Share returns a share that is returned when all its users have released it. The ration
+// must not grow after that.
+func (r *Ration) Share() *Share {
+	s := &Share{ration: r}
+	s.users.Store(1)
+	return s
+}
+
+// Share is a ration with several users. It is safe for concurrent use.
+type Share struct {
+	ration *Ration
+	users  atomic.Int32
+}
+
+// Retain adds a user, who calls Release once. It is called by a user.
+func (s *Share) Retain() { s.users.Add(1) }
+
+// Release removes a user.
+func (s *Share) Release() {
+	if s.users.Add(-1) == 0 {
+		s.ration.Release()
+	}
+}
+
 // Release returns all bytes to the budget.
 func (r *Ration) Release() {
 	if r.budget != nil {
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -30,6 +30,12 @@
 	r := budget.Ration()
 	require.True(t, r.Grow(limit))
 	require.False(t, budget.Ration().Grow(1))
-	r.Release()
+	share := r.Share()
+	r.Trim(limit - 1)
+	require.True(t, budget.Ration().Grow(1))
+	share.Retain()
+	share.Release()
+	require.False(t, budget.Ration().Grow(1), "one user is left")
+	share.Release()
 	require.True(t, budget.Ration().Grow(1))
 }
