internal/gateway: let large bodies wait for memory before a refusal

Bodies for which there was no memory were refused at once, also if others were about to leave. They now stay unread, first come, first served, for 0.3 of their request's time.

TestWaitingUsersAreServedInOrder.

--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"cmp"
+	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"time"
 
@@ -21,12 +22,15 @@
 	// may hold together, except those of up to smallBodyBytes.
 	requestMemoryShare = 0.25
 	smallBodyBytes     = 16 << 10
+	// bodyWaitShare is the share of its time for which a request waits for that memory. Its
+	// body stays unread meanwhile.
+	bodyWaitShare = 0.3
 )
 
 var errNoRequestMemory = errors.New("the bodies of requests hold too much memory")
 
-// readBody reads the body of a request. A long one is refused at once, before it is read if
-// its length is known, if there is no memory left for it.
+// readBody reads the body of a request. A long one for which there is no memory in time is
+// refused before it is read.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) *judge.Refusal {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
@@ -37,7 +41,9 @@
 	limit = cmp.Or(max(limit, 0), defaultMaxBodyBytes)
 	err := controller.SetReadDeadline(c.arrived.Add(bodyTimeout))
 	if err == nil {
-		c.body, err = readWhole(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, memory)
+		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(bodyWaitShare*float64(c.deadline.Sub(c.arrived))))
+		defer cancel()
+		c.body, err = readWhole(ctx, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, memory)
 	}
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
@@ -59,20 +65,25 @@
 }
 
 // readWhole reads a body whose length is negative if it is not known. Its reader returns an
-// error beyond the limit.
-func readWhole(body io.Reader, length, limit int64, memory *rationer.Ration) ([]byte, error) {
+// error beyond the limit. While there is no memory for a long one it stays unread, until ctx
+// ends.
+func readWhole(ctx context.Context, body io.Reader, length, limit int64, memory *rationer.Ration) ([]byte, error) {
 	if length < 0 || length > limit {
-		read, whole, err := readAhead(body, memory, math.MaxInt)
-		if err == nil && !whole {
-			err = errNoRequestMemory
+		length = limit
+	}
+	read := bytes.NewBuffer(make([]byte, 0, min(length, smallBodyBytes)+bytes.MinRead))
+	n, err := io.CopyN(read, body, smallBodyBytes)
+	if n < smallBodyBytes {
+		if err == io.EOF {
+			err = nil
 		}
-		memory.Trim(cap(read))
-		return read, err
+		return read.Bytes(), err
 	}
-	if length > smallBodyBytes && !memory.Grow(int(length)) {
+	if !memory.GrowWithin(ctx, int(length)) {
 		return nil, errNoRequestMemory
 	}
-	read := make([]byte, length)
-	_, err := io.ReadFull(body, read)
-	return read, err
+	read.Grow(int(length) - read.Len() + bytes.MinRead)
+	_, err = read.ReadFrom(body)
+	memory.Trim(read.Cap())
+	return read.Bytes(), err
 }
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -1,8 +1,11 @@
 package rationer_test
 
 import (
+	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -39,3 +42,32 @@
 	share.Release()
 	require.True(t, budget.Ration().Grow(1))
 }
+
+// A user that asked for much was passed over by users that asked for little later.
+func TestWaitingUsersAreServedInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 100
+		budget := rationer.New(limit)
+		first := budget.Ration()
+		require.True(t, first.Grow(limit))
+		order := make(chan int, 3)
+		for i, bytes := range []int{limit, 1, 1} {
+			go func() {
+				r := budget.Ration()
+				require.True(t, r.GrowWithin(t.Context(), bytes))
+				order <- i
+				r.Release()
+			}()
+			synctest.Wait()
+		}
+		require.False(t, budget.Ration().Grow(0), "others wait")
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.False(t, budget.Ration().GrowWithin(short, 1))
+		first.Release()
+		synctest.Wait()
+		require.Zero(t, <-order)
+		require.Len(t, order, 2)
+		require.EqualValues(t, limit, budget.Left())
+	})
+}
