internal/gateway: keep versions that were rolled back withdrawn

An entry kept one move for each deployment.

Also: a response that was taken over while its call ended is closed, and counts as run.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -166,6 +166,10 @@
 		probed := g.recordAttemptFailure(ctx, c, upstream, f)
 		response = f.standby.await(ctx, c)
 		if ctx.Err() != nil || c.disconnected {
+			if response != nil {
+				response.close(c)
+				c.runs++
+			}
 			return g.refuseEnded(ctx, c, f)
 		}
 		if response != nil {
@@ -450,7 +454,8 @@
 func (g *Gateway) hasOtherUpstream(deployment string, exclude []string) bool {
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	return len(g.state.router.Eligible(g.cfg.Now(), router.Request{Deployment: deployment, Exclude: exclude})) > 0
+	query := router.Request{Deployment: deployment, Exclude: exclude, AvoidVersions: g.state.withdrawnVersions(deployment)}
+	return len(g.state.router.Eligible(g.cfg.Now(), query)) > 0
 }
 
 // refuseNoUpstream returns the refusal of a call for which there is no
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -67,6 +67,8 @@
 	ElapsedMS      int64            `cbor:"4,keyasint"`
 	State          charter.State    `cbor:"5,keyasint"`
 	Reason         string           `cbor:"6,keyasint,omitempty"`
+	// Verdicts are those of this and earlier moves, by version.
+	Verdicts map[string]mover.Verdict `cbor:"7,keyasint,omitempty"`
 }
 
 // startMove starts a move by an operator's order, unless the entry has this order or
@@ -84,6 +86,7 @@
 	st.moves[order.Deployment] = &move{order: order, epoch: epoch, startedAt: now, state: mover.Moving, statusUnread: atStartup, comparedCounts: map[string]versionCounts{}}
 	st.log.Info().Str("event", "move_ordered").Str("deployment", order.Deployment).Str("to", order.To).
 		Dur("within", order.FinishWithin).Uint64("epoch", uint64(epoch)).Bool("first_read", atStartup).Send()
+	st.recordVerdict(st.moves[order.Deployment])
 }
 
 // keepMove continues a move whose order was written again after the store had returned
@@ -93,6 +96,50 @@
 		Uint64("epoch", uint64(epoch)).Uint64("previous", uint64(m.epoch)).Send()
 	st.deleteOutcomes(m)
 	m.epoch, m.writtenState, m.comparedCounts = epoch, "", map[string]versionCounts{}
+	st.recordVerdict(m)
+}
+
+// verdictsOn returns the verdicts on the versions of a deployment.
+func (st *state) verdictsOn(deployment string) *mover.Verdicts {
+	v, ok := st.verdicts[deployment]
+	if !ok {
+		v = &mover.Verdicts{}
+		st.verdicts[deployment] = v
+	}
+	return v
+}
+
+// recordVerdict records what a move has shown of its version so far.
+func (st *state) recordVerdict(m *move) {
+	st.verdictsOn(m.order.Deployment).Join(m.order.To, mover.Verdict{
+		Epoch: uint64(m.epoch), RolledBack: m.state == mover.RolledBack, Done: m.state == mover.Done,
+	})
+}
+
+// withdrawnVersions returns the versions of a deployment that get no requests, as their latest
+// orders were rolled back. The lock must be held.
+func (st *state) withdrawnVersions(deployment string) []string {
+	if v, ok := st.verdicts[deployment]; ok {
+		return v.Withdrawn()
+	}
+	return nil
+}
+
+// retainVerdicts forgets the verdicts on versions that are not listed any more.
+func (st *state) retainVerdicts(now time.Time) {
+	if len(st.verdicts) == 0 {
+		return
+	}
+	listed := map[string]map[string]bool{}
+	for _, u := range st.upstreams {
+		if listed[u.Deployment] == nil {
+			listed[u.Deployment] = map[string]bool{}
+		}
+		listed[u.Deployment][u.Version] = true
+	}
+	for name, v := range st.verdicts {
+		v.Retain(now, listed[name])
+	}
 }
 
 // moveUpdates returns the moves for this entry's messages, by deployment. Moves whose
@@ -105,7 +152,7 @@
 		}
 		updates[name] = moveUpdate{
 			To: m.order.To, FinishWithinMS: m.order.FinishWithin.Milliseconds(), Epoch: m.epoch, ElapsedMS: now.Sub(m.startedAt).Milliseconds(),
-			State: m.state, Reason: m.reason,
+			State: m.state, Reason: m.reason, Verdicts: st.verdictsOn(name).All(),
 		}
 	}
 	return updates
@@ -114,6 +161,9 @@
 // mergeMoves merges the moves of another entry's message.
 func (st *state) mergeMoves(now time.Time, updates map[string]moveUpdate) {
 	for name, update := range updates {
+		for version, verdict := range update.Verdicts {
+			st.verdictsOn(name).Join(version, verdict)
+		}
 		order := MoveOrder{Deployment: name, To: update.To, FinishWithin: time.Duration(update.FinishWithinMS) * time.Millisecond}
 		st.startMove(now, order, update.Epoch, false)
 		m := st.moves[name]
@@ -151,6 +201,7 @@
 		return
 	}
 	m.state, m.reason = state, reason
+	st.recordVerdict(m)
 	st.log.Info().Str("event", "move_"+string(state)).Str("deployment", m.order.Deployment).Str("to", m.order.To).
 		Uint64("epoch", uint64(m.epoch)).Int("outcomes", m.newOutcomes).Str("reason", reason).Send()
 	st.deleteOutcomes(m)
@@ -210,25 +261,28 @@
 // deployment requires it. Retries go to the current version until the move is done.
 // The lock must be held.
 func (st *state) restrictVersion(now time.Time, c *call, request *router.Request) {
+	withdrawn := st.withdrawnVersions(c.deployment)
+	request.AvoidVersions = withdrawn
 	m, ok := st.moves[c.deployment]
 	if !ok {
 		return
 	}
+	others := append(slices.Clone(withdrawn), m.order.To)
 	newUpstreams := st.router.EligibleCount(now, router.Request{Deployment: c.deployment, Version: m.order.To})
-	otherUpstreams := st.router.EligibleCount(now, router.Request{Deployment: c.deployment, AvoidVersion: m.order.To})
+	otherUpstreams := st.router.EligibleCount(now, router.Request{Deployment: c.deployment, AvoidVersions: others})
 	switch {
 	case m.state == mover.RolledBack:
-		request.AvoidVersion = m.order.To
+		request.AvoidVersions = others
 	case newUpstreams == 0 || otherUpstreams == 0:
 		// Only one version has eligible upstreams.
 	case m.state == mover.Done:
 		request.Version = m.order.To
 	case c.sends > 0:
-		request.AvoidVersion = m.order.To
+		request.AvoidVersions = others
 	default:
 		share := st.newVersionShare(now, m)
 		if !mover.Selected(c.request.ID, mover.Move{ID: strconv.FormatUint(uint64(m.epoch), 36)}, share) {
-			request.AvoidVersion = m.order.To
+			request.AvoidVersions = others
 			return
 		}
 		request.Version, request.PrefixHash = m.order.To, 0
@@ -271,6 +325,10 @@
 func (st *state) recordOutcome(c *call, u Upstream, failed bool, latency time.Duration) {
 	m, moving := st.moves[c.deployment]
 	isNew := moving && u.Version == m.order.To
+	if !isNew && slices.Contains(st.withdrawnVersions(c.deployment), u.Version) {
+		// It is no measure for the versions that get requests.
+		return
+	}
 	threshold, ok := st.latencyThresholds[c.route.Name]
 	if !ok {
 		threshold = &mover.LatencyThreshold{}
@@ -298,6 +356,9 @@
 func (st *state) recordPause(c *call, u Upstream, pause time.Duration) {
 	m, moving := st.moves[c.deployment]
 	isNew := moving && u.Version == m.order.To
+	if !isNew && slices.Contains(st.withdrawnVersions(c.deployment), u.Version) {
+		return
+	}
 	threshold, ok := st.pauseThresholds[c.deployment]
 	if !ok {
 		threshold = &mover.PauseThreshold{}
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -265,3 +265,45 @@
 	require.Equal(t, 50, newVersion, "there is no other version")
 	require.Equal(t, "done", string(store.row.Value))
 }
+
+// A version that was rolled back got requests again with the next order, while its upstreams
+// drained, and its failures counted as usual ones of the version that callers get.
+func TestRolledBackVersionsStayWithdrawn(t *testing.T) {
+	c := newCluster(t, 5)
+	for _, g := range c.entries {
+		listVersions(g, c.clock.now, 18, 18)
+		g.state.upstreams["w"] = Upstream{Name: "w", Upstream: router.Upstream{ID: "w", Deployment: "model", Version: "v3", FailureDomain: "d0", Slots: 32}}
+		g.state.updateRouter(c.clock.now)
+	}
+	c.rounds(6)
+	for i, g := range c.entries {
+		if i > 0 {
+			g.state.startMove(c.clock.now, moveToV2, 77, false)
+		}
+	}
+	c.entries[1].state.setMoveState(c.entries[1].state.moves["model"], mover.RolledBack, "bad")
+	// The next order arrives before any other entry has heard of the end.
+	moveToV3 := MoveOrder{Deployment: "model", To: "v3", FinishWithin: 15 * time.Second}
+	for _, g := range c.entries {
+		g.state.startMove(c.clock.now, moveToV3, 78, false)
+	}
+	c.rounds(2)
+	chatCall := &call{deployment: "model"}
+	chatCall.route.Name = "chat"
+	for i, g := range c.entries {
+		newVersion, _ := pickMany(g, 200)
+		require.Zero(t, newVersion, "entry %d sends requests to a version that was rolled back", i)
+		require.Equal(t, mover.Moving, g.state.moves["model"].state)
+		g.state.recordOutcome(chatCall, Upstream{Upstream: router.Upstream{Version: "v2"}}, true, time.Second)
+		require.Empty(t, g.state.ownOutcomes, "its failures count for the version that callers get")
+	}
+	started := c.entries[4].state
+	started.moves, started.verdicts = map[string]*move{}, map[string]*mover.Verdicts{}
+	c.rounds(2)
+	newVersion, _ := pickMany(c.entries[4], 200)
+	require.Zero(t, newVersion, "an entry that has started again")
+	for _, g := range c.entries {
+		g.state.startMove(c.clock.now, moveToV2, 79, false)
+		require.Empty(t, g.state.withdrawnVersions("model"), "its order is judged anew")
+	}
+}
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -156,15 +156,15 @@
 	select {
 	case <-b.done:
 	case <-ctx.Done():
-		b.end()
-		return nil
 	}
 	b.watch.mu.Lock()
 	defer b.watch.mu.Unlock()
 	b.addTo(c)
-	if b.response != nil {
-		c.beginWith(b.call)
+	if b.response == nil {
+		b.drop()
+		return nil
 	}
+	c.beginWith(b.call)
 	return b.response
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -93,6 +93,7 @@
 	// pauseThresholds and usualLoads by deployment. usualLoads are loads of upstreams of
 	// current versions when a request is sent, plus one.
 	moves             map[string]*move
+	verdicts          map[string]*mover.Verdicts
 	ownOutcomes       aggregator.Totals
 	latencyThresholds map[string]*mover.LatencyThreshold
 	pauseThresholds   map[string]*mover.PauseThreshold
@@ -152,6 +153,7 @@
 		usageSources:       map[string]usageSource{},
 		startedAt:          cfg.Now(),
 		moves:              map[string]*move{},
+		verdicts:           map[string]*mover.Verdicts{},
 		ownOutcomes:        aggregator.Totals{},
 		latencyThresholds:  map[string]*mover.LatencyThreshold{},
 		pauseThresholds:    map[string]*mover.PauseThreshold{},
@@ -278,6 +280,7 @@
 		st.deploymentSizes[u.Deployment]++
 	}
 	st.router.Replace(now, listed)
+	st.retainVerdicts(now)
 	for _, u := range st.upstreams {
 		if u.Leaving && st.router.MarkLeaving(now, u.ID, u.LeavesIn) {
 			if u.Reclaimable {
--- a/pkg/router/pick.go
+++ b/pkg/router/pick.go
@@ -72,7 +72,7 @@
 
 // allowsVersion reports whether the request may go to an upstream with a version.
 func (req Request) allowsVersion(version string) bool {
-	return (req.Version == "" || version == req.Version) && (req.AvoidVersion == "" || version != req.AvoidVersion)
+	return (req.Version == "" || version == req.Version) && !slices.Contains(req.AvoidVersions, version)
 }
 
 const (
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -40,8 +40,8 @@
 type Request struct {
 	Deployment string
 	Version    string
-	// AvoidVersion excludes the upstreams of a version; empty means none.
-	AvoidVersion string
+	// AvoidVersions excludes the upstreams of versions.
+	AvoidVersions []string
 	// PrefixHash is the hash of the prompt prefix that requests share; 0 means
 	// no affinity.
 	PrefixHash uint64
