--- a/internal/dispatcher/reset_test.go
+++ b/internal/dispatcher/reset_test.go
@@ -37,9 +37,9 @@
 	h := dispatcher.NewHTTP(dispatcher.Config{})
 	defer h.Close()
 	to := dispatcher.Target{ID: "u", Address: listener.Addr().String()}
-	for range 200 {
+	for range 400 {
 		long := call(true)
-		long.Body = []byte(strings.Repeat("x", 8<<20))
+		long.Body = []byte(strings.Repeat("x", 1<<20))
 		response, err := h.Call(context.Background(), to, long)
 		require.Error(t, err, "a call that was cut passes for complete: %q", response.Body)
 	}
