pkg/mover: forget verdicts on versions that are gone

Entries sent each other the verdicts on all versions, and one that had forgotten an old version learned it again from one that had not. So the messages grew with each order for good.

Verdicts on versions that are neither known nor listed are ignored, and the current order's own is not sent a second time. Versions that are withdrawn by what another entry knows are logged.

--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -67,7 +67,7 @@
 	ElapsedMS      int64            `cbor:"4,keyasint"`
 	State          charter.State    `cbor:"5,keyasint"`
 	Reason         string           `cbor:"6,keyasint,omitempty"`
-	// Verdicts are those of this and earlier moves, by version.
+	// Verdicts are those of earlier moves, by version.
 	Verdicts map[string]mover.Verdict `cbor:"7,keyasint,omitempty"`
 }
 
@@ -103,7 +103,7 @@
 func (st *state) verdictsOn(deployment string) *mover.Verdicts {
 	v, ok := st.verdicts[deployment]
 	if !ok {
-		v = &mover.Verdicts{}
+		v = mover.NewVerdicts(st.listedVersions(deployment))
 		st.verdicts[deployment] = v
 	}
 	return v
@@ -127,19 +127,20 @@
 
 // retainVerdicts forgets the verdicts on versions that are not listed any more.
 func (st *state) retainVerdicts(now time.Time) {
-	if len(st.verdicts) == 0 {
-		return
+	for name, v := range st.verdicts {
+		v.Retain(now, st.listedVersions(name))
 	}
-	listed := map[string]map[string]bool{}
+}
+
+// listedVersions returns the versions of a deployment's listed upstreams.
+func (st *state) listedVersions(deployment string) map[string]bool {
+	versions := map[string]bool{}
 	for _, u := range st.upstreams {
-		if listed[u.Deployment] == nil {
-			listed[u.Deployment] = map[string]bool{}
+		if u.Deployment == deployment {
+			versions[u.Version] = true
 		}
-		listed[u.Deployment][u.Version] = true
-	}
-	for name, v := range st.verdicts {
-		v.Retain(now, listed[name])
 	}
+	return versions
 }
 
 // moveUpdates returns the moves for this entry's messages, by deployment. Moves whose
@@ -152,7 +153,7 @@
 		}
 		updates[name] = moveUpdate{
 			To: m.order.To, FinishWithinMS: m.order.FinishWithin.Milliseconds(), Epoch: m.epoch, ElapsedMS: now.Sub(m.startedAt).Milliseconds(),
-			State: m.state, Reason: m.reason, Verdicts: st.verdictsOn(name).All(),
+			State: m.state, Reason: m.reason, Verdicts: st.verdictsOn(name).Except(m.order.To),
 		}
 	}
 	return updates
@@ -162,7 +163,10 @@
 func (st *state) mergeMoves(now time.Time, updates map[string]moveUpdate) {
 	for name, update := range updates {
 		for version, verdict := range update.Verdicts {
-			st.verdictsOn(name).Join(version, verdict)
+			if st.verdictsOn(name).Merge(version, verdict) {
+				st.log.Info().Str("event", "version_withdrawn").Str("deployment", name).Str("version", version).
+					Uint64("epoch", verdict.Epoch).Bool("told", true).Send()
+			}
 		}
 		order := MoveOrder{Deployment: name, To: update.To, FinishWithin: time.Duration(update.FinishWithinMS) * time.Millisecond}
 		st.startMove(now, order, update.Epoch, false)
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -307,3 +307,35 @@
 		require.Empty(t, g.state.withdrawnVersions("model"), "its order is judged anew")
 	}
 }
+
+// Verdicts on versions that were not listed any more came back from entries that had not
+// forgotten them yet, so that no entry ever forgot one.
+func TestVerdictsOnOldVersionsAreForgotten(t *testing.T) {
+	for _, entries := range []int{3, 81} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			c := newCluster(t, entries)
+			for _, g := range c.entries {
+				listVersions(g, c.clock.now, 18, 18)
+				g.state.startMove(c.clock.now, moveToV2, 77, false)
+				g.state.setMoveState(g.state.moves["model"], mover.RolledBack, "bad")
+				g.state.startMove(c.clock.now, MoveOrder{Deployment: "model", To: "v3", FinishWithin: time.Hour}, 78, false)
+			}
+			c.rounds(6)
+			for _, g := range c.entries {
+				listVersions(g, c.clock.now, 18, 0)
+			}
+			for step := range 8 {
+				c.clock.advance(mover.VerdictTTL / 2)
+				for i, g := range c.entries {
+					if (i+step)%2 == 0 {
+						g.state.updateRouter(c.clock.now)
+					}
+				}
+				c.rounds(3)
+			}
+			for i, g := range c.entries {
+				require.NotContains(t, g.state.verdictsOn("model").Except(""), "v2", "entry %d", i)
+			}
+		})
+	}
+}
--- a/pkg/mover/verdicts.go
+++ b/pkg/mover/verdicts.go
@@ -32,20 +32,36 @@
 }
 
 // Verdicts are those on the versions of one deployment. They outlive the order that follows:
-// upstreams of a version that was rolled back are listed until they have drained. The zero
-// value is empty.
+// upstreams of a version that was rolled back are listed until they have drained.
 type Verdicts struct {
 	byVersion map[string]Verdict
-	// listedAt is when a version was last listed, or first looked for.
+	// listed are the versions that are listed now, listedAt is when one was last listed, or
+	// first looked for.
+	listed    map[string]bool
 	listedAt  map[string]time.Time
 	withdrawn []string
 }
 
+// NewVerdicts returns an empty value for a deployment with the given listed versions. The map
+// must not be changed later.
+func NewVerdicts(listed map[string]bool) *Verdicts {
+	return &Verdicts{byVersion: map[string]Verdict{}, listed: listed, listedAt: map[string]time.Time{}}
+}
+
+// Merge adds another entry's verdict on a version. One on a version that is neither known nor
+// listed here is ignored: the other entry has not forgotten it yet. It reports whether the
+// version was withdrawn by that.
+func (v *Verdicts) Merge(version string, verdict Verdict) bool {
+	if _, known := v.byVersion[version]; !known && !v.listed[version] {
+		return false
+	}
+	before := slices.Contains(v.withdrawn, version)
+	v.Join(version, verdict)
+	return !before && slices.Contains(v.withdrawn, version)
+}
+
 // Join adds a verdict on a version.
 func (v *Verdicts) Join(version string, verdict Verdict) {
-	if v.byVersion == nil {
-		v.byVersion, v.listedAt = map[string]Verdict{}, map[string]time.Time{}
-	}
 	known, ok := v.byVersion[version]
 	if joined := known.join(verdict); !ok || joined != known {
 		v.byVersion[version] = joined
@@ -53,8 +69,10 @@
 	}
 }
 
-// Retain forgets versions that have not been listed for VerdictTTL.
+// Retain forgets versions that have not been listed for VerdictTTL. The map of the versions
+// that are listed now must not be changed later.
 func (v *Verdicts) Retain(now time.Time, listed map[string]bool) {
+	v.listed = listed
 	for version := range v.byVersion {
 		_, seen := v.listedAt[version]
 		switch {
@@ -82,5 +100,12 @@
 // changed.
 func (v *Verdicts) Withdrawn() []string { return v.withdrawn }
 
-// All returns a copy of the verdicts, by version.
-func (v *Verdicts) All() map[string]Verdict { return maps.Clone(v.byVersion) }
+// Except returns the verdicts on all versions but one, nil if there are none.
+func (v *Verdicts) Except(version string) map[string]Verdict {
+	others := maps.Clone(v.byVersion)
+	delete(others, version)
+	if len(others) == 0 {
+		return nil
+	}
+	return others
+}
--- a/pkg/mover/verdicts_test.go
+++ b/pkg/mover/verdicts_test.go
@@ -19,10 +19,13 @@
 	const histories, entries, orders = 1000, 5, 8
 	for seed := range uint64(histories) {
 		random := rand.New(rand.NewPCG(seed, 5))
-		verdicts := make([]mover.Verdicts, entries)
+		verdicts := make([]*mover.Verdicts, entries)
+		for i := range verdicts {
+			verdicts[i] = mover.NewVerdicts(map[string]bool{"v0": true, "v1": true, "v2": true, "v3": true})
+		}
 		send := func(from, to int) {
-			for version, verdict := range verdicts[from].All() {
-				verdicts[to].Join(version, verdict)
+			for version, verdict := range verdicts[from].Except("") {
+				verdicts[to].Merge(version, verdict)
 			}
 		}
 		last := map[string]mover.Verdict{}
@@ -60,7 +63,7 @@
 // A version whose upstreams are listed stays withdrawn, however long they drain.
 func TestVerdictsAreKeptWhileTheVersionIsListed(t *testing.T) {
 	now := time.UnixMilli(1_700_000_000_000)
-	var v mover.Verdicts
+	v := mover.NewVerdicts(nil)
 	v.Join("v2", mover.Verdict{Epoch: 1, RolledBack: true})
 	for range 10 {
 		now = now.Add(mover.VerdictTTL)
