internal/gateway: refuse at once the bodies that memory never fits

A body of more than the memory of all bodies waited 0.3 of its request's time, and others behind it. A body of unknown length of more than 16 KiB took memory for the largest allowed one while it was read, so that some 17 of them held back all others, of whatever size.

Such bodies are refused at once, and those of unknown length take memory in steps. TestMoreThanTheBudgetIsRefusedAtOnce hung before. A refusal logs the length, the memory left and the time waited.

--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -22,6 +22,9 @@
 	// may hold together, except those of up to smallBodyBytes.
 	requestMemoryShare = 0.25
 	smallBodyBytes     = 16 << 10
+	// bodyGrowth is the factor between the steps in which a body of unknown length takes
+	// memory.
+	bodyGrowth = 16
 	// bodyWaitShare is the share of its time for which a request waits for that memory. Its
 	// body stays unread meanwhile.
 	bodyWaitShare = 0.3
@@ -54,6 +57,8 @@
 		return nil
 	case errors.Is(err, errNoRequestMemory):
 		g.metrics.Count("bodies_refused")
+		g.cfg.Log.Info().Str("event", "body_refused").Str("request_id", c.request.ID).Int64("length", r.ContentLength).
+			Int64("memory_left", g.requestMemory.Left()).Dur("waited", g.cfg.Now().Sub(c.arrived)).Send()
 		refusal := judge.Refuse(judge.CodeOverloaded, judge.NotRun, err.Error()).WithRetryAfter(g.state.jitter(retryDelay))
 		refusal.Status = http.StatusServiceUnavailable
 		return refusal
@@ -66,24 +71,29 @@
 
 // readWhole reads a body whose length is negative if it is not known. Its reader returns an
 // error beyond the limit. While there is no memory for a long one it stays unread, until ctx
-// ends.
+// ends. One of unknown length takes memory in steps.
 func readWhole(ctx context.Context, body io.Reader, length, limit int64, memory *rationer.Ration) ([]byte, error) {
-	if length < 0 || length > limit {
-		length = limit
+	read := &bytes.Buffer{}
+	if length >= 0 {
+		read.Grow(int(min(length, smallBodyBytes)) + bytes.MinRead)
 	}
-	read := bytes.NewBuffer(make([]byte, 0, min(length, smallBodyBytes)+bytes.MinRead))
-	n, err := io.CopyN(read, body, smallBodyBytes)
-	if n < smallBodyBytes {
-		if err == io.EOF {
-			err = nil
+	for size := int64(smallBodyBytes); ; size = min(size*bodyGrowth, limit+1) {
+		if length > size && length <= limit {
+			size = length
+		}
+		if more := size - int64(read.Len()); size > smallBodyBytes {
+			if !memory.GrowWithin(ctx, int(more)) {
+				return nil, errNoRequestMemory
+			}
+			read.Grow(int(more) + bytes.MinRead)
+		}
+		_, err := io.CopyN(read, body, size-int64(read.Len()))
+		switch {
+		case err == io.EOF || err == nil && int64(read.Len()) == length:
+			memory.Trim(read.Cap())
+			return read.Bytes(), nil
+		case err != nil:
+			return nil, err
 		}
-		return read.Bytes(), err
-	}
-	if !memory.GrowWithin(ctx, int(length)) {
-		return nil, errNoRequestMemory
 	}
-	read.Grow(int(length) - read.Len() + bytes.MinRead)
-	_, err = read.ReadFrom(body)
-	memory.Trim(read.Cap())
-	return read.Bytes(), err
 }
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -10,6 +10,8 @@
 
 // Budget is a number of bytes that its users hold together. It is safe for concurrent use.
 type Budget struct {
+	total int64
+
 	mu   sync.Mutex
 	left int64
 	// waiting are users that wait for bytes, in the order of their arrival.
@@ -24,7 +26,7 @@
 }
 
 // New returns a budget of some bytes.
-func New(bytes int64) *Budget { return &Budget{left: bytes} }
+func New(bytes int64) *Budget { return &Budget{total: bytes, left: bytes} }
 
 // Left returns the number of bytes that nobody holds.
 func (b *Budget) Left() int64 {
@@ -117,11 +119,15 @@
 	return true
 }
 
-// GrowWithin is Grow for a user that waits for the bytes until ctx ends.
+// GrowWithin is Grow for a user that waits for the bytes until ctx ends. It returns false at
+// once if the ration would be larger than the budget.
 func (r *Ration) GrowWithin(ctx context.Context, bytes int) bool {
 	if r.budget == nil {
 		return true
 	}
+	if r.held+int64(bytes) > r.budget.total {
+		return false
+	}
 	if !r.budget.takeWithin(ctx, int64(bytes)) {
 		return false
 	}
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -43,6 +43,15 @@
 	require.True(t, budget.Ration().Grow(1))
 }
 
+// A user that asked for more than the whole budget waited in vain, and others behind it.
+func TestMoreThanTheBudgetIsRefusedAtOnce(t *testing.T) {
+	budget := rationer.New(100)
+	first := budget.Ration()
+	require.True(t, first.Grow(1))
+	require.False(t, budget.Ration().GrowWithin(t.Context(), 101))
+	require.True(t, budget.Ration().Grow(1))
+}
+
 // A user that asked for much was passed over by users that asked for little later.
 func TestWaitingUsersAreServedInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
