internal/pooler: close the connection of a refused long request

An upstream that refused a long request before it had read it got the rest, for up to 10 s if it did not read, and the connection counted as in use until then. With several such requests the limit of connections was reached and others were not sent.

Only accepted requests are sent to their end after an early response. TestEarlyRefusalsFreeTheirConnections failed before.

--- a/internal/pooler/early_test.go
+++ b/internal/pooler/early_test.go
@@ -235,3 +235,24 @@
 	require.NoError(t, err)
 	require.Equal(t, "two", text)
 }
+
+// An upstream that refused long requests and did not read them kept its connections in use,
+// up to the limit, so that further requests were not sent.
+func TestEarlyRefusalsFreeTheirConnections(t *testing.T) {
+	unread := make(chan struct{})
+	t.Cleanup(func() { close(unread) })
+	address := startEarlyUpstream(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+		<-unread
+	})
+	p := newPool()
+	p.SetMaxConnections(address, 1)
+	for range 3 {
+		got, err := p.Do(t.Context(), address, longRequest("1", 8<<20))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, got.Status)
+		_, err = io.ReadAll(got)
+		require.NoError(t, err)
+		got.Close()
+	}
+}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -243,8 +243,8 @@
 	}, nil
 }
 
-// settle keeps or closes a connection whose response is complete. If the upstream responded
-// early, it gets the rest of the request first.
+// settle keeps or closes a connection whose response is complete. If the upstream has accepted
+// the request early, it gets the rest of that first.
 func (p *Pool) settle(address string, c *conn, response *http.Response) {
 	finish := func() {
 		if c.awaitSent(p.cfg.Now()) && framingOf(response) != FramingClose && !response.Close {
@@ -253,11 +253,14 @@
 		}
 		p.discard(address, c)
 	}
-	if c.sending.isDone() {
+	switch {
+	case c.sending.isDone():
 		finish()
-		return
+	case response.StatusCode >= http.StatusMultipleChoices:
+		p.discard(address, c)
+	default:
+		go finish()
 	}
-	go finish()
 }
 
 // closeSilent closes the idle connections to an upstream that have not been used since
