internal/gateway: blame no upstream for what this entry did

A response for which this entry had no memory left counted as a failure of its upstream, and of its version. An attempt that was dropped because the silent one went on was logged as if its caller had left.

The first counts as no failure now, the second has a cause of its own; the takeover's log line has the silence, the time it took and the list's age.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -125,7 +125,8 @@
 	// response.
 	connectionBroke bool
 	// busy reports that the upstream may be healthy but accepts no more
-	// requests, or no more from this entry.
+	// requests, or no more from this entry, or that this entry has no memory for its
+	// response.
 	busy bool
 	// misdirected reports that another upstream now has the address.
 	misdirected bool
@@ -320,7 +321,7 @@
 		verdict := judge.VerdictOf(err)
 		return &failure{
 			verdict: verdict, unsent: verdict == judge.NotRun, connectionBroke: verdict != judge.NotRun && r.ctx.Err() == nil,
-			busy: pooler.IsFull(err) || pooler.IsWithdrawn(err), cause: err,
+			busy: pooler.IsFull(err) || pooler.IsWithdrawn(err) || pooler.IsOutOfMemory(err), cause: err,
 		}
 	}
 	r.response, r.body, r.info = response, response, g.cfg.Codec.Response(response.Status, response.Header)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -55,9 +55,9 @@
 // brokenAttempt is an attempt that ended without a response.
 type brokenAttempt struct {
 	isolator.Attempt
-	// callerLeft reports that the attempt ended because the caller disconnected, and
-	// that its upstream may have been well.
-	callerLeft bool
+	// abandoned reports that the attempt ended because the caller disconnected or another
+	// attempt went on, and that its upstream may have been well.
+	abandoned bool
 	// ended reports that the response ended with its connection, as it does at the end of
 	// the response and at that of the upstream.
 	ended bool
@@ -123,13 +123,13 @@
 	st.notePartIDs(c)
 	attempt := brokenAttempt{
 		Attempt:    c.crashAttempt(now, st.deploymentSizes[u.Deployment]),
-		callerLeft: c.disconnected || errors.Is(context.Cause(ctx), errDisconnected),
+		abandoned:  c.disconnected || isAbandoned(ctx),
 		wantsProbe: f.connectionBroke && ctx.Err() == nil,
 	}
 	_, listed := st.upstreamByID[u.ID]
 	_, removed := st.crashes.removedAt[u.ID]
 	switch {
-	case removed && !attempt.callerLeft:
+	case removed && !attempt.abandoned:
 		st.recordCrash(now, u.ID, foundRemoved, []isolator.Attempt{attempt.Attempt})
 		return nil
 	case !listed || st.router.IsLeaving(u.ID):
@@ -146,6 +146,12 @@
 	return g.startProbe(u)
 }
 
+// isAbandoned reports whether an attempt was canceled for a reason that is not its upstream's.
+func isAbandoned(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, errDisconnected) || errors.Is(cause, errNotNeeded)
+}
+
 // startProbe probes an upstream, unless it is being probed. The result is closed when the
 // probe has ended. The lock must be held.
 func (g *Gateway) startProbe(u Upstream) <-chan struct{} {
@@ -258,7 +264,7 @@
 // recordRemoval records the crash of an upstream that was removed from the list, or
 // replaced by another process, without having announced its end. The lock must be held.
 func (st *state) recordRemoval(now time.Time, u Upstream) {
-	attempts := st.crashes.take(u.ID, func(b brokenAttempt) bool { return !b.callerLeft && !b.ended && now.Sub(b.End) <= brokenAttemptTTL })
+	attempts := st.crashes.take(u.ID, func(b brokenAttempt) bool { return !b.abandoned && !b.ended && now.Sub(b.End) <= brokenAttemptTTL })
 	if u.Leaving || st.router.IsLeaving(u.ID) {
 		return
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -144,6 +144,7 @@
 	framed := response.Framing != pooler.FramingClose
 	faulty := errors.Is(err, errPartialEvent) || errors.Is(err, errEventTooLarge) || errors.Is(err, errNoMemory) || errors.Is(err, errNotResumed) || pooler.IsTooLarge(err)
 	f.connectionBroke = ctx.Err() == nil && !(faulty && framed)
+	f.busy = errors.Is(err, errNoMemory)
 	response.Distrust()
 	return f
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -22,7 +22,11 @@
 	minSilence = 500 * time.Millisecond
 )
 
-var errSilent = errors.New("the upstream was silent and another one has taken the request over")
+// The causes of canceled attempts of which another one went on.
+var (
+	errSilent    = errors.New("the upstream was silent and another one has taken the request over")
+	errNotNeeded = errors.New("the upstream that was silent has gone on")
+)
 
 // silenceWatch offers a request to other upstreams while the attempt that it watches is
 // silent. The attempt is canceled with errSilent only when the response of another upstream
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -95,7 +95,8 @@
 	b.response = r
 	s.g.metrics.Count("takeovers")
 	s.g.cfg.Log.Info().Str("event", "request_taken_over").Str("request_id", b.call.request.ID).Str("upstream", r.upstream.ID).
-		Str("resumes_from", b.call.resumeFrom()).Int("sends", b.call.sends).Send()
+		Str("resumes_from", b.call.resumeFrom()).Int("sends", b.call.sends).Dur("silence_limit", s.timeout).Dur("took", s.g.cfg.Now().Sub(r.sentAt)).
+		Dur("list_age", b.call.listAge).Send()
 	if s.waiting {
 		s.waiting = false
 		s.cancel(errSilent)
@@ -129,11 +130,10 @@
 	b.sends, b.runs, b.refused = 0, 0, nil
 }
 
-// drop ends the search. If its upstream crashes now, the cause is as uncertain as when a
-// caller has left.
+// drop ends the search.
 func (b *standby) drop() {
 	b.dropped = true
-	b.cancel(errDisconnected)
+	b.cancel(errNotNeeded)
 }
 
 // end drops the standby and the response that it may have.
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -44,6 +44,9 @@
 // in use. The request was not sent.
 func IsFull(err error) bool { return errors.Is(err, errFull) }
 
+// IsOutOfMemory reports whether a response failed because the heads of others held the memory.
+func IsOutOfMemory(err error) bool { return errors.Is(err, errNoMemory) }
+
 // IsTooLarge reports whether a response failed because its head or body is too large, or
 // larger than the memory that is left for it.
 func IsTooLarge(err error) bool {
