--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -43,7 +43,7 @@
 	request Request
 	body    []byte
 	// bodyMemory is the memory of the body.
-	bodyMemory *rationer.Share
+	bodyMemory *rationer.SharedRation
 	// fingerprint is the same for all requests with the same content, which a
 	// caller may repeat under new IDs.
 	fingerprint isolator.Fingerprint
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	memory := g.requestMemory.Ration()
-	c.bodyMemory = memory.Share()
+	c.bodyMemory = memory.Shared()
 	controller := http.NewResponseController(w)
 	limit = cmp.Or(max(limit, 0), defaultMaxBodyBytes)
 	err := controller.SetReadDeadline(c.arrived.Add(bodyTimeout))
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -78,7 +78,7 @@
 	Body   []byte
 	// BodyMemory, if set, is the memory of the body, which is retained until it has been
 	// sent, also after the end of the response.
-	BodyMemory *rationer.Share
+	BodyMemory *rationer.SharedRation
 	// MaySend, if set, is called when there is a connection. The request is sent only if
 	// it returns true.
 	MaySend func() bool
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -35,7 +35,7 @@
 	return b.left
 }
 
-// Ration returns a share of the budget, which is empty at first. It belongs to one goroutine
+// Ration returns a part of the budget, which is empty at first. It belongs to one goroutine
 // at a time. That of a nil budget has no limit.
 func (b *Budget) Ration() *Ration { return &Ration{budget: b} }
 
@@ -101,7 +101,7 @@
 	}
 }
 
-// Ration is the share of one user.
+// Ration is the part of a budget that one user holds.
 type Ration struct {
 	budget *Budget
 	held   int64
@@ -146,25 +146,25 @@
 // Release returns all bytes to the budget.
 func (r *Ration) Release() { r.Trim(0) }
 
-// Share returns a share that is returned when all its users have released it. The ration
-// must not grow after that.
-func (r *Ration) Share() *Share {
-	s := &Share{ration: r}
+// Shared returns the ration for several users. It is returned to the budget when all of them
+// have released it.
+func (r *Ration) Shared() *SharedRation {
+	s := &SharedRation{ration: r}
 	s.users.Store(1)
 	return s
 }
 
-// Share is a ration with several users. It is safe for concurrent use.
-type Share struct {
+// SharedRation is a ration with several users. It is safe for concurrent use.
+type SharedRation struct {
 	ration *Ration
 	users  atomic.Int32
 }
 
 // Retain adds a user, who calls Release once. It is called by a user.
-func (s *Share) Retain() { s.users.Add(1) }
+func (s *SharedRation) Retain() { s.users.Add(1) }
 
 // Release removes a user.
-func (s *Share) Release() {
+func (s *SharedRation) Release() {
 	if s.users.Add(-1) == 0 {
 		s.ration.Release()
 	}
--- a/internal/rationer/rationer_test.go
+++ b/internal/rationer/rationer_test.go
@@ -33,13 +33,13 @@
 	r := budget.Ration()
 	require.True(t, r.Grow(limit))
 	require.False(t, budget.Ration().Grow(1))
-	share := r.Share()
+	shared := r.Shared()
 	r.Trim(limit - 1)
 	require.True(t, budget.Ration().Grow(1))
-	share.Retain()
-	share.Release()
+	shared.Retain()
+	shared.Release()
 	require.False(t, budget.Ration().Grow(1), "one user is left")
-	share.Release()
+	shared.Release()
 	require.True(t, budget.Ration().Grow(1))
 }
 
