--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,11 +30,10 @@
 
 // cases return whether the rule held and why.
 var cases = map[string]func(*caseRun) (held bool, why string, err error){
-	"brittle":   runBrittle,
-	"partition": runPartition,
-	"poison":    runPoison,
-	"copies":    runCopies,
-	"part":      runPart,
+	"brittle": runBrittle,
+	"poison":  runPoison,
+	"copies":  runCopies,
+	"part":    runPart,
 }
 
 func main() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -62,14 +62,12 @@
 	// brittle says that the worker says that it is, shortQueue that it lets fewer wait.
 	brittle, shortQueue bool
 	turnedAway          []time.Time
-	// cut are the addresses of machines that can't reach the worker.
-	cut map[string]bool
 	// grey is the share of requests that fail though the health is good.
 	grey float64
 }
 
 func newWorker(cfg workerConfig, s *store, r *record) *worker {
-	w := &worker{cfg: cfg, store: s, record: r, cut: map[string]bool{}}
+	w := &worker{cfg: cfg, store: s, record: r}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -105,49 +103,7 @@
 		},
 	}
 	server := w.server
-	go func() { _ = server.Serve(cutListener{listener, w}) }()
-}
-
-// cutListener resets the connections of machines that are partitioned from the worker.
-type cutListener struct {
-	net.Listener
-	w *worker
-}
-
-func (l cutListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil || !l.w.isCut(c) {
-			return c, err
-		}
-		reset(c)
-	}
-}
-
-func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
-func (w *worker) isCut(c net.Conn) bool {
-	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.cut[host]
-}
-
-// setCut partitions a machine from the worker, or ends that.
-func (w *worker) setCut(ip string, cut bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cut[ip] = cut
-	for c := range w.conns {
-		if host, _, _ := net.SplitHostPort(c.RemoteAddr().String()); cut && host == ip {
-			reset(c)
-		}
-	}
+	go func() { _ = server.Serve(listener) }()
 }
 
 func (w *worker) beat() {
